--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,218 @@
+// Package config reads the settings the platform hands over and the
+// operators' own, and checks both.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Settings is the file that the platform hands to every controller. Fields
+// that are not known are ignored.
+type Settings struct {
+	Name       string     `toml:"host_name"`
+	Zone       string     `toml:"location"`
+	Listen     string     `toml:"listen"`
+	PeerListen string     `toml:"back"`
+	Peers      []Peer     `toml:"peers"`
+	External   External   `toml:"external"`
+	Deployment Deployment `toml:"deployment"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Name string `toml:"host_name"`
+	Zone string `toml:"location"`
+	Addr string `toml:"peer_addr"`
+}
+
+// External names the services outside.
+type External struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Deployment describes what all controllers share.
+type Deployment struct {
+	Size       int         `toml:"size"`
+	Zones      []string    `toml:"zones"`
+	SkewMs     float64     `toml:"skew_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"machine_limits"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is what is expected of a class of jobs.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers holds the workers' timings, in seconds.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits is what this machine grants a controller.
+type Limits struct {
+	CPU            float64 `toml:"cpu"`
+	RAMMB          float64 `toml:"ram_mb"`
+	MaxConnections int     `toml:"max_connections"`
+}
+
+// Load reads and checks the settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(string(data))
+}
+
+// Parse reads and checks settings.
+func Parse(text string) (*Settings, error) {
+	var s Settings
+	if _, err := toml.Decode(text, &s); err != nil {
+		return nil, fmt.Errorf("parse settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	var errs []error
+	bad := func(format string, a ...any) { errs = append(errs, fmt.Errorf(format, a...)) }
+	addr := func(name, v string) {
+		host, port, err := net.SplitHostPort(v)
+		if err != nil || net.ParseIP(host) == nil {
+			bad("%s: %q is not an IP address with a port", name, v)
+			return
+		}
+		if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+			bad("%s: %q has no usable port", name, v)
+		}
+	}
+	positive := func(name string, v float64) {
+		if !(v > 0) {
+			bad("%s: must be greater than 0, is %v", name, v)
+		}
+	}
+	if s.Name == "" {
+		bad("host_name: missing")
+	}
+	addr("listen", s.Listen)
+	addr("back", s.PeerListen)
+	addr("external.cloud", s.External.Cloud)
+	addr("external.state", s.External.State)
+	seen := map[string]bool{s.Name: true}
+	for i, p := range s.Peers {
+		if p.Name == "" || seen[p.Name] {
+			bad("peers[%d].host_name: %q is missing or repeated", i, p.Name)
+		}
+		seen[p.Name] = true
+		addr(fmt.Sprintf("peers[%d].peer_addr", i), p.Addr)
+	}
+	d := &s.Deployment
+	teams := map[string]bool{}
+	for i, t := range d.Teams {
+		if t.Name == "" || teams[t.Name] {
+			bad("deployment.teams[%d].name: %q is missing or repeated", i, t.Name)
+		}
+		teams[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			bad("deployment.teams[%d]: an amount is below 0", i)
+		}
+	}
+	positive("deployment.workers.report_s", d.Workers.ReportS)
+	positive("deployment.workers.lease_s", d.Workers.LeaseS)
+	positive("deployment.workers.gang_wait_s", d.Workers.GangWaitS)
+	positive("deployment.workers.gang_peer_s", d.Workers.GangPeerS)
+	positive("deployment.workers.cancel_s", d.Workers.CancelS)
+	positive("deployment.state.rps", d.State.RPS)
+	positive("deployment.state.write_rps", d.State.WriteRPS)
+	positive("deployment.state.value_kb", d.State.ValueKB)
+	positive("deployment.state.txn_ops", float64(d.State.TxnOps))
+	positive("deployment.cloud.rps", d.Cloud.RPS)
+	if d.Cloud.ListLagS < 0 {
+		bad("deployment.cloud.list_lag_s: below 0")
+	}
+	positive("deployment.machine_limits.ram_mb", d.Limits.RAMMB)
+	positive("deployment.machine_limits.max_connections", float64(d.Limits.MaxConnections))
+	return errors.Join(errs...)
+}
+
+// Operator is the operators' own optional file.
+type Operator struct {
+	// Log is the log level that holds when LOG_LEVEL is not set.
+	Log string `toml:"log_level"`
+	// WarmMachines bounds how many idle machines stay rented for work to come.
+	WarmMachines *int `toml:"warm_machines"`
+	// IdleReturnS is how long a machine stays idle before it is returned.
+	IdleReturnS *float64 `toml:"idle_return_s"`
+}
+
+// LoadOperator reads the operators' file; an unknown key is an error. An
+// empty path gives the defaults.
+func LoadOperator(path string) (*Operator, error) {
+	var o Operator
+	if path == "" {
+		return &o, nil
+	}
+	md, err := toml.DecodeFile(path, &o)
+	if err != nil {
+		return nil, fmt.Errorf("parse operators' settings: %w", err)
+	}
+	if un := md.Undecoded(); len(un) > 0 {
+		return nil, fmt.Errorf("operators' settings %s: unknown key %q", path, un[0].String())
+	}
+	if o.WarmMachines != nil && *o.WarmMachines < 0 {
+		return nil, fmt.Errorf("operators' settings %s: warm_machines: below 0", path)
+	}
+	if o.IdleReturnS != nil && *o.IdleReturnS < 0 {
+		return nil, fmt.Errorf("operators' settings %s: idle_return_s: below 0", path)
+	}
+	return &o, nil
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/core/election.go
@@ -0,0 +1,187 @@
+package core
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// Keys of the state service that leadership uses. The leader key is attached
+// to a lease and shows who leads; it only decides when to hold an election.
+// Safety rests on the term key: every election raises it, every write of a
+// leader is conditional on its version, and it is the token of commands.
+const (
+	keyLeader = "leader"
+	keyTerm   = "term"
+)
+
+type leaderValue struct {
+	Name string `json:"name"`
+	Term uint64 `json:"term"`
+}
+
+type election struct {
+	busy     bool
+	nextPoll time.Duration
+	term     uint64 // highest term known
+	leader   string // who holds it, if known
+	heard    time.Duration
+	asked    bool // the leader key was read since the start
+}
+
+// ttl of the leader's lease: a crash, the election and the workers' move to
+// another controller must all fit within one worker lease.
+func (c *Core) ttl() time.Duration { return c.lease() / 5 }
+
+func (c *Core) tickElection() {
+	e := &c.elect
+	if e.busy || c.now < e.nextPoll {
+		return
+	}
+	e.busy = true
+	e.nextPoll = c.now + c.ttl()/4
+	if c.lead != nil {
+		c.renew()
+		return
+	}
+	c.get(keyLeader, func(r Result) {
+		c.noteStore(r)
+		e.busy = false
+		if c.lead != nil {
+			return
+		}
+		switch r.Status {
+		case 200:
+			var it wire.Item
+			var v leaderValue
+			if json.Unmarshal(r.Body, &it) != nil || json.Unmarshal(it.Value, &v) != nil {
+				c.log.Error("leader key is not readable", "body", string(r.Body))
+				return
+			}
+			first := !e.asked
+			e.asked = true
+			if v.Name == c.cfg.Name {
+				// Our own key, of an earlier process or of an election
+				// whose answer got lost: nobody else acts under it.
+				if first || v.Term >= e.term {
+					c.campaign(it.Version)
+				}
+				return
+			}
+			c.learn(v.Term, v.Name)
+		case 404:
+			e.asked = true
+			c.campaign(0)
+		}
+	})
+}
+
+// learn takes in that a controller leads under a term.
+func (c *Core) learn(term uint64, name string) {
+	e := &c.elect
+	if term < e.term {
+		return
+	}
+	if c.lead != nil && term > c.lead.term {
+		c.stepDown("a higher term exists")
+	}
+	if c.lead != nil {
+		return
+	}
+	if term > e.term || e.leader != name {
+		e.term, e.leader = term, name
+		c.log.Info("leader", "name", name, "term", term)
+	}
+	e.heard = c.now
+	c.flushForwards()
+}
+
+// campaign tries to win the next term, given the version of the leader key.
+func (c *Core) campaign(leaderVersion uint64) {
+	e := &c.elect
+	e.busy = true
+	fail := func() { e.busy = false }
+	c.get(keyTerm, func(r Result) {
+		var version, term uint64
+		switch r.Status {
+		case 200:
+			var it wire.Item
+			if json.Unmarshal(r.Body, &it) != nil || json.Unmarshal(it.Value, &term) != nil {
+				c.log.Error("term key is not readable", "body", string(r.Body))
+				fail()
+				return
+			}
+			version = it.Version
+		case 404:
+		default:
+			fail()
+			return
+		}
+		c.call(Call{Dest: DestStore, Method: "POST", Path: "/grants", Urgent: true, Timeout: c.storeTimeout(),
+			Body: encode(wire.GrantRequest{TTLMs: int(c.ttl() / time.Millisecond)})}, func(r Result) {
+			var g wire.Grant
+			if r.Status != 200 || json.Unmarshal(r.Body, &g) != nil {
+				fail()
+				return
+			}
+			term++
+			txn := &wire.Txn{
+				If: []wire.Cond{{Key: keyLeader, Version: leaderVersion}, {Key: keyTerm, Version: version}},
+				Writes: []wire.Write{
+					{Put: keyLeader, Value: encode(leaderValue{c.cfg.Name, term}), Lease: g.Lease},
+					{Put: keyTerm, Value: encode(term)},
+				},
+			}
+			c.commit(txn, true, func(r Result) {
+				fail()
+				if r.Status != 200 {
+					return
+				}
+				var tr wire.TxnResult
+				if json.Unmarshal(r.Body, &tr) != nil {
+					return
+				}
+				c.becomeLeader(term, tr.Revision, g.Lease)
+			})
+		})
+	})
+}
+
+func (c *Core) renew() {
+	l := c.lead
+	c.call(Call{Dest: DestStore, Method: "POST", Path: "/grants/" + strconv.FormatUint(l.grant, 10) + "/extend", Urgent: true,
+		Body: []byte("{}"), Timeout: c.ttl() / 2}, func(r Result) {
+		c.noteStore(r)
+		c.elect.busy = false
+		if c.lead != l {
+			return
+		}
+		if r.Status == 404 {
+			c.stepDown("the lease ran out")
+		}
+	})
+}
+
+func (c *Core) becomeLeader(term, termVersion, grant uint64) {
+	if term <= c.elect.term && c.elect.leader != "" && c.elect.leader != c.cfg.Name {
+		return
+	}
+	c.elect.term, c.elect.leader = term, c.cfg.Name
+	c.elect.nextPoll = c.now + c.ttl()/4
+	c.log.Info("elected", "term", term)
+	c.lead = newLeader(c, term, termVersion, grant)
+	c.lead.recover()
+	c.sendDigest()
+	c.flushForwards()
+}
+
+func (c *Core) stepDown(why string) {
+	c.log.Info("step down", "term", c.lead.term, "why", why)
+	c.lead.gone = true
+	c.lead = nil
+	c.elect.leader = ""
+	c.elect.busy = false
+	c.elect.nextPoll = c.now
+}
--- /dev/null
+++ b/internal/core/gone.go
@@ -0,0 +1,253 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// This file decides when a task is certainly gone, which decides the rules on
+// tasks that run twice, teams' limits, places and cancelled work. A placement
+// counts in full until one of these:
+//
+//  1. a newer report of its session shows it ended, or does not show it
+//     though the worker has heard this term and no copy of its start can
+//     still take effect;
+//  2. the worker reports a later session;
+//  3. the cloud has confirmed the machine's return;
+//  4. the worker has seen this term, and its lease has certainly run out since
+//     this term's last answer. A worker that has not seen this term may still
+//     be kept alive by a deposed leader.
+
+// review compares a machine's placements with its newest report.
+// heardTerm tells that the worker had seen this term when it made it.
+func (l *leader) review(m *machine, heardTerm bool) {
+	for _, name := range sortedKeys(m.placed) {
+		p, ok := m.placed[name]
+		if !ok {
+			continue // released by an earlier one of its gang
+		}
+		t := &p.j.tasks[p.i]
+		if t.session < m.session {
+			l.lost(p, "session") // case 2
+			continue
+		}
+		w, listed := m.tasks[name]
+		if listed && w.Attempt == t.attempt {
+			l.observe(p, w)
+			continue
+		}
+		switch {
+		case t.seen && heardTerm:
+			// It was there and no longer is; nothing forgets it but us, and
+			// only after its end.
+			l.lost(p, "vanished")
+		case !t.ours && heardTerm:
+			// Placed under an earlier term and never started: commands of
+			// that term have no effect on this worker any more. Case 1.
+			l.lost(p, "never started")
+		case t.ours && !t.copied && t.stop != nil:
+			l.exited(p, wire.Task{Cause: wire.CauseStopped})
+		}
+	}
+}
+
+// observe takes in the state of a task that a report shows.
+func (l *leader) observe(p ref, w wire.Task) {
+	t := &p.j.tasks[p.i]
+	t.seen, t.copied, t.recorded = true, true, true
+	if w.State == wire.TaskExited {
+		l.exited(p, w) // case 1
+		return
+	}
+	if w.State == wire.TaskRunning && t.state != wire.TaskRunning {
+		t.upAt = l.c.now
+		t.m.successes++
+	}
+	t.state = w.State
+}
+
+// expire ends the placements of a silent worker once its lease has certainly
+// run out: case 4.
+func (l *leader) expire(m *machine) {
+	if m.token < l.term || m.answered == 0 || m.lostTerm || l.c.now-m.answered <= l.leaseBound() {
+		return
+	}
+	m.lostTerm = true
+	l.c.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.placed))
+	for _, name := range sortedKeys(m.placed) {
+		if p, ok := m.placed[name]; ok && p.j.tasks[p.i].session <= m.session {
+			l.lost(p, "lease")
+		}
+	}
+}
+
+// machineGone ends everything on a machine that the cloud has taken back:
+// case 3.
+func (l *leader) machineGone(m *machine) {
+	l.c.log.Info("machine gone", "machine", m.name)
+	for _, name := range sortedKeys(m.placed) {
+		if p, ok := m.placed[name]; ok {
+			l.lost(p, "machine")
+		}
+	}
+	delete(l.machines, m.name)
+}
+
+// lost releases a task that is certainly gone without an end of its own.
+func (l *leader) lost(p ref, why string) {
+	l.c.log.Debug("task lost", "task", taskName(p.j.ID, p.i), "machine", p.j.tasks[p.i].m.name, "why", why)
+	gang := p.j.Shape == wire.ShapeGang && !p.j.tasks[p.i].done
+	l.release(p.j, p.i)
+	if gang {
+		l.breakGang(p.j)
+	}
+}
+
+// exited releases a task that has ended, by its cause.
+func (l *leader) exited(p ref, w wire.Task) {
+	j, i := p.j, p.i
+	t := &j.tasks[i]
+	m := t.m
+	if w.Cause != wire.CauseDone && w.Cause != wire.CauseStopped {
+		l.c.log.Info("task ended", "task", taskName(j.ID, i), "machine", m.name, "cause", w.Cause)
+	} else {
+		l.c.log.Debug("task ended", "task", taskName(j.ID, i), "machine", m.name, "cause", w.Cause)
+	}
+	switch w.Cause {
+	case wire.CauseDone:
+		m.successes++
+		l.learnRun(j, l.c.now-t.upAt, t.upAt != 0)
+		l.markDone(j, i)
+		if j.Shape == wire.ShapeGang {
+			for k := range j.tasks {
+				l.markDone(j, k) // a gang completes together
+			}
+		}
+	case wire.CauseError:
+		l.taskFailed(j, m)
+	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseUnknown, wire.CauseIncomplete:
+		j.retryAt = l.c.now + l.c.report()
+	}
+	l.release(j, i)
+	if j.Shape == wire.ShapeGang && w.Cause != wire.CauseDone && !j.finished() {
+		l.breakGang(j)
+	}
+}
+
+// breakGang stops what is left of a gang's attempt: the gang starts again as
+// a whole, once all of it is gone.
+func (l *leader) breakGang(j *job) {
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.m != nil && t.stop == nil {
+			l.stopTask(j, i, 0, "gang broken")
+		}
+	}
+}
+
+// taskFailed tells a faulty machine from a faulty job: several jobs failing on
+// one machine condemn the machine, one job failing on several machines has to
+// wait longer and longer.
+func (l *leader) taskFailed(j *job, m *machine) {
+	m.errors++
+	m.errorJobs[j.ID] = true
+	j.failOn[m.name] = true
+	if len(j.failOn) > 1 {
+		j.fails++
+		j.retryAt = l.c.now + min(time.Second<<min(j.fails, 6), 2*l.c.lease())
+	} else {
+		j.retryAt = l.c.now + l.c.report()/5
+	}
+	if len(m.errorJobs) > 1 && m.errors > m.successes/2 {
+		l.condemn(m, "fails the tasks it starts")
+	}
+}
+
+// condemn stops a machine from taking tasks; it is returned once empty.
+func (l *leader) condemn(m *machine, why string) {
+	if m.drain == "" {
+		l.c.log.Info("machine condemned", "machine", m.name, "why", why)
+		m.drain = why
+	}
+}
+
+// stopTask asks a task to end. Grace 0 ends it without a save.
+func (l *leader) stopTask(j *job, i int, grace float64, why string) {
+	t := &j.tasks[i]
+	if t.m == nil || t.stop != nil && (t.stop.grace == 0 || grace > 0) {
+		return
+	}
+	t.stop = &stop{grace: grace, at: l.c.now, why: why, hard: grace == 0}
+	l.c.log.Debug("stop task", "task", taskName(j.ID, i), "machine", t.m.name, "why", why, "grace_s", grace)
+	if !t.recorded || !t.copied {
+		// Not recorded yet or never sent: nothing started.
+		if t.ours && !t.copied {
+			l.release(j, i)
+		}
+		return
+	}
+	l.fleet.urge[t.m.name] = true
+}
+
+func (l *leader) stopCommand(name string, t *task) *wire.Command {
+	grace := t.stop.grace
+	if t.state == wire.TaskSaving {
+		if !t.stop.hard {
+			return nil
+		}
+		grace = 0
+	}
+	return &wire.Command{Verb: wire.VerbStop, Task: name, Attempt: t.attempt, GraceS: &grace}
+}
+
+func (l *leader) cancelTasks(j *job) {
+	for i := range j.tasks {
+		if j.tasks[i].m != nil {
+			l.stopTask(j, i, 0, "cancelled")
+		}
+	}
+	l.dirty = true
+}
+
+// tickStops repeats stops that had no effect, ends saves that take too long,
+// and returns machines on which cancelled work cannot be confirmed gone.
+func (l *leader) tickStops() {
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		for _, k := range sortedKeys(m.placed) {
+			p, ok := m.placed[k]
+			if !ok {
+				continue
+			}
+			t := &p.j.tasks[p.i]
+			if t.stop == nil {
+				if p.j.cancelled {
+					l.stopTask(p.j, p.i, 0, "cancelled")
+				} else if p.j.ended || t.done {
+					l.stopTask(p.j, p.i, 0, "over")
+				}
+				if t.m != nil && t.ours && t.recorded && !t.seen && l.c.now-t.placedAt > 4*l.c.report() && m.deafSince == 0 && l.c.now-m.heard < 2*l.c.report() {
+					// Reports arrive but the start never shows: the worker
+					// does not hear us.
+					l.c.log.Info("machine does not hear", "machine", m.name)
+					m.deafSince = l.c.now
+				}
+				continue
+			}
+			if !t.stop.hard && l.c.now-t.stop.at > 2*time.Duration(t.stop.grace*float64(time.Second)) {
+				t.stop.hard = true
+				t.stop.grace = 0
+				l.fleet.urge[name] = true
+			}
+			if p.j.cancelled && l.c.now-p.j.cancelAt > time.Duration(l.c.cfg.Deployment.Workers.CancelS*float64(time.Second))*2/5 {
+				l.giveBack(m, "cancelled work is not confirmed gone")
+			}
+		}
+	}
+	for _, name := range sortedKeys(l.fleet.urge) {
+		delete(l.fleet.urge, name)
+		if m := l.machines[name]; m != nil {
+			l.direct(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,443 @@
+package core
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// ref names a task that counts on a machine.
+type ref struct {
+	j *job
+	i int
+}
+
+// machine is what the leader knows of a machine.
+type machine struct {
+	name, addr, typ, zone string
+	spot                  bool
+	known                 bool // type and zone are known
+
+	session, seq       uint64 // newest message
+	repSession, repSeq uint64 // newest report
+	token              uint64 // highest token the worker has reported
+	heard              time.Duration
+	answered           time.Duration // last answer of this term to a report
+	firstHeard         time.Duration
+	tasks              map[string]wire.Task // newest report
+
+	placed    map[string]ref
+	used      topology.Resources
+	idleSince time.Duration
+	images    []image // believed to be cached, latest use first
+
+	listedAs  string
+	listedAt  time.Duration
+	createdAt time.Duration // estimate of the rental
+	leaving   time.Duration // when the cloud takes it; 0 unknown
+	drain     string        // why it takes no more tasks
+	lostTerm  bool          // its lease ran out while it was silent
+	expired   int           // leases lost while it answered
+	deafSince time.Duration
+	returning bool
+	retryAt   time.Duration // of the return
+
+	doBusy    int
+	doRetry   time.Duration
+	doPending map[string]int // starts sent to /do whose outcome is unknown
+	probeBusy bool
+	probeAt   time.Duration
+	errors    int
+	errorJobs map[string]bool
+	successes int
+
+	// A machine whose tasks are stopped for a job is kept for it.
+	reserved      *job
+	reservedUntil time.Duration
+}
+
+func (l *leader) machine(name string) *machine {
+	m := l.machines[name]
+	if m == nil {
+		m = &machine{name: name, placed: map[string]ref{}, tasks: map[string]wire.Task{},
+			doPending: map[string]int{}, errorJobs: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
+		l.machines[name] = m
+	}
+	return m
+}
+
+func (l *leader) describe(m *machine, addr, typ, zone string, spot bool) {
+	if addr != "" {
+		m.addr = addr
+	}
+	m.typ, m.zone, m.spot, m.known = typ, zone, spot, true
+}
+
+func (l *leader) total(m *machine) (topology.Resources, bool) {
+	t := l.c.types[m.typ]
+	if t == nil || !m.known {
+		return topology.Resources{}, false
+	}
+	return topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}, true
+}
+
+// usable tells whether a machine may take tasks. It must have shown that it
+// hears this term: a late copy of a machine's report never does.
+func (l *leader) usable(m *machine) bool {
+	return m.token >= l.term && m.drain == "" && !m.returning && !m.lostTerm && m.leaving == 0 &&
+		l.c.now-m.heard < 3*l.c.report()+l.c.report()/2 && m.deafSince == 0
+}
+
+// leaseBound is after how long without an answer a worker that has seen this
+// term has certainly dropped its tasks: its lease, the drift of two steady
+// clocks, and a margin for our own late timers.
+func (l *leader) leaseBound() time.Duration { return l.c.lease() + l.c.lease()/20 }
+
+// handleReport takes a worker's report and returns the answer.
+func (l *leader) handleReport(body []byte) (int, []byte) {
+	r, ok := decodeReport(body)
+	if !ok {
+		return 400, []byte(`{"error":"not a report"}`)
+	}
+	if r.Token > l.term {
+		l.c.stepDown("a worker has seen a higher term")
+		return 503, []byte("{}")
+	}
+	if _, ok := l.returned[r.Machine]; ok {
+		// The cloud has confirmed that the machine is gone: a late copy.
+		return 503, []byte("{}")
+	}
+	m := l.machine(r.Machine)
+	if !r.Newer(m.repSession, m.repSeq) {
+		// A late or repeated copy must not refresh anything.
+		l.c.log.Debug("old report", "machine", r.Machine, "session", r.Session, "seq", r.Seq)
+		return 503, []byte("{}")
+	}
+	m.repSession, m.repSeq = r.Session, r.Seq
+	if m.firstHeard == 0 {
+		m.firstHeard = l.c.now
+		l.c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
+	}
+	m.heard = l.c.now
+	if r.Newer(m.session, m.seq) {
+		l.apply(m, r)
+	}
+	orders := wire.Orders{Token: l.term, Commands: []wire.Command{}}
+	if l.ready && r.Session == m.session {
+		orders.Commands = l.commands(m, true)
+	}
+	m.answered = l.c.now
+	return 200, encode(orders)
+}
+
+// apply takes in a worker's newest message.
+func (l *leader) apply(m *machine, r *wire.Report) {
+	if r.Session != m.session {
+		if m.session != 0 && r.Session > m.session {
+			m.expired++
+			l.c.log.Info("worker lost its lease", "machine", m.name, "session", r.Session)
+		}
+		m.doPending = map[string]int{}
+		m.lostTerm = false
+		m.deafSince = 0
+	}
+	m.session, m.seq = r.Session, r.Seq
+	m.token = max(m.token, r.Token)
+	l.describe(m, r.Addr, r.Type, r.Zone, r.Spot)
+	if r.WarningS != nil {
+		if m.leaving == 0 {
+			l.c.log.Info("machine will be taken", "machine", m.name, "in_s", *r.WarningS)
+			l.schedule = true
+		}
+		m.leaving = l.c.now + config.Seconds(*r.WarningS)
+	}
+	m.tasks = make(map[string]wire.Task, len(r.Tasks))
+	for _, t := range r.Tasks {
+		m.tasks[t.Task] = t
+		if t.State == wire.TaskRunning || t.State == wire.TaskWaiting {
+			if j := l.jobs[jobOf(t.Task)]; j != nil {
+				l.useImage(m, j.Image, j.ImageGB)
+			}
+		}
+	}
+	if l.ready {
+		l.review(m, r.Token >= l.term)
+	}
+}
+
+func jobOf(task string) string {
+	if i := strings.IndexByte(task, '/'); i >= 0 {
+		return task[:i]
+	}
+	return task
+}
+
+// commands lists what a worker should be told now. inAnswer marks the answer
+// to a report, which is never executed late.
+func (l *leader) commands(m *machine, inAnswer bool) []wire.Command {
+	cmds := []wire.Command{}
+	zero := 0.0
+	for _, name := range sortedKeys(m.placed) {
+		p := m.placed[name]
+		t := &p.j.tasks[p.i]
+		if t.session != m.session {
+			continue
+		}
+		if !t.seen {
+			if t.recorded && t.ours && (t.stop == nil || t.copied) {
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: name, Attempt: t.attempt})
+				t.copied = true
+				if t.stop != nil {
+					// A copy of the start may still be under way. Starting
+					// and stopping it here pins the attempt, so that the
+					// copy has no effect when it comes.
+					cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: t.attempt, GraceS: &zero})
+				}
+			}
+			continue
+		}
+		if t.stop != nil {
+			if c := l.stopCommand(name, t); c != nil {
+				cmds = append(cmds, *c)
+			}
+		}
+	}
+	for _, name := range sortedKeys(m.tasks) {
+		w := m.tasks[name]
+		p, placed := m.placed[name]
+		if placed && p.j.tasks[p.i].attempt == w.Attempt {
+			continue
+		}
+		if w.State != wire.TaskExited {
+			// Nothing here counts on it: a start that was overtaken.
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: w.Attempt, GraceS: &zero})
+			continue
+		}
+		if l.mayForget(m, name, w.Attempt) {
+			cmds = append(cmds, wire.Command{Verb: wire.VerbForget, Task: name, Attempt: w.Attempt})
+		}
+	}
+	return cmds
+}
+
+// mayForget tells whether an exited task may be removed from the worker's
+// reports: its outcome is recorded, and no copy of its start can still come,
+// which would start it again.
+func (l *leader) mayForget(m *machine, name string, attempt uint64) bool {
+	if m.doPending[attemptKey(name, attempt)] > 0 || m.token < l.term {
+		return false
+	}
+	j := l.jobs[jobOf(name)]
+	if j == nil {
+		return true
+	}
+	for i := range j.chunks {
+		if j.chunks[i].dirty || j.chunks[i].busy || j.chunks[i].stale {
+			return false
+		}
+	}
+	return !j.final
+}
+
+func attemptKey(task string, attempt uint64) string {
+	return task + "#" + strconv.FormatUint(attempt, 10)
+}
+
+// sendStarts sends recorded starts straight to the workers.
+func (l *leader) sendStarts(j *job, starts []placeEntry) {
+	byMachine := map[string]bool{}
+	var order []*machine
+	for _, s := range starts {
+		if m := l.machines[s.Machine]; m != nil && !byMachine[s.Machine] {
+			byMachine[s.Machine] = true
+			order = append(order, m)
+		}
+	}
+	for _, m := range order {
+		l.direct(m)
+	}
+}
+
+// direct sends a worker its commands at once instead of with the answer to
+// its next report.
+func (l *leader) direct(m *machine) {
+	if m.addr == "" || m.doBusy > 0 || l.c.now < m.doRetry || m.token < l.term || m.returning || !l.ready {
+		return
+	}
+	cmds := l.commands(m, false)
+	if len(cmds) == 0 {
+		return
+	}
+	var starts []string
+	for _, c := range cmds {
+		if c.Verb == wire.VerbStart {
+			k := attemptKey(c.Task, c.Attempt)
+			m.doPending[k]++
+			starts = append(starts, k)
+		}
+	}
+	m.doBusy++
+	session := m.session
+	body := encode(wire.Orders{Token: l.term, Session: session, Commands: cmds})
+	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
+		m.doBusy--
+		if l.gone {
+			return
+		}
+		known := r.Status == 200 || r.Status == 409 || r.Status == 400 || r.NotSent
+		if m.session == session && known {
+			for _, k := range starts {
+				if m.doPending[k]--; m.doPending[k] <= 0 {
+					delete(m.doPending, k)
+				}
+			}
+		}
+		if r.Status != 200 && r.Status != 409 {
+			m.doRetry = l.c.now + l.c.lease()/2
+			return
+		}
+		l.directReport(m, r.Body)
+	})
+}
+
+func (l *leader) directReport(m *machine, body []byte) {
+	rep, ok := decodeReport(body)
+	if !ok || rep.Machine != m.name {
+		return
+	}
+	if rep.Token > l.term {
+		l.c.stepDown("a worker has seen a higher term")
+		return
+	}
+	if rep.Newer(m.session, m.seq) {
+		l.apply(m, rep)
+	}
+}
+
+// probe asks a silent worker for its state and shows it this term: it may
+// still report to a deposed leader that is cut off from us.
+func (l *leader) probe(m *machine) {
+	if m.addr == "" || m.probeBusy || l.c.now < m.probeAt || m.returning {
+		return
+	}
+	m.probeBusy = true
+	m.probeAt = l.c.now + 2*l.c.report()
+	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.c.report()}, func(r Result) {
+		rep, ok := decodeReport(r.Body)
+		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
+			m.probeBusy = false
+			if !l.gone && r.Status == 200 {
+				l.directReport(m, r.Body)
+			}
+			return
+		}
+		body := encode(wire.Orders{Token: l.term, Session: rep.Session, Commands: []wire.Command{}})
+		l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
+			m.probeBusy = false
+			if !l.gone && (r.Status == 200 || r.Status == 409) {
+				l.directReport(m, r.Body)
+			}
+		})
+	})
+}
+
+// tickMachines looks for machines that fell silent or deaf.
+func (l *leader) tickMachines() {
+	now := l.c.now
+	silent, heard := 0, 0
+	for _, m := range l.machines {
+		if m.heard != 0 {
+			heard++
+			if now-m.heard > 3*l.c.report() {
+				silent++
+			}
+		}
+	}
+	// Many silent machines are more likely our own cut than their death.
+	mass := silent > 2 && silent*2 > heard
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		if m.returning {
+			continue
+		}
+		if m.heard == 0 || now-m.heard > 2*l.c.report() {
+			if m.heard != 0 || len(m.placed) > 0 || m.listedAs == wire.MachineRunning {
+				l.probe(m)
+			}
+		}
+		l.expire(m)
+		silence := now - max(m.heard, l.loadedAt)
+		limit := 2 * l.leaseBound()
+		if mass {
+			limit *= 2
+		}
+		switch {
+		case m.listedAs == wire.MachineFailed:
+			l.giveBack(m, "failed")
+		case (m.heard != 0 || len(m.placed) > 0) && silence > limit:
+			l.giveBack(m, "silent")
+		case m.expired >= 3:
+			l.giveBack(m, "loses its lease again and again")
+		case m.deafSince != 0 && now-m.deafSince > l.c.lease():
+			l.giveBack(m, "does not hear")
+		}
+	}
+}
+
+// giveBack returns a machine to the cloud. Whatever was on it is gone once
+// the cloud has confirmed.
+func (l *leader) giveBack(m *machine, why string) {
+	if m.drain == "" {
+		m.drain = why
+		l.c.log.Info("return machine", "machine", m.name, "why", why, "tasks", len(m.placed))
+	}
+	l.fleet.returns[m.name] = true
+}
+
+func (l *leader) returnBatch() {
+	f := &l.fleet
+	if f.returnBusy || len(f.returns) == 0 || l.c.now < f.returnRetry {
+		return
+	}
+	names := sortedKeys(f.returns)
+	if len(names) > 100 {
+		names = names[:100]
+	}
+	for _, n := range names {
+		if m := l.machines[n]; m != nil {
+			m.returning = true
+		}
+	}
+	f.returnBusy = true
+	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines/return", Body: encode(wire.MachineNames{Machines: names}), Timeout: 4 * time.Second, Urgent: true}, func(r Result) {
+		f.returnBusy = false
+		if l.gone {
+			return
+		}
+		if r.Status != 200 {
+			f.returnRetry = l.c.now + time.Second
+			return
+		}
+		for _, n := range names {
+			delete(f.returns, n)
+			l.returned[n] = l.c.now
+			if m := l.machines[n]; m != nil {
+				l.machineGone(m)
+			}
+		}
+	})
+}
+
+// parseList decodes a page of the cloud's list.
+func parseList(body []byte) (*wire.MachineList, bool) {
+	var p wire.MachineList
+	if json.Unmarshal(body, &p) != nil {
+		return nil, false
+	}
+	return &p, true
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,137 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// forward is a worker's report that waits for the leader's answer.
+type forward struct {
+	req    uint64
+	body   []byte
+	until  time.Duration
+	sentTo string
+}
+
+// onReport takes a worker's report. Only the leader answers one; another
+// controller hands it to the leader, and holds it for a moment while there is
+// none.
+func (c *Core) onReport(req uint64, body []byte) {
+	if c.lead != nil {
+		status, out := c.lead.handleReport(body)
+		c.out.Answers = append(c.out.Answers, Answer{ID: req, Status: status, Body: out})
+		return
+	}
+	c.nextForward++
+	// The worker waits 4 s for an answer; it gets ours well before.
+	c.forwards[c.nextForward] = &forward{req: req, body: body, until: c.now + 2500*time.Millisecond}
+	c.flushForwards()
+}
+
+func (c *Core) flushForwards() {
+	if len(c.forwards) == 0 {
+		return
+	}
+	for _, id := range c.forwardIDs() {
+		f := c.forwards[id]
+		switch {
+		case c.lead != nil:
+			delete(c.forwards, id)
+			status, out := c.lead.handleReport(f.body)
+			c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: status, Body: out})
+		case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
+			f.sentTo = c.elect.leader
+			c.send(f.sentTo, &wire.PeerMessage{Forward: &wire.Forward{ID: id, Body: f.body}})
+		}
+	}
+}
+
+func (c *Core) forwardIDs() []uint64 {
+	ids := make([]uint64, 0, len(c.forwards))
+	for id := range c.forwards {
+		ids = append(ids, id)
+	}
+	sortUint64(ids)
+	return ids
+}
+
+func (c *Core) tickForwards() {
+	for _, id := range c.forwardIDs() {
+		if f := c.forwards[id]; c.now >= f.until {
+			delete(c.forwards, id)
+			c.answer(f.req, 503, nil, 0)
+		}
+	}
+}
+
+func (c *Core) send(to string, m *wire.PeerMessage) {
+	m.From = c.cfg.Name
+	c.out.Sends = append(c.out.Sends, Send{To: to, Msg: m})
+}
+
+func (c *Core) onPeer(m *wire.PeerMessage) {
+	p := c.peers[m.From]
+	if p == nil {
+		return
+	}
+	p.heard, p.ever = c.now, true
+	switch {
+	case m.Forward != nil:
+		r := &wire.Reply{ID: m.Forward.ID, Status: 503, Body: []byte("{}")}
+		if c.lead != nil {
+			r.Status, r.Body = c.lead.handleReport(m.Forward.Body)
+		}
+		c.send(m.From, &wire.PeerMessage{Reply: r})
+	case m.Reply != nil:
+		if f := c.forwards[m.Reply.ID]; f != nil && f.sentTo == m.From {
+			delete(c.forwards, m.Reply.ID)
+			c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: m.Reply.Status, Body: m.Reply.Body})
+		}
+	case m.Digest != nil:
+		d := m.Digest
+		p.storeOK = d.StoreOK
+		if d.Leader {
+			c.learn(d.Term, m.From)
+			if c.lead == nil && c.elect.leader == m.From {
+				c.counts = make(map[string]wire.JobCount, len(d.Jobs))
+				for _, j := range d.Jobs {
+					c.counts[j.ID] = j
+				}
+			}
+		} else if c.lead != nil && d.Term > c.lead.term {
+			c.stepDown("a peer knows a higher term")
+		}
+	}
+}
+
+func (c *Core) sendDigest() {
+	d := &wire.Digest{Term: c.elect.term, StoreOK: c.storeOK()}
+	if c.lead != nil {
+		d.Leader = true
+		d.Jobs = c.lead.digest()
+	}
+	for _, p := range c.cfg.Peers {
+		c.send(p.Name, &wire.PeerMessage{Digest: d})
+	}
+}
+
+// peerStoreOK tells whether another controller lately said that the state
+// service answers it.
+func (c *Core) peerStoreOK() bool {
+	for _, p := range c.peers {
+		if p.ever && p.storeOK && c.now-p.heard < 3*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+func decodeReport(body []byte) (*wire.Report, bool) {
+	var r wire.Report
+	if json.Unmarshal(body, &r) != nil || r.Machine == "" {
+		return nil, false
+	}
+	return &r, true
+}
--- /dev/null
+++ b/internal/core/quota.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"sort"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+func (c *Core) team(name string) *config.Team {
+	for i := range c.cfg.Deployment.Teams {
+		if c.cfg.Deployment.Teams[i].Name == name {
+			return &c.cfg.Deployment.Teams[i]
+		}
+	}
+	return nil
+}
+
+func size(j *wire.Job) topology.Resources {
+	return topology.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}
+}
+
+func allowed(list []string, name string) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, v := range list {
+		if v == name {
+			return true
+		}
+	}
+	return false
+}
+
+// usage adds up, by team, every task that is not certainly gone.
+func (l *leader) usage() map[string]topology.Resources {
+	u := map[string]topology.Resources{}
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		for _, k := range sortedKeys(m.placed) {
+			j := m.placed[k].j
+			u[j.Team] = u[j.Team].Add(size(&j.Job))
+		}
+	}
+	return u
+}
+
+// underLimit tells whether a team may use n tasks more.
+func underLimit(t *config.Team, used, task topology.Resources, n int) bool {
+	f := float64(n)
+	if t == nil {
+		return false
+	}
+	return (t.CPUsMax == 0 || used.CPUs+task.CPUs*f <= t.CPUsMax+1e-6) &&
+		(t.GPUsMax == 0 || used.GPUs+task.GPUs*f <= t.GPUsMax+1e-6)
+}
+
+// guaranteed tells which jobs fit into their team's guarantee along with the
+// team's earlier unfinished jobs. A resource for which no team has a
+// guarantee is not guaranteed to anybody and does not count.
+func (l *leader) guaranteed() map[*job]bool {
+	cpus, gpus := false, false
+	for _, t := range l.c.cfg.Deployment.Teams {
+		cpus = cpus || t.CPUs > 0
+		gpus = gpus || t.GPUs > 0
+	}
+	jobs := append([]*job(nil), l.order...)
+	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].order < jobs[b].order })
+	sum := map[string]topology.Resources{}
+	in := map[*job]bool{}
+	for _, j := range jobs {
+		if j.cancelled {
+			continue
+		}
+		t := l.c.team(j.Team)
+		if t == nil {
+			continue
+		}
+		n := float64(len(j.tasks) - j.done)
+		s := sum[j.Team].Add(topology.Resources{CPUs: j.CPUs * n, GPUs: j.GPUs * n})
+		sum[j.Team] = s
+		in[j] = (!cpus || s.CPUs <= t.CPUs+1e-6) && (!gpus || s.GPUs <= t.GPUs+1e-6)
+	}
+	return in
+}
--- /dev/null
+++ b/internal/core/topology/topology.go
@@ -0,0 +1,276 @@
+// Package topology places tasks over a tree of root, zones and machines. It
+// counts bottom up how many tasks fit in each domain and takes the fitting
+// domain with the least free resources. It does no I/O and keeps no time.
+package topology
+
+import "sort"
+
+// Resources are amounts of a machine's resources.
+type Resources struct{ CPUs, GPUs, MemGB float64 }
+
+const eps = 1e-6
+
+// Add returns r+o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.MemGB + o.MemGB}
+}
+
+// Sub returns r-o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemGB - o.MemGB}
+}
+
+// Holds tells whether o fits into r.
+func (r Resources) Holds(o Resources) bool {
+	return o.CPUs <= r.CPUs+eps && o.GPUs <= r.GPUs+eps && o.MemGB <= r.MemGB+eps
+}
+
+// Less orders amounts by the scarcest resource first.
+func (r Resources) Less(o Resources) bool {
+	if r.GPUs != o.GPUs {
+		return r.GPUs < o.GPUs
+	}
+	if r.CPUs != o.CPUs {
+		return r.CPUs < o.CPUs
+	}
+	return r.MemGB < o.MemGB
+}
+
+// Fit returns how many tasks of size t fit into r, at most limit.
+func (r Resources) Fit(t Resources, limit int) int {
+	n := limit
+	one := func(have, want float64) {
+		if want > 0 {
+			if k := int((have + eps) / want); k < n {
+				n = k
+			}
+		}
+	}
+	one(r.CPUs, t.CPUs)
+	one(r.GPUs, t.GPUs)
+	one(r.MemGB, t.MemGB)
+	if n < 0 {
+		return 0
+	}
+	return n
+}
+
+// Level is a level of the tree, from the machines up.
+type Level int
+
+// The levels of the tree.
+const (
+	LevelMachine Level = iota
+	LevelZone
+	LevelRoot
+)
+
+// Machine is a leaf of the tree.
+type Machine struct {
+	Name  string
+	Zone  string
+	Price float64
+	Free  Resources
+}
+
+// Tree holds the machines that may take tasks.
+type Tree struct {
+	machines []*Machine // by name
+}
+
+// New builds a tree over machines.
+func New(machines []*Machine) *Tree {
+	t := &Tree{machines: append([]*Machine(nil), machines...)}
+	sort.Slice(t.machines, func(i, j int) bool { return t.machines[i].Name < t.machines[j].Name })
+	return t
+}
+
+// Request asks for room for tasks that start together.
+type Request struct {
+	// Task is the largest task's size; all count as this.
+	Task Resources
+	// Count is the number of tasks.
+	Count int
+	// Allowed tells whether a machine may take the tasks; nil allows all.
+	Allowed func(*Machine) bool
+	// ZoneRoom bounds the tasks in a zone; nil sets no bound.
+	ZoneRoom func(zone string) int
+	// Preferred and Required are the levels at or below which the whole
+	// request should and must be placed. LevelRoot requires nothing.
+	Preferred, Required Level
+	// Rank orders equally tight machines, lower first; nil ranks all alike.
+	Rank func(*Machine) int
+}
+
+type domain struct {
+	level    Level
+	name     string
+	free     Resources
+	fit      int
+	rank     int
+	price    float64
+	machines []*leaf
+}
+
+type leaf struct {
+	m    *Machine
+	fit  int
+	rank int
+}
+
+// Place chooses a machine for every task, lowers their room and returns the
+// machines in task order; nil if the request must wait.
+func (t *Tree) Place(r Request) []*Machine {
+	if r.Count < 1 {
+		return nil
+	}
+	root := &domain{level: LevelRoot}
+	var zones []*domain
+	byName := map[string]*domain{}
+	var best *domain
+	for _, m := range t.machines {
+		if r.Allowed != nil && !r.Allowed(m) {
+			continue
+		}
+		fit := m.Free.Fit(r.Task, r.Count)
+		if r.ZoneRoom != nil {
+			if room := r.ZoneRoom(m.Zone); room < fit {
+				fit = room
+			}
+		}
+		if fit < 1 {
+			continue
+		}
+		l := &leaf{m: m, fit: fit}
+		if r.Rank != nil {
+			l.rank = r.Rank(m)
+		}
+		z := byName[m.Zone]
+		if z == nil {
+			z = &domain{level: LevelZone, name: m.Zone}
+			byName[m.Zone] = z
+			zones = append(zones, z)
+		}
+		z.machines = append(z.machines, l)
+		z.free = z.free.Add(m.Free)
+		z.fit += fit
+		if fit >= r.Count {
+			d := &domain{level: LevelMachine, name: m.Name, free: m.Free, fit: fit, rank: l.rank, price: m.Price, machines: []*leaf{l}}
+			if best == nil || tighter(d, best) {
+				best = d
+			}
+		}
+	}
+	sort.Slice(zones, func(i, j int) bool { return zones[i].name < zones[j].name })
+	for _, z := range zones {
+		if r.ZoneRoom != nil {
+			z.fit = min(z.fit, r.ZoneRoom(z.name))
+		}
+		root.free = root.free.Add(z.free)
+		root.fit += z.fit
+		root.machines = append(root.machines, z.machines...)
+	}
+	if best != nil {
+		return t.assign(r, best.machines, "")
+	}
+	if r.Required == LevelMachine {
+		return nil
+	}
+	for _, z := range zones {
+		if z.fit >= r.Count && (best == nil || tighter(z, best)) {
+			best = z
+		}
+	}
+	if best != nil {
+		return t.assign(r, best.machines, "")
+	}
+	if r.Required < LevelRoot || root.fit < r.Count {
+		return nil
+	}
+	// No zone holds all: the zone that fits most comes first, the other
+	// machines follow by their distance from it.
+	most := zones[0]
+	for _, z := range zones[1:] {
+		if z.fit > most.fit || z.fit == most.fit && tighter(z, most) {
+			most = z
+		}
+	}
+	return t.assign(r, root.machines, most.name)
+}
+
+func tighter(a, b *domain) bool {
+	if a.level != b.level {
+		return a.level < b.level
+	}
+	if a.rank != b.rank && a.level == LevelMachine {
+		return a.rank < b.rank
+	}
+	if a.free != b.free {
+		return a.free.Less(b.free)
+	}
+	if a.price != b.price {
+		return a.price < b.price
+	}
+	return a.name < b.name
+}
+
+// assign spreads the tasks over leaves: the tightest machine that holds all
+// that are left, else the machine that holds most of them. Machines of the
+// zone near come before the others.
+func (t *Tree) assign(r Request, leaves []*leaf, near string) []*Machine {
+	out := make([]*Machine, 0, r.Count)
+	used := map[*leaf]bool{}
+	inZone := map[string]int{}
+	for len(out) < r.Count {
+		left := r.Count - len(out)
+		var best *leaf
+		var bestFit int
+		for _, l := range leaves {
+			if used[l] {
+				continue
+			}
+			fit := min(l.fit, left)
+			if r.ZoneRoom != nil {
+				fit = min(fit, r.ZoneRoom(l.m.Zone)-inZone[l.m.Zone])
+			}
+			if fit < 1 {
+				continue
+			}
+			if best == nil || closer(l, fit, best, bestFit, near) {
+				best, bestFit = l, fit
+			}
+		}
+		if best == nil {
+			for _, m := range out {
+				m.Free = m.Free.Add(r.Task)
+			}
+			return nil
+		}
+		used[best] = true
+		inZone[best.m.Zone] += bestFit
+		for i := 0; i < bestFit; i++ {
+			best.m.Free = best.m.Free.Sub(r.Task)
+			out = append(out, best.m)
+		}
+	}
+	return out
+}
+
+func closer(a *leaf, fa int, b *leaf, fb int, near string) bool {
+	if na, nb := a.m.Zone == near, b.m.Zone == near; na != nb {
+		return na
+	}
+	if fa != fb {
+		return fa > fb
+	}
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if a.m.Free != b.m.Free {
+		return a.m.Free.Less(b.m.Free)
+	}
+	if a.m.Price != b.m.Price {
+		return a.m.Price < b.m.Price
+	}
+	return a.m.Name < b.m.Name
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,670 @@
+package core
+
+import (
+	"math"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// Keys of jobs. An open job has one record that only its submission, its
+// cancellation and its end change; a final one has a small record that never
+// changes. Finishing moves it in one transaction, so a reader that looks at
+// the open record first and the final one second misses nothing.
+const (
+	prefixOpen  = "o/"
+	prefixFinal = "f/"
+	prefixPlace = "p/"
+)
+
+type openRecord struct {
+	Job       wire.Job `json:"j"`
+	At        int64    `json:"at"` // ms, time of day of the submission
+	Cancelled bool     `json:"c,omitempty"`
+}
+
+type finalRecord struct {
+	Status string `json:"s"`
+	Tasks  int    `json:"n"`
+}
+
+// users serves the users on every controller, straight from the state
+// service. What it remembers of unfinished jobs is only ever used after the
+// state service has confirmed that it still holds.
+type users struct {
+	open       map[string]*known
+	final      map[string]finalRecord
+	finalOrder []string
+
+	submits    []*submit
+	submitBusy bool
+	lookups    map[string][]*lookup // by job
+	order      []string             // jobs with lookups, oldest first
+	lookupBusy int
+	cancels    map[string][]uint64
+
+	storeBadSince time.Duration
+	storeGood     time.Duration
+}
+
+type known struct {
+	version uint64
+	rec     openRecord
+}
+
+type submit struct {
+	req   uint64
+	rec   openRecord
+	body  []byte
+	until time.Duration
+}
+
+type lookup struct {
+	f     func(found)
+	until time.Duration
+}
+
+// found is the outcome of a lookup: unknown, open or final; failed when the
+// state service gave no answer.
+type found struct {
+	failed bool
+	open   *known
+	final  *finalRecord
+}
+
+const (
+	maxFinal   = 20000
+	maxWaiting = 2000
+)
+
+func (u *users) init() {
+	u.open = map[string]*known{}
+	u.final = map[string]finalRecord{}
+	u.lookups = map[string][]*lookup{}
+	u.cancels = map[string][]uint64{}
+}
+
+func validID(id string) bool {
+	digits := strings.TrimPrefix(id, "job-")
+	if len(digits) == len(id) || len(digits) < 1 || len(digits) > 40 {
+		return false
+	}
+	for _, d := range digits {
+		if d < '0' || d > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) onRequest(r Request) {
+	switch {
+	case r.TooLarge:
+		c.answer(r.ID, 400, errorBody("the body is too large"), 0)
+	case r.Path == "/healthz":
+		c.onHealth(r)
+	case r.Path == "/checkin":
+		if c.method(r, "POST") {
+			c.onReport(r.ID, r.Body)
+		}
+	case r.Path == "/submissions":
+		if c.method(r, "POST") {
+			c.onSubmit(r)
+		}
+	case strings.HasPrefix(r.Path, "/submissions/"):
+		id := strings.TrimPrefix(r.Path, "/submissions/")
+		if job, ok := strings.CutSuffix(id, "/cancel"); ok {
+			if c.method(r, "POST") {
+				c.onCancel(r.ID, job)
+			}
+		} else if c.method(r, "GET") {
+			c.onQuery(r.ID, id)
+		}
+	default:
+		c.answer(r.ID, 404, errorBody("no such path"), 0)
+	}
+}
+
+func (c *Core) method(r Request, want string) bool {
+	if r.Method != want {
+		c.answer(r.ID, 405, errorBody("method not allowed"), 0)
+		return false
+	}
+	return true
+}
+
+func errorBody(text string) any {
+	return struct {
+		Error string `json:"error"`
+	}{text}
+}
+
+// onHealth answers 200 unless the state service has left this controller
+// alone: one that cannot reach it while others can should get no new users. A
+// general outage takes nobody out.
+func (c *Core) onHealth(r Request) {
+	if !c.method(r, "GET") {
+		return
+	}
+	if bad := c.users.storeBadSince; bad != 0 && c.now-bad > c.ttl()/2 && c.peerStoreOK() {
+		c.answer(r.ID, 503, errorBody("the state service does not answer"), 0)
+		return
+	}
+	c.answer(r.ID, 200, nil, 0)
+}
+
+// submission mirrors wire.Job with every required field a pointer, to tell a
+// missing field from a zero.
+type submission struct {
+	ID          *string  `json:"nameId"`
+	Class       *string  `json:"jobclass"`
+	Team        *string  `json:"crew"`
+	Shape       *string  `json:"shape"`
+	Priority    *string  `json:"urgency"`
+	Tasks       *float64 `json:"shards"`
+	CPUs        *float64 `json:"cpus"`
+	GPUs        *float64 `json:"accelerators"`
+	MemGB       *float64 `json:"memGb"`
+	Image       *string  `json:"bundle"`
+	ImageGB     *float64 `json:"pullGb"`
+	Types       []string `json:"hulls"`
+	Zone        *string  `json:"berth"`
+	OneZone     *bool    `json:"together"`
+	Spread      *bool    `json:"apart"`
+	Spot        *bool    `json:"standby"`
+	EstimateS   *float64 `json:"guessS"`
+	CheckpointS *float64 `json:"markS"`
+	SaveS       *float64 `json:"stowS"`
+	DeadlineS   *float64 `json:"dueS"`
+}
+
+func parseSubmission(body []byte) (*wire.Job, string) {
+	var s submission
+	trimmed := strings.TrimLeft(string(body), " \t\r\n")
+	if !strings.HasPrefix(trimmed, "{") || json.Unmarshal(body, &s) != nil {
+		return nil, "not a JSON object with fields of the right kind"
+	}
+	for _, p := range []*string{s.ID, s.Class, s.Team, s.Shape, s.Priority, s.Image} {
+		if p == nil || *p == "" {
+			return nil, "a field is missing"
+		}
+	}
+	for _, p := range []*float64{s.Tasks, s.CPUs, s.GPUs, s.MemGB, s.ImageGB, s.EstimateS, s.CheckpointS, s.SaveS} {
+		if p == nil {
+			return nil, "a field is missing"
+		}
+		if *p < 0 || math.IsInf(*p, 0) || math.IsNaN(*p) {
+			return nil, "an amount is below 0"
+		}
+	}
+	if s.OneZone == nil || s.Spread == nil || s.Spot == nil {
+		return nil, "a field is missing"
+	}
+	if !validID(*s.ID) {
+		return nil, "nameId is not a job id"
+	}
+	if n := *s.Tasks; n < 1 || n > 100000 || n != math.Trunc(n) {
+		return nil, "shards is out of range"
+	}
+	switch *s.Shape {
+	case wire.ShapeArray, wire.ShapeGang, wire.ShapeService:
+	default:
+		return nil, "shape is unknown"
+	}
+	if _, ok := priorityRank[*s.Priority]; !ok {
+		return nil, "urgency is unknown"
+	}
+	if s.DeadlineS != nil && *s.DeadlineS < 0 {
+		return nil, "dueS is below 0"
+	}
+	j := &wire.Job{ID: *s.ID, Class: *s.Class, Team: *s.Team, Shape: *s.Shape, Priority: *s.Priority,
+		Tasks: int(*s.Tasks), CPUs: *s.CPUs, GPUs: *s.GPUs, MemGB: *s.MemGB, Image: *s.Image, ImageGB: *s.ImageGB,
+		Types: s.Types, OneZone: *s.OneZone, Spread: *s.Spread, Spot: *s.Spot, EstimateS: *s.EstimateS,
+		CheckpointS: *s.CheckpointS, SaveS: *s.SaveS, DeadlineS: s.DeadlineS}
+	if s.Zone != nil {
+		j.Zone = *s.Zone
+	}
+	return j, ""
+}
+
+// possible tells why a job can never run, or nothing.
+func (c *Core) possible(j *wire.Job) string {
+	team := c.team(j.Team)
+	if team == nil {
+		return "unknown team"
+	}
+	fits := false
+	for _, t := range c.types {
+		if !allowed(j.Types, t.Name) || !(topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(j)) {
+			continue
+		}
+		for _, z := range t.Zones {
+			fits = fits || j.Zone == "" || j.Zone == z
+		}
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := 1.0
+	if j.Shape != wire.ShapeArray {
+		n = float64(j.Tasks)
+	}
+	if team.CPUsMax > 0 && j.CPUs*n > team.CPUsMax+1e-6 || team.GPUsMax > 0 && j.GPUs*n > team.GPUsMax+1e-6 {
+		return "more than the team's limit"
+	}
+	return ""
+}
+
+func (c *Core) onSubmit(r Request) {
+	u := &c.users
+	job, why := parseSubmission(r.Body)
+	if job == nil {
+		// A repeated submission of an accepted job is never refused, but a
+		// body that names no valid job is not one.
+		c.answer(r.ID, 400, errorBody(why), 0)
+		return
+	}
+	if len(c.types) == 0 {
+		c.answer(r.ID, 503, errorBody("machine types are not known yet"), 1)
+		return
+	}
+	if f, ok := u.final[job.ID]; ok {
+		c.answer(r.ID, 200, f.status(job.ID), 0)
+		return
+	}
+	if why := c.possible(job); why != "" {
+		// A job that was accepted before gets 200 whatever holds now.
+		c.find(job.ID, func(f found) {
+			switch {
+			case f.failed:
+				c.answer(r.ID, 503, errorBody("the state service does not answer"), 1)
+			case f.open == nil && f.final == nil:
+				c.answer(r.ID, 422, errorBody(why), 0)
+			default:
+				c.answer(r.ID, 200, c.statusOf(job.ID, f), 0)
+			}
+		})
+		return
+	}
+	if u.open[job.ID] != nil {
+		c.answerKnown(r.ID, job.ID)
+		return
+	}
+	if c.refuse(r.ID, len(u.submits)) {
+		return
+	}
+	rec := openRecord{Job: *job, At: c.wall}
+	u.submits = append(u.submits, &submit{req: r.ID, rec: rec, body: encode(rec), until: c.now + 2*time.Second})
+	c.pumpSubmits()
+}
+
+// refuse answers at once, with when to come back, what cannot be taken now.
+func (c *Core) refuse(req uint64, waiting int) bool {
+	bad := c.users.storeBadSince
+	if waiting >= maxWaiting || bad != 0 && c.now-bad > c.storeTimeout()/4 {
+		c.answer(req, 503, errorBody("not now"), 1)
+		return true
+	}
+	return false
+}
+
+func (c *Core) answerKnown(req uint64, id string) {
+	c.find(id, func(f found) {
+		if f.failed || f.open == nil && f.final == nil {
+			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+			return
+		}
+		c.answer(req, 200, c.statusOf(id, f), 0)
+	})
+}
+
+// pumpSubmits records waiting submissions, many in one transaction. A record
+// is created only if neither an open nor a final one exists.
+func (c *Core) pumpSubmits() {
+	u := &c.users
+	if u.submitBusy || len(u.submits) == 0 {
+		return
+	}
+	var batch []*submit
+	var rest []*submit
+	txn := &wire.Txn{}
+	ids := map[string]bool{}
+	bytes := 0
+	for _, s := range u.submits {
+		id := s.rec.Job.ID
+		if ids[id] || len(batch) >= c.cfg.Deployment.State.TxnOps || bytes+len(s.body) > 48<<10 {
+			rest = append(rest, s)
+			continue
+		}
+		ids[id] = true
+		bytes += len(s.body) + 200
+		batch = append(batch, s)
+		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id}, wire.Cond{Key: prefixFinal + id})
+		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + id, Value: s.body})
+	}
+	u.submits = rest
+	u.submitBusy = true
+	c.commit(txn, false, func(r Result) {
+		u.submitBusy = false
+		switch r.Status {
+		case 200:
+			var tr wire.TxnResult
+			json.Unmarshal(r.Body, &tr)
+			for _, s := range batch {
+				id := s.rec.Job.ID
+				u.open[id] = &known{version: tr.Revision, rec: s.rec}
+				c.answer(s.req, 201, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
+			}
+		case 409:
+			var tr wire.TxnResult
+			json.Unmarshal(r.Body, &tr)
+			failed := map[string]bool{}
+			for _, k := range tr.Failed {
+				failed[k[2:]] = true
+			}
+			for _, s := range batch {
+				if failed[s.rec.Job.ID] {
+					c.answerKnown(s.req, s.rec.Job.ID)
+				} else {
+					u.submits = append(u.submits, s)
+				}
+			}
+		default:
+			// Unknown or refused: the user comes again, and a record that
+			// was made after all is then found.
+			for _, s := range batch {
+				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+			}
+		}
+		c.pumpSubmits()
+	})
+}
+
+func (c *Core) onQuery(req uint64, id string) {
+	if !validID(id) {
+		c.answer(req, 404, errorBody("no such job"), 0)
+		return
+	}
+	c.find(id, func(f found) {
+		switch {
+		case f.failed:
+			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+		case f.open == nil && f.final == nil:
+			c.answer(req, 404, errorBody("no such job"), 0)
+		default:
+			c.answer(req, 200, c.statusOf(id, f), 0)
+		}
+	})
+}
+
+func (f finalRecord) status(id string) wire.JobStatus {
+	s := wire.JobStatus{ID: id, Status: f.Status}
+	if f.Status == wire.StatusDone {
+		s.Done = f.Tasks
+	}
+	return s
+}
+
+func (c *Core) statusOf(id string, f found) wire.JobStatus {
+	if f.final != nil {
+		return f.final.status(id)
+	}
+	s := wire.JobStatus{ID: id, Status: wire.StatusPending}
+	if f.open.rec.Cancelled {
+		s.Status = wire.StatusCancelled
+		return s
+	}
+	var n wire.JobCount
+	if c.lead != nil {
+		n = c.lead.count(id)
+	} else {
+		n = c.counts[id]
+	}
+	s.Done, s.Running = n.Done, n.Running
+	if n.Running > 0 {
+		s.Status = wire.StatusRunning
+	}
+	return s
+}
+
+// find looks a job up, so that its answer is no older than this call.
+func (c *Core) find(id string, f func(found)) {
+	u := &c.users
+	if rec, ok := u.final[id]; ok {
+		f(found{final: &rec})
+		return
+	}
+	bad := u.storeBadSince
+	if len(u.order) >= maxWaiting || bad != 0 && c.now-bad > c.storeTimeout()/4 {
+		f(found{failed: true})
+		return
+	}
+	if len(u.lookups[id]) == 0 {
+		u.order = append(u.order, id)
+	}
+	u.lookups[id] = append(u.lookups[id], &lookup{f: f, until: c.now + 1500*time.Millisecond})
+	c.pumpLookups()
+}
+
+// pumpLookups confirms known jobs by one compare-only transaction for many of
+// them, and reads the others.
+func (c *Core) pumpLookups() {
+	u := &c.users
+	for len(u.order) > 0 && u.lookupBusy < 4 {
+		var batch, rest []string
+		txn := &wire.Txn{}
+		limit := 4 * c.cfg.Deployment.State.TxnOps
+		unknown := ""
+		for _, id := range u.order {
+			k := u.open[id]
+			if k == nil {
+				if unknown == "" {
+					unknown = id
+				} else {
+					rest = append(rest, id)
+				}
+				continue
+			}
+			if len(batch) >= limit {
+				rest = append(rest, id)
+				continue
+			}
+			batch = append(batch, id)
+			txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id, Version: k.version})
+		}
+		u.order = rest
+		if unknown != "" {
+			u.lookupBusy++
+			c.read(unknown, u.take(unknown))
+		}
+		if len(batch) == 0 {
+			continue
+		}
+		u.lookupBusy++
+		waiting := map[string][]*lookup{}
+		for _, id := range batch {
+			waiting[id] = u.take(id)
+		}
+		c.commit(txn, false, func(r Result) {
+			u.lookupBusy--
+			failed := map[string]bool{}
+			if r.Status == 409 {
+				var tr wire.TxnResult
+				json.Unmarshal(r.Body, &tr)
+				for _, k := range tr.Failed {
+					failed[k[2:]] = true
+				}
+			}
+			for _, id := range batch {
+				switch {
+				case r.Status != 200 && r.Status != 409:
+					resolve(waiting[id], found{failed: true})
+				case failed[id] || u.open[id] == nil:
+					delete(u.open, id)
+					u.lookupBusy++
+					c.read(id, waiting[id])
+				default:
+					resolve(waiting[id], found{open: u.open[id]})
+				}
+			}
+			c.pumpLookups()
+		})
+	}
+}
+
+func (u *users) take(id string) []*lookup {
+	l := u.lookups[id]
+	delete(u.lookups, id)
+	return l
+}
+
+func resolve(ls []*lookup, f found) {
+	for _, l := range ls {
+		l.f(f)
+	}
+}
+
+// read fetches the open record, then the final one.
+func (c *Core) read(id string, waiting []*lookup) {
+	u := &c.users
+	end := func(f found) {
+		u.lookupBusy--
+		resolve(waiting, f)
+		c.pumpLookups()
+	}
+	c.get(prefixOpen+id, func(r Result) {
+		c.noteStore(r)
+		var it wire.Item
+		if r.Status == 200 && json.Unmarshal(r.Body, &it) == nil {
+			k := &known{version: it.Version}
+			if json.Unmarshal(it.Value, &k.rec) == nil {
+				if old := u.open[id]; old == nil || old.version < k.version {
+					u.open[id] = k
+				}
+				end(found{open: k})
+				return
+			}
+		}
+		if r.Status != 404 {
+			end(found{failed: true})
+			return
+		}
+		c.get(prefixFinal+id, func(r Result) {
+			c.noteStore(r)
+			var it wire.Item
+			var f finalRecord
+			switch {
+			case r.Status == 404:
+				delete(u.open, id)
+				end(found{})
+			case r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && json.Unmarshal(it.Value, &f) == nil:
+				c.remember(id, f)
+				end(found{final: &f})
+			default:
+				end(found{failed: true})
+			}
+		})
+	})
+}
+
+// remember keeps a final state in memory; the oldest ones make way.
+func (c *Core) remember(id string, f finalRecord) {
+	u := &c.users
+	delete(u.open, id)
+	if _, ok := u.final[id]; !ok {
+		u.finalOrder = append(u.finalOrder, id)
+		if len(u.finalOrder) > maxFinal {
+			delete(u.final, u.finalOrder[0])
+			u.finalOrder = u.finalOrder[1:]
+		}
+	}
+	u.final[id] = f
+}
+
+func (c *Core) onCancel(req uint64, id string) {
+	if !validID(id) {
+		c.answer(req, 404, errorBody("no such job"), 0)
+		return
+	}
+	c.cancel(req, id, 0)
+}
+
+func (c *Core) cancel(req uint64, id string, tries int) {
+	c.find(id, func(f found) {
+		switch {
+		case f.failed || tries > 4:
+			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+		case f.open == nil && f.final == nil:
+			c.answer(req, 404, errorBody("no such job"), 0)
+		case f.final != nil || f.open.rec.Cancelled:
+			c.answer(req, 200, c.statusOf(id, f), 0)
+		default:
+			rec := f.open.rec
+			rec.Cancelled = true
+			txn := &wire.Txn{
+				If:     []wire.Cond{{Key: prefixOpen + id, Version: f.open.version}},
+				Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
+			}
+			c.commit(txn, true, func(r Result) {
+				switch r.Status {
+				case 200:
+					var tr wire.TxnResult
+					json.Unmarshal(r.Body, &tr)
+					c.users.open[id] = &known{version: tr.Revision, rec: rec}
+					if c.lead != nil {
+						c.lead.noteOpen(id, tr.Revision, rec)
+					}
+					c.answer(req, 200, wire.JobStatus{ID: id, Status: wire.StatusCancelled}, 0)
+				case 409:
+					delete(c.users.open, id)
+					c.cancel(req, id, tries+1)
+				default:
+					c.answer(req, 503, errorBody("the state service does not answer"), 1)
+				}
+			})
+		}
+	})
+}
+
+// tickUsers gives up on what has waited too long, at once and with word of
+// when to come back.
+func (c *Core) tickUsers() {
+	u := &c.users
+	var keep []*submit
+	for _, s := range u.submits {
+		if c.now >= s.until {
+			c.answer(s.req, 503, errorBody("not now"), 1)
+		} else {
+			keep = append(keep, s)
+		}
+	}
+	u.submits = keep
+	var order []string
+	for _, id := range u.order {
+		var ls []*lookup
+		for _, l := range u.lookups[id] {
+			if c.now >= l.until {
+				l.f(found{failed: true})
+			} else {
+				ls = append(ls, l)
+			}
+		}
+		if len(ls) > 0 {
+			u.lookups[id] = ls
+			order = append(order, id)
+		} else {
+			delete(u.lookups, id)
+		}
+	}
+	u.order = order
+	if len(u.open) > maxFinal {
+		// Forgetting is safe: a job that is asked for is read again.
+		u.open = map[string]*known{}
+	}
+}
+
+func sortUint64(s []uint64) { sort.Slice(s, func(i, j int) bool { return s[i] < s[j] }) }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,234 @@
+// Package node wires the core to the world: evio serves users, workers and
+// peers, clients carry out the core's calls, and a ticker moves its time on.
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/brookwalk/brookwalk/httpwire"
+	"github.com/brookwalk/brookwalk/internal/cloud"
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core"
+	"github.com/brookwalk/brookwalk/internal/peer"
+	"github.com/brookwalk/brookwalk/internal/store"
+	"github.com/brookwalk/brookwalk/internal/worker"
+	"github.com/tidwall/evio"
+)
+
+// Node is one running controller.
+type Node struct {
+	cfg   *config.Settings
+	log   *slog.Logger
+	start time.Time
+
+	store  *store.Client
+	cloud  *cloud.Client
+	worker *worker.Client
+	links  map[string]*peer.Link
+
+	mu       sync.Mutex
+	core     *core.Core
+	requests map[uint64]*conn
+	conns    map[*conn]bool
+	nextReq  uint64
+}
+
+// conn is one incoming connection. All fields are guarded by Node.mu.
+type conn struct {
+	ev      evio.Conn
+	peer    *peer.Decoder
+	in      []byte
+	since   time.Time // first byte of a request that is not complete
+	busy    bool      // a request waits for its answer
+	ending  bool      // close after the answer
+	out     []byte
+	close   bool
+	closed  bool
+	counted bool
+}
+
+// New makes a node.
+func New(cfg *config.Settings, op *config.Operator, log *slog.Logger) *Node {
+	return &Node{
+		cfg: cfg, log: log, start: time.Now(),
+		store: store.New(cfg), cloud: cloud.New(cfg), worker: worker.New(cfg),
+		links: map[string]*peer.Link{},
+		core:  core.New(cfg, op, log), requests: map[uint64]*conn{}, conns: map[*conn]bool{},
+	}
+}
+
+// Run serves until the process ends or a listener fails.
+func (n *Node) Run() error {
+	// The runtime collects harder as its limit comes near; the rest of the
+	// machine's memory is for code, stacks and what the system holds.
+	debug.SetMemoryLimit(int64(0.55 * n.cfg.Deployment.Limits.RAMMB * (1 << 20)))
+	// One processor for the event loop, which blocks in a system call that
+	// the runtime does not see, and one for everything else.
+	runtime.GOMAXPROCS(2)
+	for _, p := range n.cfg.Peers {
+		n.links[p.Name] = peer.NewLink(p.Addr, config.Seconds(n.cfg.Deployment.Workers.ReportS), n.log)
+	}
+	ev := evio.Events{NumLoops: 1}
+	ev.Serving = func(evio.Server) evio.Action {
+		n.log.Info("serving", "name", n.cfg.Name, "listen", n.cfg.Listen, "peers", n.cfg.PeerListen)
+		go n.tick()
+		return evio.None
+	}
+	ev.Opened = n.opened
+	ev.Closed = n.closed
+	ev.Data = n.data
+	if err := evio.Serve(ev, "tcp://"+n.cfg.Listen, "tcp://"+n.cfg.PeerListen); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (n *Node) tick() {
+	period := config.Seconds(n.cfg.Deployment.Workers.ReportS / 20)
+	sweep := time.Now()
+	for range time.Tick(period) {
+		n.mu.Lock()
+		n.step(core.Tick{}, nil)
+		if now := time.Now(); now.Sub(sweep) > time.Second {
+			sweep = now
+			n.sweep(now)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// sweep cuts off senders that do not finish their request.
+func (n *Node) sweep(now time.Time) {
+	limit := config.Seconds(n.cfg.Deployment.Workers.LeaseS)
+	for c := range n.conns {
+		if !c.busy && !c.since.IsZero() && now.Sub(c.since) > limit {
+			c.close = true
+			c.ev.Wake()
+		}
+	}
+}
+
+// userShare is the share of the sockets that incoming connections may take;
+// the rest is for the services, the peers and direct commands.
+const userShare = 0.7
+
+func (n *Node) opened(ec evio.Conn) (out []byte, opts evio.Options, action evio.Action) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := &conn{ev: ec}
+	ec.SetContext(c)
+	if ec.AddrIndex() == 1 {
+		c.peer = peer.NewDecoder()
+	} else if len(n.conns) >= int(userShare*float64(n.cfg.Deployment.Limits.MaxConnections)) {
+		return nil, opts, evio.Close
+	}
+	n.conns[c] = true
+	return nil, opts, evio.None
+}
+
+func (n *Node) closed(ec evio.Conn, _ error) evio.Action {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c, ok := ec.Context().(*conn); ok {
+		c.closed = true
+		delete(n.conns, c)
+	}
+	return evio.None
+}
+
+func (n *Node) data(ec evio.Conn, in []byte) ([]byte, evio.Action) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c, ok := ec.Context().(*conn)
+	if !ok {
+		return nil, evio.Close
+	}
+	if c.peer != nil {
+		ms, err := c.peer.Feed(in)
+		for _, m := range ms {
+			n.step(m, c)
+		}
+		if err != nil {
+			n.log.Debug("peer stream broken", "err", err)
+			return nil, evio.Close
+		}
+		return nil, evio.None
+	}
+	c.in = append(c.in, in...)
+	for !c.busy && !c.ending && len(c.in) > 0 {
+		r, size, err := httpwire.ParseRequest(c.in)
+		if err == httpwire.ErrPartial {
+			if c.since.IsZero() {
+				c.since = time.Now()
+			}
+			break
+		}
+		c.since = time.Time{}
+		if err != nil {
+			status := 400
+			c.out = httpwire.AppendResponse(c.out, status, []byte(`{"error":"malformed request"}`), 0, true)
+			c.in, c.ending = nil, true
+			break
+		}
+		if c.in = c.in[size:]; len(c.in) == 0 {
+			c.in = nil
+		}
+		c.busy, c.ending = true, r.Close
+		n.nextReq++
+		n.requests[n.nextReq] = c
+		n.step(core.Request{ID: n.nextReq, Method: r.Method, Path: r.Path, Body: r.Body}, c)
+	}
+	out := c.out
+	c.out = nil
+	if c.close || c.ending && !c.busy {
+		return out, evio.Close
+	}
+	return out, evio.None
+}
+
+// step feeds the core and carries out what it asks for. The caller holds the
+// lock; current is the connection whose data is being handled.
+func (n *Node) step(in any, current *conn) {
+	now := time.Now()
+	out := n.core.Step(now.Sub(n.start), now, in)
+	for _, a := range out.Answers {
+		c := n.requests[a.ID]
+		delete(n.requests, a.ID)
+		if c == nil || c.closed {
+			continue
+		}
+		c.busy = false
+		c.out = httpwire.AppendResponse(c.out, a.Status, a.Body, a.RetryAfter, c.ending)
+		if c != current {
+			c.ev.Wake()
+		}
+	}
+	for _, s := range out.Sends {
+		if l := n.links[s.To]; l != nil {
+			l.Send(s.Msg)
+		}
+	}
+	for _, k := range out.Calls {
+		go n.carryOut(k)
+	}
+}
+
+func (n *Node) carryOut(k core.Call) {
+	var r core.Result
+	switch k.Dest {
+	case core.DestStore:
+		r = n.store.Do(k)
+	case core.DestCloud:
+		r = n.cloud.Do(k)
+	case core.DestWorker:
+		r = n.worker.Do(k)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.step(r, nil)
+}
--- /dev/null
+++ b/wire/store.go
@@ -0,0 +1,68 @@
+package wire
+
+import "encoding/json"
+
+// Item is a key of the state service with its value.
+type Item struct {
+	Key     string          `json:"k"`
+	Value   json.RawMessage `json:"v"`
+	Version uint64          `json:"stamp"`
+	Lease   uint64          `json:"permit,omitempty"`
+}
+
+// Page is a part of the keys below a prefix.
+type Page struct {
+	Items    []Item `json:"rows"`
+	More     bool   `json:"truncated"`
+	Revision uint64 `json:"logline"`
+}
+
+// Cond requires a key to have a version; 0 means that it must not exist.
+type Cond struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"stamp"`
+}
+
+// Write puts or deletes a key.
+type Write struct {
+	Put    string          `json:"put,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Lease  uint64          `json:"permit,omitempty"`
+}
+
+// Txn is an atomic conditional transaction.
+type Txn struct {
+	If     []Cond  `json:"if"`
+	Writes []Write `json:"writes"`
+}
+
+// TxnResult is the answer to a transaction, and to a read of an absent key.
+type TxnResult struct {
+	Failed   []string `json:"failed,omitempty"`
+	Revision uint64   `json:"logline"`
+}
+
+// GrantRequest asks for a lease of the state service.
+type GrantRequest struct {
+	TTLMs int `json:"ttlMs"`
+}
+
+// Grant is a lease of the state service.
+type Grant struct {
+	Lease uint64 `json:"permit"`
+}
+
+// Event is one change of a watched key.
+type Event struct {
+	Put     string          `json:"put,omitempty"`
+	Delete  string          `json:"delete,omitempty"`
+	Value   json.RawMessage `json:"v,omitempty"`
+	Version uint64          `json:"stamp"`
+}
+
+// Changes is the answer to a watch.
+type Changes struct {
+	Revision uint64  `json:"logline"`
+	Events   []Event `json:"log"`
+}
