Count a recorded task's zone before its machine has reported

The zone is now part of the placement record. Ruled out: late starts, since the record showed the task that was missed.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -81,6 +81,7 @@
 	done     bool
 	attempt  uint64
 	m        *machine
+	zone     string // of the machine: known even before the machine reports
 	session  uint64 // of the worker, at the start
 	recorded bool   // the placement is in the state service
 	ours     bool   // placed under this term
@@ -110,6 +111,9 @@
 	Task    int    `json:"i"`
 	Attempt uint64 `json:"a"`
 	Machine string `json:"m"`
+	// Zone counts for spread and one-zone jobs while a new leader has not
+	// heard the machine yet.
+	Zone    string `json:"z"`
 	Session uint64 `json:"s"`
 }
 
@@ -134,7 +138,7 @@
 // chunkTasks is how many tasks one placement record covers, so that its value
 // stays within value_kb whatever the tasks' state.
 func (l *leader) chunkTasks() int {
-	return max(1, int(l.c.cfg.Deployment.State.ValueKB*1024)/80)
+	return max(1, int(l.c.cfg.Deployment.State.ValueKB*1024)/128)
 }
 
 func placeKey(id string, i int) string { return prefixPlace + id + "/" + strconv.Itoa(i) }
@@ -220,7 +224,7 @@
 				}
 				m := l.machine(e.Machine)
 				t := &j.tasks[e.Task]
-				t.attempt, t.session, t.recorded, t.copied = e.Attempt, e.Session, true, true
+				t.attempt, t.zone, t.session, t.recorded, t.copied = e.Attempt, e.Zone, e.Session, true, true
 				l.bind(j, e.Task, m)
 			}
 		}
@@ -528,7 +532,7 @@
 			rec.Done = append(rec.Done, i)
 		}
 		if t.m != nil {
-			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.m.name, Session: t.session}
+			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.m.name, Zone: t.zone, Session: t.session}
 			rec.Tasks = append(rec.Tasks, e)
 			if !t.recorded {
 				starts = append(starts, e)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -81,8 +81,8 @@
 	}
 	in := map[string]int{}
 	for i := range j.tasks {
-		if m := j.tasks[i].m; m != nil {
-			in[m.zone]++
+		if t := &j.tasks[i]; t.m != nil {
+			in[t.zone]++
 		}
 	}
 	cap := (len(j.tasks) + 1) / 2
@@ -185,7 +185,7 @@
 			attempt = j.next
 			j.next++
 		}
-		t.attempt, t.session, t.ours, t.placedAt = attempt, m.session, true, l.c.now
+		t.attempt, t.zone, t.session, t.ours, t.placedAt = attempt, m.zone, m.session, true, l.c.now
 		l.bind(j, i, m)
 		l.touch(j, i)
 		if m.reserved == j {
