--- /dev/null
+++ b/internal/sim/scenario.go
@@ -0,0 +1,404 @@
+package sim
+
+import (
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// defaults are the settings of a scenario that names no others.
+func defaults() *config.Settings {
+	return &config.Settings{Deployment: config.Deployment{
+		Size:    3,
+		Zones:   []string{"east", "north", "west"},
+		Workers: config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 30, GangPeerS: 5, CancelS: 30},
+		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16},
+		Cloud:   config.Cloud{RPS: 8, ListLagS: 5},
+		Limits:  config.Limits{CPU: 0.2, RAMMB: 100, MaxConnections: 800},
+	}}
+}
+
+// Scenario is a parsed scenario file: a line is a word with arguments, those
+// of the form key=value by name. The words are described in
+// internal/sim/testdata/README.md.
+type Scenario struct {
+	cfg    *config.Settings
+	seed   uint64
+	until  time.Duration
+	setup  []line
+	acts   []line
+	expect []line
+}
+
+type line struct {
+	no   int
+	at   time.Duration
+	word string
+	args []string
+	opt  map[string]string
+}
+
+func (l *line) num(key string, def float64) float64 {
+	if v, ok := l.opt[key]; ok {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			panic(fmt.Sprintf("line %d: %s: %v", l.no, key, err))
+		}
+		return f
+	}
+	return def
+}
+
+func (l *line) arg(i int) string {
+	if i >= len(l.args) {
+		panic(fmt.Sprintf("line %d: %s lacks an argument", l.no, l.word))
+	}
+	return l.args[i]
+}
+
+func (l *line) has(flag string) bool {
+	for _, a := range l.args {
+		if a == flag {
+			return true
+		}
+	}
+	return false
+}
+
+// ParseScenario reads a scenario.
+func ParseScenario(text string) (s *Scenario, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("scenario: %v", r)
+		}
+	}()
+	s = &Scenario{cfg: defaults(), seed: 1}
+	for no, raw := range strings.Split(text, "\n") {
+		raw, _, _ = strings.Cut(raw, "#")
+		f := strings.Fields(raw)
+		if len(f) == 0 {
+			continue
+		}
+		l := line{no: no + 1, opt: map[string]string{}}
+		at := false
+		if f[0] == "at" {
+			t, err := strconv.ParseFloat(f[1], 64)
+			if err != nil {
+				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
+			}
+			l.at, at = seconds(t), true
+			f = f[2:]
+		}
+		l.word = f[0]
+		for _, a := range f[1:] {
+			if k, v, ok := strings.Cut(a, "="); ok {
+				l.opt[k] = v
+			} else {
+				l.args = append(l.args, a)
+			}
+		}
+		switch {
+		case at:
+			s.acts = append(s.acts, l)
+		case l.word == "seed":
+			s.seed, err = strconv.ParseUint(l.arg(0), 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
+			}
+		case l.word == "until":
+			t, err := strconv.ParseFloat(l.arg(0), 64)
+			if err != nil {
+				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
+			}
+			s.until = seconds(t)
+		case l.word == "team":
+			s.cfg.Deployment.Teams = append(s.cfg.Deployment.Teams, config.Team{Name: l.arg(0),
+				CPUs: l.num("cpus", 0), CPUsMax: l.num("cpus_max", 0), GPUs: l.num("gpus", 0), GPUsMax: l.num("gpus_max", 0)})
+		case l.word == "wait":
+			s.cfg.Deployment.Objectives = append(s.cfg.Deployment.Objectives,
+				config.Objective{Kind: "wait", Class: l.arg(0), WithinS: l.num("within", 1), Share: 0.9})
+		case l.word == "type":
+			s.setup = append(s.setup, l)
+		case l.word == "expect":
+			s.expect = append(s.expect, l)
+		default:
+			return nil, fmt.Errorf("scenario: line %d: unknown word %q", l.no, l.word)
+		}
+	}
+	if s.until == 0 {
+		return nil, fmt.Errorf("scenario: no until")
+	}
+	return s, nil
+}
+
+// Run plays the scenario and returns what went wrong.
+func (s *Scenario) Run(log *slog.Logger) (w *World, faults []string) {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	w = s.world(log)
+	return w, s.finish(w)
+}
+
+func (s *Scenario) world(log *slog.Logger) *World {
+	w := newWorld(s.cfg, s.seed, log)
+	for _, l := range s.setup {
+		zones := s.cfg.Deployment.Zones
+		if z := l.opt["zones"]; z != "" {
+			zones = strings.Split(z, ",")
+		}
+		name := l.arg(0)
+		w.cloud.types = append(w.cloud.types, wire.MachineType{Name: name, CPUs: l.num("cpus", 8), GPUs: l.num("gpus", 0),
+			MemGB: l.num("mem", 64), CacheGB: l.num("cache", 200), FetchGBPS: l.num("fetch", 1), Price: l.num("price", 1),
+			SpotPrice: l.num("spot_price", 0.4), BootS: l.num("boot", 20), Zones: zones})
+		for _, z := range zones {
+			w.cloud.capacity[offer(name, z, false)] = int(l.num("cap", 10))
+			w.cloud.capacity[offer(name, z, true)] = int(l.num("spot", 0))
+		}
+	}
+	for _, l := range s.acts {
+		w.after(l.at, func() { w.act(l) })
+	}
+	return w
+}
+
+func (s *Scenario) finish(w *World) []string {
+	w.run(s.until)
+	for _, id := range w.users.names() {
+		j := w.users.jobs[id]
+		if !j.accepted {
+			continue
+		}
+		for _, n := range w.nodes {
+			if n.alive {
+				w.users.ask(j, n)
+			}
+		}
+	}
+	if n := w.users.pick(); n.alive {
+		n.request("user", "GET", "/submissions/job-999999999999", nil, 2*time.Second, func(status int, _ []byte) {
+			if status == 200 {
+				w.check.broken("invented", "a job that nobody submitted is known")
+			}
+		})
+	}
+	w.run(s.until + 3*time.Second)
+	faults := append([]string(nil), w.check.faults...)
+	for _, l := range s.expect {
+		if why := w.expected(l); why != "" {
+			faults = append(faults, fmt.Sprintf("line %d: %s", l.no, why))
+		}
+	}
+	return faults
+}
+
+func (w *World) job(l line) *jobTruth {
+	t := &jobTruth{runS: l.num("run", 30), fail: l.has("fail"), done: map[int]bool{}, progress: map[int]float64{}}
+	t.Job = wire.Job{ID: l.arg(0), Class: "web", Team: "t", Shape: wire.ShapeArray, Priority: wire.PriorityNormal,
+		Tasks: int(l.num("tasks", 1)), CPUs: l.num("cpus", 1), GPUs: l.num("gpus", 0), MemGB: l.num("mem", 1),
+		Image: "img", ImageGB: l.num("image_gb", 2), OneZone: l.has("together"), Spread: l.has("apart"), Spot: l.has("spot"),
+		CheckpointS: l.num("checkpoint", 0), SaveS: l.num("save", 0), EstimateS: l.num("run", 30), Zone: l.opt["zone"]}
+	set := func(p *string, key string) {
+		if v, ok := l.opt[key]; ok {
+			*p = v
+		}
+	}
+	set(&t.Class, "class")
+	set(&t.Team, "team")
+	set(&t.Image, "image")
+	set(&t.Priority, "priority")
+	if v := l.opt["types"]; v != "" {
+		t.Types = strings.Split(v, ",")
+	}
+	switch l.opt["shape"] {
+	case "gang":
+		t.Shape = wire.ShapeGang
+	case "service":
+		t.Shape = wire.ShapeService
+		t.EstimateS = 0
+	}
+	return t
+}
+
+// nodesOf names controllers: a name, "leader", "follower" or "all".
+func (w *World) nodesOf(what string) []*node {
+	lead := w.leader()
+	switch what {
+	case "all":
+		return w.nodes
+	case "leader":
+		if lead == nil {
+			return w.nodes[:1]
+		}
+		return []*node{lead}
+	case "follower":
+		for _, n := range w.nodes {
+			if n != lead {
+				return []*node{n}
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		if n.name == what {
+			return []*node{n}
+		}
+	}
+	panic("no such node: " + what)
+}
+
+// endpoint turns the names of a scenario into those of the network.
+func (w *World) endpoint(what string) string {
+	switch what {
+	case "leader", "follower":
+		return w.nodesOf(what)[0].name
+	case "busy":
+		return w.busiest().name
+	}
+	return what
+}
+
+// busiest is the machine with the most tasks.
+func (w *World) busiest() *machine {
+	var best *machine
+	n := -1
+	for _, name := range w.cloud.names() {
+		m := w.cloud.machines[name]
+		on := 0
+		for _, t := range m.tasks {
+			if t.state != wire.TaskExited {
+				on++
+			}
+		}
+		if !m.gone && on > n {
+			best, n = m, on
+		}
+	}
+	return best
+}
+
+func (w *World) machineOf(what string) *machine {
+	if what == "busy" {
+		return w.busiest()
+	}
+	if m := w.cloud.machines[what]; m != nil {
+		return m
+	}
+	panic("no such machine: " + what)
+}
+
+func (w *World) act(l line) {
+	d := seconds(l.num("for", 10))
+	w.trace("act %s %v", l.word, l.args)
+	switch l.word {
+	case "submit":
+		w.users.submit(w.job(l))
+	case "cancel":
+		w.users.cancel(l.arg(0))
+	case "crash":
+		for _, n := range w.nodesOf(l.arg(0)) {
+			n.crash(seconds(l.num("for", 3)))
+		}
+	case "cut": // both ways, or only the first to the second
+		a, b := w.endpoint(l.arg(0)), w.endpoint(l.arg(1))
+		w.cuts = append(w.cuts, &cut{a, b, w.now + d, l.has("hold")})
+		if !l.has("oneway") {
+			w.cuts = append(w.cuts, &cut{b, a, w.now + d, l.has("hold")})
+		}
+	case "outage":
+		if l.arg(0) == "state" {
+			w.store.beginOutage(d)
+		} else {
+			w.cloud.outage = w.now + d
+		}
+	case "refuse": // the state service refuses one controller
+		w.store.refuse[w.endpoint(l.arg(0))] = w.now + d
+	case "kill": // a machine is gone without notice
+		w.cloud.remove(w.machineOf(l.arg(0)).name)
+	case "take": // the cloud takes a machine back after a notice
+		m := w.machineOf(l.arg(0))
+		m.warning = w.now + d
+		m.changed = true
+		w.after(d, func() { w.cloud.remove(m.name) })
+	case "hang":
+		w.machineOf(l.arg(0)).hangUntil = w.now + d
+	case "faulty":
+		w.machineOf(l.arg(0)).faulty = true
+	case "noboot":
+		w.cloud.noBoot = w.now + d
+	case "copies": // late copies of a machine's reports
+		for _, name := range w.cloud.names() {
+			m := w.cloud.machines[name]
+			m.copyUntil, m.copyDelay = w.now+d, seconds(l.num("delay", 15))
+		}
+	default:
+		panic(fmt.Sprintf("line %d: unknown act %q", l.no, l.word))
+	}
+}
+
+func (w *World) running(id string) int {
+	n := 0
+	for _, name := range w.cloud.names() {
+		for _, t := range w.cloud.machines[name].sorted() {
+			if t.on && t.job.ID == id && t.state == wire.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// expected judges a line of expectations at the end.
+func (w *World) expected(l line) string {
+	switch l.word {
+	case "expect":
+		what := l.arg(0)
+		if what == "machines" {
+			n := 0
+			for _, m := range w.cloud.machines {
+				if !m.gone {
+					n++
+				}
+			}
+			if most := int(l.num("most", 1e9)); n > most {
+				return fmt.Sprintf("%d machines, at most %d expected", n, most)
+			}
+			return ""
+		}
+		if what == "rented" {
+			if most := int(l.num("most", 1e9)); w.cloud.next > most {
+				return fmt.Sprintf("%d machines were rented, at most %d expected", w.cloud.next, most)
+			}
+			return ""
+		}
+		if what == "starts" {
+			if most := int(l.num("most", 1e9)); w.started > most {
+				return fmt.Sprintf("%d starts, at most %d expected", w.started, most)
+			}
+			return ""
+		}
+		j := w.users.jobs[what]
+		if j == nil {
+			return "no such job " + what
+		}
+		switch l.arg(1) {
+		case "running":
+			if n, want := w.running(what), int(l.num("tasks", 1)); n != want {
+				return fmt.Sprintf("%s: %d tasks run, %d expected", what, n, want)
+			}
+		case "refused":
+			if want := int(l.num("status", 422)); j.refused != want {
+				return fmt.Sprintf("%s: refused with %d, %d expected", what, j.refused, want)
+			}
+		default:
+			if j.last.Status != l.arg(1) {
+				return fmt.Sprintf("%s: told %q, %q expected", what, j.last.Status, l.arg(1))
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/sim/scenario_test.go
@@ -0,0 +1,234 @@
+package sim
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core"
+	"github.com/brookwalk/brookwalk/wire"
+	"golang.org/x/tools/txtar"
+)
+
+// TestScenarios plays every scenario file: a comment on what it guards, and
+// one section a variant.
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.txtar")
+	if len(files) == 0 {
+		t.Fatal("no scenarios")
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ar := txtar.Parse(data)
+		for _, f := range ar.Files {
+			t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar")+"/"+f.Name, func(t *testing.T) {
+				t.Parallel()
+				s, err := ParseScenario(string(f.Data))
+				if err != nil {
+					t.Fatal(err)
+				}
+				var log *slog.Logger
+				if os.Getenv("SIM_LOG") != "" {
+					log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+				}
+				_, faults := s.Run(log)
+				for _, fault := range faults {
+					t.Error(fault)
+				}
+			})
+		}
+	}
+}
+
+const soakSetup = `
+team t gpus=8 gpus_max=24
+team u gpus=8 gpus_max=16
+type small cpus=8 gpus=0 mem=32 price=1 spot_price=0.3 boot=10 fetch=1 cap=4 spot=3
+type big cpus=32 gpus=8 mem=256 price=10 spot_price=3 boot=15 fetch=4 cap=2 spot=2
+wait web within=2
+`
+
+// soak writes a scenario of random jobs and troubles.
+func soak(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 7))
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d\n%suntil 330\n", seed, soakSetup)
+	team := func() string { return []string{"t", "u"}[r.IntN(2)] }
+	for i := 1; i <= 24; i++ {
+		at := r.IntN(200)
+		id := fmt.Sprintf("job-%06d", i)
+		img := r.IntN(4)
+		switch r.IntN(4) {
+		case 0:
+			fmt.Fprintf(&b, "at %d submit %s shape=service class=web team=%s priority=critical tasks=%d cpus=1 image=i%d image_gb=2 apart\n", at, id, team(), 1+r.IntN(5), img)
+		case 1:
+			fmt.Fprintf(&b, "at %d submit %s team=%s priority=idle tasks=%d cpus=4 gpus=1 mem=16 run=%d checkpoint=5 save=3 image=i%d spot\n", at, id, team(), 1+r.IntN(12), 10+r.IntN(40), img)
+		case 2:
+			fmt.Fprintf(&b, "at %d submit %s shape=gang team=%s priority=urgent tasks=%d cpus=6 gpus=2 mem=16 run=%d checkpoint=5 save=2 image=i%d together\n", at, id, team(), 1+r.IntN(3), 10+r.IntN(40), img)
+		case 3:
+			fmt.Fprintf(&b, "at %d submit %s team=%s tasks=%d cpus=2 run=%d image=i%d together\n", at, id, team(), 1+r.IntN(6), 5+r.IntN(30), img)
+		}
+		if r.IntN(4) == 0 {
+			fmt.Fprintf(&b, "at %d cancel %s\n", at+5+r.IntN(60), id)
+		}
+	}
+	who := func() string { return []string{"leader", "follower", "all", "leader"}[r.IntN(4)] }
+	side := func() string {
+		return []string{"state", "workers", "nodes", "cloud", "zone:east", "zone:north", "busy"}[r.IntN(7)]
+	}
+	mode := func() string { return []string{"hold", "", "oneway", "hold oneway"}[r.IntN(4)] }
+	for i := 0; i < 8; i++ {
+		at := 20 + r.IntN(200)
+		d := 1 + r.IntN(40)
+		switch r.IntN(10) {
+		case 0, 1:
+			fmt.Fprintf(&b, "at %d crash %s for=%g\n", at, who(), []float64{0.2, 3, 10}[r.IntN(3)])
+		case 2, 3:
+			fmt.Fprintf(&b, "at %d cut %s %s for=%d %s\n", at, []string{"leader", "follower"}[r.IntN(2)], side(), d, mode())
+		case 4:
+			fmt.Fprintf(&b, "at %d outage %s for=%d\n", at, []string{"state", "cloud"}[r.IntN(2)], d)
+		case 5:
+			fmt.Fprintf(&b, "at %d refuse leader for=%d\n", at, d)
+		case 6:
+			fmt.Fprintf(&b, "at %d copies for=%d delay=%d\n", at, d, 1+r.IntN(30))
+		case 7:
+			fmt.Fprintf(&b, "at %d hang busy for=%d\n", at, d)
+		case 8:
+			fmt.Fprintf(&b, "at %d take busy for=%d\n", at, d)
+		case 9:
+			fmt.Fprintf(&b, "at %d cut zone:east zone:west for=%d %s\n", at, d, mode())
+		}
+	}
+	return b.String()
+}
+
+// TestSoak plays random days: no rule may break, and all that can be done is
+// done once the troubles are over.
+func TestSoak(t *testing.T) {
+	seeds := uint64(40)
+	if testing.Short() {
+		seeds = 5
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			text := soak(seed)
+			s, err := ParseScenario(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w, faults := s.Run(nil)
+			for _, f := range faults {
+				t.Error(f)
+			}
+			for _, id := range w.users.names() {
+				j := w.users.jobs[id]
+				if !j.accepted && j.refused == 0 {
+					t.Errorf("%s was never answered", id)
+				}
+				if j.accepted && j.final == "" && w.jobs[id].Shape != wire.ShapeService {
+					t.Errorf("%s is still %s", id, j.last.Status)
+				}
+				if j.accepted && j.final == "" && w.jobs[id].Shape == wire.ShapeService && w.running(id) != w.jobs[id].Tasks {
+					t.Errorf("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks)
+				}
+			}
+			if t.Failed() {
+				t.Log(text)
+			}
+		})
+	}
+}
+
+// TestCheckerCatches shows that the checker sees a broken core: each mutation
+// makes the cores do one forbidden thing, and its rule must be reported.
+func TestCheckerCatches(t *testing.T) {
+	scenario := soakSetup + `
+until 120
+at 1 submit job-000001 team=t tasks=4 cpus=0.5 run=30
+at 1 submit job-000002 shape=service team=t priority=critical tasks=4 cpus=0.5 apart
+at 1 submit job-000003 shape=service team=u tasks=2 cpus=4 gpus=2
+at 50 cancel job-000003
+`
+	double := func(pick func(w *World, from *machine) *machine) func(*node, *core.Output) {
+		return func(n *node, out *core.Output) {
+			for _, k := range out.Calls {
+				if k.Path != "/do" || !strings.Contains(string(k.Body), `"run"`) {
+					continue
+				}
+				from := n.w.cloud.byAddr[k.Addr]
+				if m := pick(n.w, from); m != nil {
+					var cmds []wire.Command
+					for _, t := range strings.Split(string(k.Body), `"shard":"`)[1:] {
+						cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: t[:strings.IndexByte(t, '"')], Attempt: 99})
+					}
+					// Later, so that the true start is there already.
+					n.w.after(5*time.Second, func() { m.execute(cmds) })
+				}
+			}
+		}
+	}
+	other := func(same bool) func(w *World, from *machine) *machine {
+		return func(w *World, from *machine) *machine {
+			for _, name := range w.cloud.names() {
+				if m := w.cloud.machines[name]; m != from && !m.gone && m.upAt < w.now && (m.zone == from.zone) == same {
+					return m
+				}
+			}
+			return nil
+		}
+	}
+	answers := func(path string, status int, from, to string) func(*node, *core.Output) {
+		return func(n *node, out *core.Output) {
+			for i := range out.Answers {
+				a := &out.Answers[i]
+				if n.w.now > 10*time.Second && strings.Contains(string(a.Body), path) {
+					a.Status = status
+					a.Body = []byte(strings.ReplaceAll(string(a.Body), from, to))
+				}
+			}
+		}
+	}
+	noStops := func(n *node, out *core.Output) {
+		for i := range out.Calls {
+			out.Calls[i].Body = []byte(strings.ReplaceAll(string(out.Calls[i].Body), `"kill"`, `"none"`))
+			if out.Calls[i].Path == "/machines/return" {
+				out.Calls[i].Path = "/nowhere"
+			}
+		}
+		for i := range out.Answers {
+			out.Answers[i].Body = []byte(strings.ReplaceAll(string(out.Answers[i].Body), `"kill"`, `"none"`))
+		}
+	}
+	for _, tc := range []struct {
+		rule   string
+		mutate func(*node, *core.Output)
+	}{
+		{"ran_twice", double(other(false))},
+		{"not_done", answers("job-000002", 200, `"status":"running"`, `"status":"done"`)},
+		{"forgotten", answers("job-000001", 404, "", "")},
+		{"went_back", answers("job-000002", 200, `"status":"running"`, `"status":"withdrawn"`)},
+		{"ran_cancelled", noStops},
+	} {
+		t.Run(tc.rule, func(t *testing.T) {
+			s, err := ParseScenario(scenario)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := s.world(slog.New(slog.DiscardHandler))
+			w.mutate = tc.mutate
+			faults := strings.Join(s.finish(w), "\n")
+			if !strings.Contains(faults, tc.rule) {
+				t.Errorf("%s was not reported; reported: %s", tc.rule, faults)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/store.go
@@ -0,0 +1,248 @@
+package sim
+
+import (
+	"encoding/json"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type watcher struct {
+	under string
+	since uint64
+	reply func(int, []byte)
+	over  bool
+}
+
+type change struct {
+	wire.Event
+	key string
+	rev uint64
+}
+
+// store stands in for the state service.
+type store struct {
+	w        *World
+	rev      uint64
+	keys     map[string]*entry
+	log      []change
+	leases   map[uint64]time.Duration // end
+	ttl      map[uint64]time.Duration
+	next     uint64
+	watchers []*watcher
+	outage   time.Duration
+	refuse   map[string]time.Duration // by node
+}
+
+func newStore(w *World) *store {
+	s := &store{w: w, rev: 100, keys: map[string]*entry{}, leases: map[uint64]time.Duration{}, ttl: map[uint64]time.Duration{},
+		refuse: map[string]time.Duration{}}
+	w.after(50*time.Millisecond, s.expire)
+	return s
+}
+
+func (s *store) expire() {
+	s.w.after(50*time.Millisecond, s.expire)
+	if s.w.now < s.outage {
+		return
+	}
+	for id := uint64(1); id <= s.next; id++ {
+		if end, ok := s.leases[id]; ok && s.w.now > end {
+			s.end(id)
+		}
+	}
+}
+
+func (s *store) end(id uint64) {
+	delete(s.leases, id)
+	var drop []string
+	for k, e := range s.keys {
+		if e.lease == id {
+			drop = append(drop, k)
+		}
+	}
+	sort.Strings(drop)
+	if len(drop) > 0 {
+		s.rev++
+		for _, k := range drop {
+			delete(s.keys, k)
+			s.log = append(s.log, change{wire.Event{Delete: k, Version: s.rev}, k, s.rev})
+		}
+		s.notify()
+	}
+}
+
+func (s *store) beginOutage(d time.Duration) {
+	s.outage = s.w.now + d
+	s.w.after(d, func() {
+		for id := range s.leases {
+			s.leases[id] = s.w.now + s.ttl[id]
+		}
+		s.notify()
+	})
+}
+
+func (s *store) handle(from, method, path string, body []byte, reply func(int, []byte)) {
+	send := func(status int, v any) {
+		b, _ := json.Marshal(v)
+		reply(status, b)
+	}
+	if s.w.now < s.outage || s.w.now < s.refuse[from] {
+		send(503, struct{}{})
+		return
+	}
+	u, _ := url.Parse(path)
+	q := u.Query()
+	switch {
+	case method == "GET" && u.Path == "/store":
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		if limit == 0 {
+			limit = 1000
+		}
+		p := wire.Page{Items: []wire.Item{}, Revision: s.rev}
+		var keys []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		for _, k := range keys {
+			if len(p.Items) >= limit {
+				p.More = true
+				break
+			}
+			p.Items = append(p.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
+		}
+		send(200, p)
+	case method == "GET" && strings.HasPrefix(u.Path, "/store/"):
+		k := u.Path[len("/store/"):]
+		if e := s.keys[k]; e != nil {
+			send(200, wire.Item{Key: k, Value: e.value, Version: e.version, Lease: e.lease})
+		} else {
+			send(404, wire.TxnResult{Revision: s.rev})
+		}
+	case method == "GET" && u.Path == "/changes":
+		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		hold, _ := strconv.Atoi(q.Get("holdMs"))
+		wt := &watcher{under: q.Get("under"), since: since, reply: reply}
+		if !s.offer(wt) {
+			s.watchers = append(s.watchers, wt)
+			s.w.after(time.Duration(hold)*time.Millisecond, func() {
+				if !wt.over {
+					wt.over = true
+					send(200, wire.Changes{Revision: s.rev, Events: []wire.Event{}})
+				}
+			})
+		}
+	case method == "POST" && u.Path == "/commit":
+		var t wire.Txn
+		if json.Unmarshal(body, &t) != nil {
+			send(400, struct{}{})
+			return
+		}
+		s.commit(&t, send)
+	case method == "POST" && u.Path == "/grants":
+		var g wire.GrantRequest
+		json.Unmarshal(body, &g)
+		s.next++
+		s.ttl[s.next] = time.Duration(g.TTLMs) * time.Millisecond
+		s.leases[s.next] = s.w.now + s.ttl[s.next]
+		send(200, wire.Grant{Lease: s.next})
+	case method == "POST" && strings.HasSuffix(u.Path, "/extend"):
+		id, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		if _, ok := s.leases[id]; !ok {
+			send(404, struct{}{})
+			return
+		}
+		s.leases[id] = s.w.now + s.ttl[id]
+		send(200, struct{}{})
+	default:
+		send(400, struct{}{})
+	}
+}
+
+func (s *store) commit(t *wire.Txn, send func(int, any)) {
+	d := s.w.cfg.Deployment.State
+	if len(t.Writes) > d.TxnOps || len(t.If) > 4*d.TxnOps {
+		s.w.check.broken("limits", "a transaction of %d writes and %d conditions", len(t.Writes), len(t.If))
+	}
+	var failed []string
+	for _, c := range t.If {
+		have := uint64(0)
+		if e := s.keys[c.Key]; e != nil {
+			have = e.version
+		}
+		if have != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	for _, w := range t.Writes {
+		if w.Lease != 0 {
+			if _, ok := s.leases[w.Lease]; !ok {
+				send(400, map[string]string{"error": "no such lease"})
+				return
+			}
+		}
+		if float64(len(w.Value)) > d.ValueKB*1024 {
+			s.w.check.broken("limits", "a value of %d bytes", len(w.Value))
+		}
+	}
+	if failed != nil {
+		send(409, wire.TxnResult{Failed: failed, Revision: s.rev})
+		return
+	}
+	if len(t.Writes) > 0 {
+		s.rev++
+		for _, w := range t.Writes {
+			if w.Delete != "" {
+				if s.keys[w.Delete] != nil {
+					delete(s.keys, w.Delete)
+					s.log = append(s.log, change{wire.Event{Delete: w.Delete, Version: s.rev}, w.Delete, s.rev})
+				}
+				continue
+			}
+			s.keys[w.Put] = &entry{w.Value, s.rev, w.Lease}
+			s.log = append(s.log, change{wire.Event{Put: w.Put, Value: w.Value, Version: s.rev}, w.Put, s.rev})
+		}
+		s.notify()
+	}
+	send(200, wire.TxnResult{Revision: s.rev})
+}
+
+func (s *store) offer(wt *watcher) bool {
+	var ch wire.Changes
+	for _, c := range s.log {
+		if c.rev > wt.since && strings.HasPrefix(c.key, wt.under) {
+			ch.Events = append(ch.Events, c.Event)
+		}
+	}
+	if ch.Events == nil || s.w.now < s.outage {
+		return false
+	}
+	ch.Revision = s.rev
+	b, _ := json.Marshal(ch)
+	wt.over = true
+	wt.reply(200, b)
+	return true
+}
+
+func (s *store) notify() {
+	var keep []*watcher
+	for _, wt := range s.watchers {
+		if !wt.over && !s.offer(wt) {
+			keep = append(keep, wt)
+		}
+	}
+	s.watchers = keep
+}
--- /dev/null
+++ b/internal/sim/worker.go
@@ -0,0 +1,383 @@
+package sim
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// machine stands in for a machine and its worker.
+type machine struct {
+	w              *World
+	name, addr     string
+	typ, zone      string
+	spot           bool
+	rentedAt, upAt time.Duration
+	gone           bool
+	goneAt         time.Duration
+	session, seq   uint64
+	token          uint64
+	answered       time.Duration // when the last answered report was sent
+	tasks          map[string]*task
+	images         map[string]bool
+	node           int
+	busy           bool
+	nextReport     time.Duration
+	lastReport     time.Duration
+	changed        bool
+	warning        time.Duration
+	faulty         bool
+	copyUntil      time.Duration
+	copyDelay      time.Duration
+	hangUntil      time.Duration
+	hangInbox      []func()
+}
+
+type task struct {
+	name     string
+	job      *jobTruth
+	index    int
+	attempt  uint64
+	state    string
+	cause    string
+	saved    bool
+	on       bool
+	ready    time.Duration // image there
+	waitFrom time.Duration
+	runFrom  time.Duration
+	saveEnd  time.Duration
+	lostAt   time.Duration // a gang's other task is gone
+}
+
+func newMachine(w *World, name, typ, zone string, spot bool) *machine {
+	t := w.cloud.typ(typ)
+	m := &machine{w: w, name: name, typ: typ, zone: zone, spot: spot, rentedAt: w.now, session: 1,
+		tasks: map[string]*task{}, images: map[string]bool{}}
+	num, _ := strconv.Atoi(strings.TrimPrefix(name, "n-"))
+	m.addr = "10.1." + strconv.Itoa(num/250) + "." + strconv.Itoa(num%250+1) + ":9000"
+	m.upAt = w.now + seconds(t.BootS*(0.6+0.9*w.rng.Float64()))
+	if w.now < w.cloud.noBoot {
+		m.upAt = 1 << 62
+		return m
+	}
+	w.after(m.upAt-w.now, func() {
+		if m.gone {
+			return
+		}
+		m.answered = w.now
+		m.node = w.rng.IntN(len(w.nodes))
+		m.tick()
+	})
+	return m
+}
+
+func (m *machine) sorted() []*task {
+	out := make([]*task, 0, len(m.tasks))
+	for _, t := range m.tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
+	return out
+}
+
+func (m *machine) tick() {
+	if m.gone {
+		return
+	}
+	m.w.after(100*time.Millisecond, m.tick)
+	// The lease runs out on a hanging machine too.
+	if m.w.now-m.answered > seconds(m.w.cfg.Deployment.Workers.LeaseS) {
+		for _, t := range m.sorted() {
+			m.off(t)
+		}
+		m.tasks = map[string]*task{}
+		m.session++
+		m.answered = m.w.now
+		m.changed = true
+	}
+	if m.w.now < m.hangUntil {
+		return
+	}
+	inbox := m.hangInbox
+	m.hangInbox = nil
+	for _, f := range inbox {
+		f()
+	}
+	for _, t := range m.sorted() {
+		m.advance(t)
+	}
+	if m.busy {
+		return
+	}
+	if m.w.now >= m.nextReport || m.changed && m.w.now >= m.lastReport+500*time.Millisecond {
+		m.report()
+	}
+}
+
+// advance moves one task on.
+func (m *machine) advance(t *task) {
+	w, now := m.w, m.w.now
+	d := w.cfg.Deployment.Workers
+	switch t.state {
+	case wire.TaskFetching:
+		if now < t.ready {
+			return
+		}
+		m.images[t.job.Image] = true
+		t.on = true
+		m.changed = true
+		w.check.start(m, t)
+		switch {
+		case t.job.done[t.index]:
+			m.end(t, wire.CauseDone)
+		case m.faulty || t.job.fail:
+			m.end(t, wire.CauseError)
+		case t.job.Shape == wire.ShapeGang:
+			t.state, t.waitFrom = wire.TaskWaiting, now
+			w.gather(t)
+		default:
+			t.state, t.runFrom = wire.TaskRunning, now
+		}
+	case wire.TaskWaiting:
+		if now-t.waitFrom > seconds(d.GangWaitS) {
+			m.end(t, wire.CauseIncomplete)
+		}
+	case wire.TaskRunning:
+		if t.lostAt != 0 {
+			if now-t.lostAt > seconds(d.GangPeerS) {
+				m.end(t, wire.CausePeers)
+			}
+			return
+		}
+		if t.job.Shape == wire.ShapeService {
+			return
+		}
+		ran := t.progressNow(now)
+		if t.job.CheckpointS > 0 {
+			k := t.key()
+			saved := float64(int(ran/t.job.CheckpointS)) * t.job.CheckpointS
+			t.job.progress[k] = max(t.job.progress[k], saved)
+		}
+		if ran >= t.job.runS {
+			if t.job.Shape == wire.ShapeGang {
+				for i := 0; i < t.job.Tasks; i++ {
+					t.job.done[i] = true
+				}
+			}
+			t.job.done[t.index] = true
+			m.end(t, wire.CauseDone)
+		}
+	case wire.TaskSaving:
+		if now >= t.saveEnd {
+			t.job.progress[t.key()] = max(t.job.progress[t.key()], t.progressNow(t.saveEnd-seconds(t.job.SaveS)))
+			t.saved = true
+			m.end(t, wire.CauseStopped)
+		}
+	}
+}
+
+func (t *task) key() int {
+	if t.job.Shape == wire.ShapeGang {
+		return 0
+	}
+	return t.index
+}
+
+func (t *task) progressNow(now time.Duration) float64 {
+	return t.job.progress[t.key()] + max(0, (now-t.runFrom).Seconds())
+}
+
+// gather starts a gang once its last task waits.
+func (w *World) gather(t *task) {
+	var all []*task
+	for _, name := range w.cloud.names() {
+		for _, o := range w.cloud.machines[name].sorted() {
+			if o.job == t.job && o.attempt == t.attempt && o.state == wire.TaskWaiting {
+				all = append(all, o)
+			}
+		}
+	}
+	if len(all) == t.job.Tasks {
+		for _, o := range all {
+			o.state, o.runFrom = wire.TaskRunning, w.now
+		}
+	}
+}
+
+// off takes a task off the machine without a word, as a death does.
+func (m *machine) off(t *task) {
+	if t.state == wire.TaskExited {
+		return
+	}
+	ran := t.state == wire.TaskRunning
+	t.on, t.state = false, wire.TaskExited
+	if t.job.Shape == wire.ShapeGang && ran && !t.job.done[t.index] {
+		for _, name := range m.w.cloud.names() {
+			for _, o := range m.w.cloud.machines[name].sorted() {
+				if o.job == t.job && o != t && o.attempt == t.attempt && o.state == wire.TaskRunning && o.lostAt == 0 {
+					o.lostAt = m.w.now
+				}
+			}
+		}
+	}
+}
+
+func (m *machine) end(t *task, cause string) {
+	m.off(t)
+	t.cause = cause
+	m.changed = true
+}
+
+func (m *machine) message() *wire.Report {
+	m.seq++
+	r := &wire.Report{Machine: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
+		Session: m.session, Seq: m.seq, Token: m.token, Tasks: []wire.Task{}}
+	if m.warning != 0 {
+		s := (m.warning - m.w.now).Seconds()
+		r.WarningS = &s
+	}
+	for _, t := range m.sorted() {
+		r.Tasks = append(r.Tasks, wire.Task{Task: t.name, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+func (m *machine) report() {
+	w := m.w
+	m.busy, m.changed = true, false
+	m.lastReport = w.now
+	sent, session := w.now, m.session
+	body, _ := json.Marshal(m.message())
+	if w.now < m.copyUntil {
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(m.copyDelay, func() {
+			n.request(m.name, "POST", "/checkin", body, 4*time.Second, func(int, []byte) {})
+		})
+	}
+	n := w.nodes[m.node]
+	n.request(m.name, "POST", "/checkin", body, 4*time.Second, func(status int, answer []byte) {
+		if m.gone {
+			return
+		}
+		m.busy = false
+		period := seconds(w.cfg.Deployment.Workers.ReportS)
+		m.nextReport = w.now + time.Duration(float64(period)*(0.75+0.5*w.rng.Float64()))
+		if status != 200 || w.now < m.hangUntil {
+			m.node = (m.node + 1) % len(w.nodes)
+			m.nextReport = w.now + time.Second
+			return
+		}
+		var o wire.Orders
+		if json.Unmarshal(answer, &o) != nil || o.Token < m.token || session != m.session {
+			return
+		}
+		m.see(o.Token)
+		m.answered = max(m.answered, sent)
+		m.execute(o.Commands)
+	})
+}
+
+func (m *machine) see(token uint64) {
+	if token > m.token {
+		m.token = token
+		m.changed = true
+	}
+}
+
+// direct handles a command to the worker's own address.
+func (m *machine) direct(method, path string, body []byte, reply func(int, []byte)) {
+	if m.gone || m.w.now < m.upAt {
+		return
+	}
+	if m.w.now < m.hangUntil {
+		m.hangInbox = append(m.hangInbox, func() { m.direct(method, path, body, reply) })
+		return
+	}
+	status := 200
+	if path == "/do" {
+		var o wire.Orders
+		json.Unmarshal(body, &o)
+		if o.Token < m.token || o.Session != m.session {
+			status = 409
+		} else {
+			m.see(o.Token)
+			m.execute(o.Commands)
+		}
+	}
+	b, _ := json.Marshal(m.message())
+	reply(status, b)
+}
+
+func (m *machine) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		t := m.tasks[c.Task]
+		switch c.Verb {
+		case wire.VerbStart:
+			if t == nil || t.attempt != c.Attempt {
+				m.start(c)
+			}
+		case wire.VerbStop:
+			if t == nil || t.attempt != c.Attempt || t.state == wire.TaskExited {
+				continue
+			}
+			m.changed = true
+			switch {
+			case t.state == wire.TaskSaving:
+				if c.GraceS != nil && *c.GraceS == 0 {
+					m.end(t, wire.CauseStopped)
+				}
+			case t.state == wire.TaskRunning && t.job.CheckpointS > 0 && c.GraceS != nil && *c.GraceS >= t.job.SaveS && t.lostAt == 0:
+				t.state = wire.TaskSaving
+				t.saveEnd = m.w.now + seconds(t.job.SaveS)
+			default:
+				m.end(t, wire.CauseStopped)
+			}
+		case wire.VerbForget:
+			if t != nil && t.attempt == c.Attempt && t.state == wire.TaskExited {
+				delete(m.tasks, c.Task)
+				m.changed = true
+			}
+		}
+	}
+}
+
+func (m *machine) start(c wire.Command) {
+	w := m.w
+	w.started++
+	m.changed = true
+	i := strings.IndexByte(c.Task, '/')
+	t := &task{name: c.Task, attempt: c.Attempt, state: wire.TaskExited}
+	if i > 0 {
+		t.job = w.jobs[c.Task[:i]]
+		t.index, _ = strconv.Atoi(c.Task[i+1:])
+	}
+	if old := m.tasks[c.Task]; old != nil && old.state != wire.TaskExited {
+		return // another attempt is here; the stand-in refuses silently
+	}
+	m.tasks[c.Task] = t
+	if t.job == nil || t.index >= t.job.Tasks {
+		t.job = &jobTruth{Job: wire.Job{ID: c.Task}, done: map[int]bool{}, progress: map[int]float64{}}
+		t.cause = wire.CauseUnknown
+		return
+	}
+	typ := w.cloud.typ(m.typ)
+	cpus, gpus, mem := typ.CPUs, typ.GPUs, typ.MemGB
+	for _, o := range m.tasks {
+		if o.state != wire.TaskExited {
+			cpus, gpus, mem = cpus-o.job.CPUs, gpus-o.job.GPUs, mem-o.job.MemGB
+		}
+	}
+	if cpus+1e-6 < t.job.CPUs || gpus+1e-6 < t.job.GPUs || mem+1e-6 < t.job.MemGB {
+		t.cause = wire.CauseNoRoom
+		return
+	}
+	t.state = wire.TaskFetching
+	t.ready = w.now
+	if !m.images[t.job.Image] {
+		t.ready += seconds(t.job.ImageGB / typ.FetchGBPS)
+	}
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,304 @@
+// Package sim plays the controllers' core against stand-ins of the state
+// service, the cloud, the workers and the users, in virtual time. A checker
+// judges the rules all the while. Everything follows from a seed.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// cut blocks messages from one set of endpoints to another.
+type cut struct {
+	from, to string
+	until    time.Duration
+	hold     bool
+}
+
+// World is one simulated deployment.
+type World struct {
+	now   time.Duration
+	queue events
+	seq   int
+	rng   *rand.Rand
+
+	cfg     *config.Settings
+	log     *slog.Logger
+	nodes   []*node
+	store   *store
+	cloud   *cloud
+	users   *users
+	check   *checker
+	cuts    []*cut
+	jobs    map[string]*jobTruth
+	started int
+
+	// mutate, if set, changes what a core asks for: it stands for a broken
+	// core in the checker's own test.
+	mutate func(n *node, out *core.Output)
+}
+
+// jobTruth is what the stand-ins know of a job.
+type jobTruth struct {
+	wire.Job
+	runS     float64
+	fail     bool
+	done     map[int]bool
+	progress map[int]float64 // saved, by task; a gang uses task 0
+}
+
+func newWorld(cfg *config.Settings, seed uint64, log *slog.Logger) *World {
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), log: log, jobs: map[string]*jobTruth{}}
+	w.store = newStore(w)
+	w.cloud = newCloud(w)
+	w.users = newUsers(w)
+	w.check = newChecker(w)
+	for i := 0; i < cfg.Deployment.Size; i++ {
+		n := &node{w: w, index: i, name: "node-" + strconv.Itoa(i)}
+		w.nodes = append(w.nodes, n)
+		w.after(time.Duration(i)*30*time.Millisecond, n.boot)
+	}
+	return w
+}
+
+func (w *World) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + max(d, 0), w.seq, f})
+}
+
+func (w *World) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = until
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// match tells whether endpoint name is meant by a pattern: a name, a kind
+// ("nodes", "workers"), or "zone:" with a zone.
+func (w *World) match(pattern, name string) bool {
+	switch {
+	case pattern == name:
+		return true
+	case pattern == "nodes":
+		return strings.HasPrefix(name, "node-")
+	case pattern == "workers":
+		return strings.HasPrefix(name, "n-")
+	case strings.HasPrefix(pattern, "zone:"):
+		return w.zoneOf(name) == pattern[5:]
+	}
+	return false
+}
+
+func (w *World) zoneOf(name string) string {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return w.cfg.Deployment.Zones[n.index%len(w.cfg.Deployment.Zones)]
+		}
+	}
+	if m := w.cloud.machines[name]; m != nil {
+		return m.zone
+	}
+	return ""
+}
+
+// deliver carries a message: f runs at the receiver, unless a cut drops it.
+func (w *World) deliver(from, to string, f func()) {
+	delay := time.Millisecond + time.Duration(w.rng.Int64N(int64(4*time.Millisecond)))
+	for _, c := range w.cuts {
+		if c.until > w.now && w.match(c.from, from) && w.match(c.to, to) {
+			if !c.hold {
+				return
+			}
+			delay = max(delay, c.until-w.now+time.Millisecond)
+		}
+	}
+	w.after(delay, f)
+}
+
+// node is one controller: a core and what stands for its process.
+type node struct {
+	w     *World
+	index int
+	name  string
+	core  *core.Core
+	alive bool
+	life  int
+	born  time.Duration
+	reqs  map[uint64]func(status int, body []byte)
+	next  uint64
+}
+
+func (n *node) settings() *config.Settings {
+	s := *n.w.cfg
+	s.Name = n.name
+	s.Peers = nil
+	for _, o := range n.w.nodes {
+		if o != n {
+			s.Peers = append(s.Peers, config.Peer{Name: o.name})
+		}
+	}
+	return &s
+}
+
+func (n *node) boot() {
+	n.alive = true
+	n.life++
+	n.born = n.w.now
+	n.reqs = map[uint64]func(int, []byte){}
+	n.core = core.New(n.settings(), nil, n.w.log.With("node", n.name))
+	n.tick(n.life)
+}
+
+func (n *node) crash(back time.Duration) {
+	n.alive = false
+	n.life++
+	life := n.life
+	n.w.after(back, func() {
+		if !n.alive && n.life == life {
+			n.boot()
+		}
+	})
+}
+
+func (n *node) tick(life int) {
+	if !n.alive || n.life != life {
+		return
+	}
+	n.feed(core.Tick{})
+	n.w.after(75*time.Millisecond, func() { n.tick(life) })
+}
+
+func (n *node) feed(in any) {
+	now := n.w.now - n.born + time.Millisecond
+	// A drifting steady clock, within what the protocol allows.
+	now += now * time.Duration(n.index) / 4000
+	out := n.core.Step(now, time.UnixMilli(1e12).Add(n.w.now), in)
+	if n.w.mutate != nil {
+		n.w.mutate(n, &out)
+	}
+	for _, a := range out.Answers {
+		if f := n.reqs[a.ID]; f != nil {
+			delete(n.reqs, a.ID)
+			f(a.Status, a.Body)
+		}
+	}
+	for _, s := range out.Sends {
+		to, msg := s.To, s.Msg
+		n.w.deliver(n.name, to, func() {
+			for _, o := range n.w.nodes {
+				if o.name == to && o.alive {
+					o.feed(msg)
+				}
+			}
+		})
+	}
+	for _, k := range out.Calls {
+		n.call(k)
+	}
+}
+
+// request delivers an HTTP request to the node; done gets the answer, or
+// status 0 after the timeout.
+func (n *node) request(from, method, path string, body []byte, timeout time.Duration, done func(status int, body []byte)) {
+	over := false
+	finish := func(status int, body []byte) {
+		if !over {
+			over = true
+			done(status, body)
+		}
+	}
+	n.w.after(timeout, func() { finish(0, nil) })
+	n.w.deliver(from, n.name, func() {
+		if !n.alive {
+			// Refused; the caller notices soon.
+			n.w.deliver(n.name, from, func() { finish(0, nil) })
+			return
+		}
+		n.next++
+		n.reqs[n.next] = func(status int, body []byte) {
+			n.w.deliver(n.name, from, func() { finish(status, body) })
+		}
+		n.feed(core.Request{ID: n.next, Method: method, Path: path, Body: body})
+	})
+}
+
+func (n *node) call(k core.Call) {
+	w, life, over := n.w, n.life, false
+	finish := func(r core.Result) {
+		if !over && n.alive && n.life == life {
+			over = true
+			r.ID = k.ID
+			n.feed(r)
+		}
+	}
+	w.after(k.Timeout, func() { finish(core.Result{}) })
+	reply := func(from string) func(status int, body []byte) {
+		return func(status int, body []byte) {
+			w.deliver(from, n.name, func() { finish(core.Result{Status: status, Body: body}) })
+		}
+	}
+	switch k.Dest {
+	case core.DestStore:
+		w.deliver(n.name, "state", func() { w.store.handle(n.name, k.Method, k.Path, k.Body, reply("state")) })
+	case core.DestCloud:
+		w.deliver(n.name, "cloud", func() { w.cloud.handle(k.Method, k.Path, k.Body, reply("cloud")) })
+	case core.DestWorker:
+		m := w.cloud.byAddr[k.Addr]
+		if m == nil {
+			return
+		}
+		w.deliver(n.name, m.name, func() { m.direct(k.Method, k.Path, k.Body, reply(m.name)) })
+	}
+}
+
+// leader is the node that holds the leader key, or nil.
+func (w *World) leader() *node {
+	e := w.store.keys["leader"]
+	if e == nil {
+		return nil
+	}
+	for _, n := range w.nodes {
+		if strings.Contains(string(e.value), strconv.Quote(n.name)) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *World) trace(format string, a ...any) {
+	w.log.Debug(fmt.Sprintf(format, a...), "at", w.now.Seconds())
+}
