--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -189,6 +189,14 @@
 	m.listedAs = row.Status
 }
 
+// Boot times are usually 0.6 to 1.5 times the type's. A machine that takes
+// longer may take several times as long: it is no longer counted on, so that
+// another is rented in time, and later it is given up.
+const (
+	bootLate = 1.6
+	bootGone = 4
+)
+
 // overdue tells how many times its type's boot time a machine has taken.
 func (l *leader) overdue(m *machine) float64 {
 	t := l.c.types[m.typ]
@@ -235,7 +243,7 @@
 		return
 	}
 	if m.heard == 0 {
-		if l.overdue(m) > 4 {
+		if l.overdue(m) > bootGone {
 			l.giveBack(m, "does not come up")
 		}
 		return
@@ -316,7 +324,7 @@
 			continue
 		}
 		up := l.usable(m)
-		if !up && (m.heard != 0 || l.overdue(m) > 2.5) {
+		if !up && (m.heard != 0 || l.overdue(m) > bootLate) {
 			continue
 		}
 		add(name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
