--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -21,18 +21,26 @@
 }
 
 // Take takes n tokens and returns how long the caller must wait before it may
-// use them. Urgent takers never wait, but what they take is missing for the
-// others.
-func (b *Bucket) Take(n float64, urgent bool) time.Duration {
+// use them. A caller that would have to wait longer than limit gets nothing
+// and pays nothing: what is never used must not hold up the others. Urgent
+// takers never wait, but what they take is missing for the others.
+func (b *Bucket) Take(n float64, urgent bool, limit time.Duration) (time.Duration, bool) {
+	return b.takeAt(time.Now(), n, urgent, limit)
+}
+
+func (b *Bucket) takeAt(now time.Time, n float64, urgent bool, limit time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	b.have = min(b.burst, b.have+now.Sub(b.last).Seconds()*b.rate)
 	b.last = now
-	b.have -= n
-	if b.have >= 0 || urgent {
-		b.have = max(b.have, -b.burst)
-		return 0
+	if urgent {
+		b.have = max(b.have-n, -b.burst)
+		return 0, true
 	}
-	return time.Duration(-b.have / b.rate * float64(time.Second))
+	wait := max(0, time.Duration((n-b.have)/b.rate*float64(time.Second)))
+	if wait > limit {
+		return 0, false
+	}
+	b.have -= n
+	return wait, true
 }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -29,12 +29,11 @@
 // Do executes a call and blocks until it ends.
 func (c *Client) Do(k core.Call) core.Result {
 	deadline := time.Now().Add(k.Timeout)
-	if wait := c.reqs.Take(1, k.Urgent); wait > 0 {
-		if wait > k.Timeout/2 {
-			return core.Result{ID: k.ID, Status: 429, NotSent: true}
-		}
-		time.Sleep(wait)
+	wait, ok := c.reqs.Take(1, k.Urgent, k.Timeout/2)
+	if !ok {
+		return core.Result{ID: k.ID, Status: 429, NotSent: true}
 	}
+	time.Sleep(wait)
 	r, err := c.http.Do(k.Method, k.Path, k.Body, time.Until(deadline))
 	if err != nil {
 		c.http.CloseIdle()
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -243,7 +243,9 @@
 		return
 	}
 	if m.heard == 0 {
-		if l.overdue(m) > bootGone {
+		// A new leader has to give a machine that came up under an earlier
+		// term the time to report first.
+		if l.overdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() {
 			l.giveBack(m, "does not come up")
 		}
 		return
@@ -554,6 +556,7 @@
 			}
 			json.Unmarshal(res.Body, &e)
 			if e.Error == "no capacity" {
+				l.c.log.Debug("no capacity", "type", k.typ, "zone", k.zone, "spot", k.spot)
 				drop()
 				f.refused[k] = l.c.now + l.refusedFor()
 				l.schedule = true
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -39,16 +39,17 @@
 		return result(k, &c.watches, deadline)
 	}
 	for {
-		wait := c.reqs.Take(1, k.Urgent)
-		if k.Writes > 0 {
-			wait = max(wait, c.writes.Take(float64(k.Writes), k.Urgent))
+		left := time.Until(deadline)
+		wait, ok := c.reqs.Take(1, k.Urgent, left)
+		if ok && k.Writes > 0 {
+			var w time.Duration
+			w, ok = c.writes.Take(float64(k.Writes), k.Urgent, left)
+			wait = max(wait, w)
 		}
-		if time.Until(deadline) < wait {
+		if !ok {
 			return core.Result{ID: k.ID, NotSent: true, Status: 429}
 		}
-		if wait > 0 {
-			time.Sleep(wait)
-		}
+		time.Sleep(wait)
 		r := result(k, &c.http, deadline)
 		if r.Status != 429 || time.Until(deadline) < 100*time.Millisecond {
 			return r
