Count a machine that has just reported as supply

Cause: between a worker's first report and its hearing of the term, its machine counted neither as booting nor as usable, and a second one was rented.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -311,6 +311,16 @@
 	j    map[*job]int
 }
 
+// supply tells whether a machine is, or is about to be, of use. One that has
+// just reported and will hear this term with its next report counts: leaving
+// it out for that moment rented a second machine for the same work.
+func (l *leader) supply(m *machine) bool {
+	if m.heard == 0 {
+		return l.overdue(m) <= bootLate
+	}
+	return l.usable(m) || m.token < l.term && l.c.now-m.heard < 3*l.c.report()
+}
+
 // plan rents for the tasks that found no room, and keeps or rents some room
 // for the work that is expected while a machine boots.
 func (l *leader) plan(cands []*candidate, usage map[string]topology.Resources) {
@@ -325,8 +335,7 @@
 		if !ok || m.returning || f.returns[name] || m.drain != "" || m.leaving != 0 {
 			continue
 		}
-		up := l.usable(m)
-		if !up && (m.heard != 0 || l.overdue(m) > bootLate) {
+		if !l.supply(m) {
 			continue
 		}
 		add(name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
