Let expected work count on room that it could preempt

Cause: idle machines were kept for expected gangs while arrays that those may preempt ran on others.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -306,9 +306,23 @@
 	name string // of an existing machine
 	key  offerKey
 	free topology.Resources
+	// soft is what work of each priority holds that higher priorities may
+	// stop: it counts as room for work that is only expected.
+	soft [4]topology.Resources
 	used bool
 	want bool // to be rented
-	j    map[*job]int
+}
+
+// room is what a task of a priority finds; expected work may count on what it
+// could preempt.
+func (s *space) room(rank int, expected bool) topology.Resources {
+	r := s.free
+	if expected {
+		for k := 0; k < rank; k++ {
+			r = r.Add(s.soft[k])
+		}
+	}
+	return r
 }
 
 // supply tells whether a machine is, or is about to be, of use. One that has
@@ -339,6 +353,13 @@
 			continue
 		}
 		add(name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
+		s := spaces[len(spaces)-1]
+		for _, k := range sortedKeys(m.placed) {
+			if p := m.placed[k]; p.j.preemptible() {
+				rank := priorityRank[p.j.Priority]
+				s.soft[rank] = s.soft[rank].Add(size(&p.j.Job))
+			}
+		}
 	}
 	for _, r := range f.rents {
 		t := l.c.types[r.req.Type]
@@ -369,7 +390,7 @@
 				}
 				return room == nil || added[z] < room(z)
 			}
-			s := l.pack(&spaces, &c.j.Job, zone)
+			s := l.pack(&spaces, c.j, zone, false)
 			if s == nil {
 				break
 			}
@@ -387,7 +408,7 @@
 		}
 		n := l.expected(a, o.WithinS)
 		for k := 0; k < n; k++ {
-			if l.pack(&spaces, &a.last.Job, nil) == nil {
+			if l.pack(&spaces, a.last, nil, true) == nil {
 				break
 			}
 		}
@@ -452,11 +473,11 @@
 
 // pack finds a space for a task, or adds the cheapest machine that the cloud
 // may still grant.
-func (l *leader) pack(spaces *[]*space, j *wire.Job, zone func(string) bool) *space {
-	need := size(j)
+func (l *leader) pack(spaces *[]*space, j *job, zone func(string) bool, expected bool) *space {
+	need, rank := size(&j.Job), priorityRank[j.Priority]
 	var best *space
 	for _, s := range *spaces {
-		if !s.free.Holds(need) || !eligible(j, s.key.typ, s.key.zone, s.key.spot) || zone != nil && !zone(s.key.zone) {
+		if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) || zone != nil && !zone(s.key.zone) {
 			continue
 		}
 		if best == nil || s.free.Less(best.free) {
@@ -464,7 +485,7 @@
 		}
 	}
 	if best == nil {
-		k, ok := l.offer(*spaces, j, zone)
+		k, ok := l.offer(*spaces, &j.Job, zone)
 		if !ok {
 			return nil
 		}
@@ -473,6 +494,9 @@
 		*spaces = append(*spaces, best)
 	}
 	best.free = best.free.Sub(need)
+	if !expected && j.preemptible() {
+		best.soft[rank] = best.soft[rank].Add(need)
+	}
 	best.used = true
 	return best
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -307,9 +307,10 @@
 	return out, sum, free.Holds(need)
 }
 
+// preemptible tells whether single tasks of a job may be stopped for others;
+// a gang of several tasks would be lost as a whole.
+func (j *job) preemptible() bool { return j.Shape != wire.ShapeGang || len(j.tasks) == 1 }
+
 func (l *leader) mayPreempt(c *candidate, v *job) bool {
-	if v.Shape == wire.ShapeGang && len(v.tasks) > 1 {
-		return false
-	}
-	return priorityRank[v.Priority] < priorityRank[c.j.Priority]
+	return v.preemptible() && priorityRank[v.Priority] < priorityRank[c.j.Priority]
 }
