--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -22,10 +22,11 @@
 	listSeen map[string]bool
 	listGood time.Duration
 
-	rents   []*rent
-	rentSeq int
-	refused map[offerKey]time.Duration
-	keep    map[string]bool // idle machines that are kept for work to come
+	rents    []*rent
+	rentSeq  int
+	refused  map[offerKey]time.Duration
+	moveNext time.Duration   // no machine is emptied for others before
+	keep     map[string]bool // idle machines that are kept for work to come
 
 	urge       map[string]bool // machines to send commands to at once
 	watchRetry time.Duration
@@ -413,6 +414,7 @@
 			}
 		}
 	}
+	l.consolidate(spaces, cands)
 	f.keep = map[string]bool{}
 	wants := map[offerKey]int{}
 	var keys []offerKey
@@ -438,6 +440,108 @@
 	}
 }
 
+// consolidate empties a machine whose replicas all find room on others that
+// are up and hold their images, so that it can be returned. A replica that
+// moves is away for the time of a stop and a start. One machine at a time, and
+// only while nothing waits for room.
+func (l *leader) consolidate(spaces []*space, cands []*candidate) {
+	f := &l.fleet
+	if l.c.now < f.moveNext || l.c.now-l.loadedAt < 2*l.c.lease() {
+		return
+	}
+	for _, c := range cands {
+		if len(c.pending) > 0 {
+			return
+		}
+	}
+	var from []*machine
+	free := map[string]topology.Resources{}
+	var targets []*space
+	for _, s := range spaces {
+		if s.want {
+			return
+		}
+		m := l.machines[s.name]
+		if m == nil || !l.usable(m) {
+			continue
+		}
+		if !s.used && l.c.now-m.createdAt > minCharge && m.movable() {
+			from = append(from, m)
+		}
+		targets = append(targets, s)
+		free[s.name] = s.free
+	}
+	sort.SliceStable(from, func(a, b int) bool {
+		pa, pb := l.price(from[a].typ, from[a].spot), l.price(from[b].typ, from[b].spot)
+		if pa != pb {
+			return pa > pb
+		}
+		return len(from[a].placed) < len(from[b].placed)
+	})
+	for _, m := range from {
+		if l.fitsElsewhere(m, targets, free) {
+			f.moveNext = l.c.now + l.c.lease()
+			l.condemn(m, "its replicas fit on other machines")
+			return
+		}
+	}
+}
+
+// movable tells whether all that a machine does is to run settled replicas.
+func (m *machine) movable() bool {
+	for _, p := range m.placed {
+		t := &p.j.tasks[p.i]
+		if p.j.Shape != wire.ShapeService || t.state != wire.TaskRunning || t.stop != nil {
+			return false
+		}
+	}
+	return len(m.placed) > 0
+}
+
+func (l *leader) fitsElsewhere(m *machine, targets []*space, free map[string]topology.Resources) bool {
+	type jobZone struct {
+		j    *job
+		zone string
+	}
+	left := map[string]topology.Resources{}
+	for k, v := range free {
+		left[k] = v
+	}
+	added := map[jobZone]int{}
+	for _, name := range sortedKeys(m.placed) {
+		j := m.placed[name].j
+		if j.OneZone {
+			return false
+		}
+		room := l.zoneRoom(j)
+		var best *space
+		for _, s := range targets {
+			o := l.machines[s.name]
+			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || l.avoid(j, o) {
+				continue
+			}
+			if room != nil {
+				n := room(o.zone) - added[jobZone{j, o.zone}]
+				if o.zone == m.zone {
+					n++ // its own place there becomes free
+				}
+				if n < 1 {
+					continue
+				}
+			}
+			if best == nil || left[s.name].Less(left[best.name]) {
+				best = s
+			}
+		}
+		if best == nil {
+			return false
+		}
+		left[best.name] = left[best.name].Sub(size(&j.Job))
+		added[jobZone{j, best.key.zone}]++
+	}
+	return true
+}
+
 // expected is how many tasks of a class are likely to come while a machine
 // boots and fetches the class's image, if that takes longer than the class may
 // wait.
