--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -293,6 +293,7 @@
 			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}}
 		l.jobs[id] = j
 		l.order = append(l.order, j)
+		l.c.log.Debug("job", "job", id, "class", j.Class, "team", j.Team, "shape", j.Shape, "tasks", len(j.tasks))
 		if l.ready {
 			l.noteArrival(j)
 		}
