Keep room for expected work by its objective's share, and pin moves

Cause: a replica that found no room waited for boot and fetch, over a minute, and one that was moved could lose its place to another and fetch its image again. Expected work is now counted to the share that its objective names, from the records' times, so that a new leader knows it too.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -194,6 +195,7 @@
 // longer may take several times as long: it is no longer counted on, so that
 // another is rented in time, and later it is given up.
 const (
+	bootSlow = 1.5
 	bootLate = 1.6
 	bootGone = 4
 )
@@ -282,6 +284,8 @@
 
 const arrivalWindow = 120 * time.Second
 
+// noteArrival counts a submission, by the time of its record: a new leader
+// learns from the open jobs what was lately submitted.
 func (l *leader) noteArrival(j *job) {
 	a := l.arrivals[j.Class]
 	if a == nil {
@@ -292,8 +296,9 @@
 	if j.Shape != wire.ShapeArray {
 		n = len(j.tasks)
 	}
+	at := l.c.now - time.Duration(max(0, l.c.wall-j.at))*time.Millisecond
 	for k := 0; k < n && k < 64; k++ {
-		a.at = append(a.at, l.c.now)
+		a.at = append(a.at, at)
 	}
 	a.last = j
 	for len(a.at) > 0 && l.c.now-a.at[0] > arrivalWindow {
@@ -407,7 +412,7 @@
 		if a == nil || a.last == nil {
 			continue
 		}
-		n := l.expected(a, o.WithinS)
+		n := l.expected(a, o)
 		for k := 0; k < n; k++ {
 			if l.pack(&spaces, a.last, nil, true) == nil {
 				break
@@ -479,7 +484,11 @@
 		return len(from[a].placed) < len(from[b].placed)
 	})
 	for _, m := range from {
-		if l.fitsElsewhere(m, targets, free) {
+		if to := l.elsewhere(m, targets, free); to != nil {
+			for _, name := range sortedKeys(to) {
+				p := m.placed[name]
+				p.j.moveTo[p.i] = to[name]
+			}
 			f.moveNext = l.c.now + l.c.lease()
 			l.condemn(m, "its replicas fit on other machines")
 			return
@@ -498,7 +507,9 @@
 	return len(m.placed) > 0
 }
 
-func (l *leader) fitsElsewhere(m *machine, targets []*space, free map[string]topology.Resources) bool {
+// elsewhere finds a machine for each of a machine's replicas, by task; nil if
+// not all find one.
+func (l *leader) elsewhere(m *machine, targets []*space, free map[string]topology.Resources) map[string]*machine {
 	type jobZone struct {
 		j    *job
 		zone string
@@ -508,10 +519,11 @@
 		left[k] = v
 	}
 	added := map[jobZone]int{}
+	to := map[string]*machine{}
 	for _, name := range sortedKeys(m.placed) {
 		j := m.placed[name].j
 		if j.OneZone {
-			return false
+			return nil
 		}
 		room := l.zoneRoom(j)
 		var best *space
@@ -534,45 +546,50 @@
 			}
 		}
 		if best == nil {
-			return false
+			return nil
 		}
 		left[best.name] = left[best.name].Sub(size(&j.Job))
 		added[jobZone{j, best.key.zone}]++
+		to[name] = l.machines[best.name]
 	}
-	return true
+	return to
 }
 
-// expected is how many tasks of a class are likely to come while a machine
-// boots and fetches the class's image, if that takes longer than the class may
-// wait.
-func (l *leader) expected(a *arrivals, withinS float64) int {
-	lead := math.Inf(1)
+// expected is how many tasks of a class may come while a machine boots and
+// fetches the class's image, if a slow boot makes that longer than the class
+// may wait. The share of the objective sets how sure it has to be that the
+// room suffices; a class that has been seen is never without room.
+func (l *leader) expected(a *arrivals, o config.Objective) int {
+	lead, slow := math.Inf(1), math.Inf(1)
 	for _, name := range sortedKeys(l.c.types) {
 		t := l.c.types[name]
 		if !allowed(a.last.Types, name) || !(topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(&a.last.Job)) {
 			continue
 		}
-		s := t.BootS
+		fetch := 0.0
 		if t.FetchGBPS > 0 {
-			s += a.last.ImageGB / t.FetchGBPS
+			fetch = a.last.ImageGB / t.FetchGBPS
 		}
-		lead = min(lead, s)
+		lead = min(lead, t.BootS+fetch)
+		slow = min(slow, bootSlow*t.BootS+fetch)
 	}
-	if math.IsInf(lead, 1) || lead <= withinS {
+	if math.IsInf(lead, 1) || slow <= o.WithinS {
 		return 0
 	}
-	window := min(arrivalWindow, max(l.c.now-l.loadedAt, 30*time.Second))
 	n := 0
 	for _, at := range a.at {
-		if l.c.now-at <= window {
+		if l.c.now-at <= arrivalWindow {
 			n++
 		}
 	}
-	k := int(math.Ceil(float64(n) / window.Seconds() * lead))
+	mean := float64(n) / arrivalWindow.Seconds() * lead
+	sure := min(max(o.Share, 0.5), 0.99)
+	k := int(math.Ceil(mean + math.Sqrt2*math.Erfinv(2*sure-1)*math.Sqrt(mean)))
+	k = min(max(k, 1), 16)
 	if w := l.c.op.WarmMachines; w != nil {
 		k = min(k, *w)
 	}
-	return min(k, 16)
+	return k
 }
 
 // pack finds a space for a task, or adds the cheapest machine that the cloud
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -61,7 +61,8 @@
 	ended   bool // the end is recorded
 	retryAt time.Duration
 	fails   int
-	failOn  map[string]bool // machines on which it failed
+	failOn  map[string]bool  // machines on which it failed
+	moveTo  map[int]*machine // where moving replicas have their room
 
 	preemptAt time.Duration
 	waitSince time.Duration
@@ -290,13 +291,11 @@
 		}
 		n := (rec.Job.Tasks + l.chunkTasks() - 1) / l.chunkTasks()
 		j = &job{Job: rec.Job, at: rec.At, order: version, version: version, next: 1, seenAt: l.c.now, waitSince: l.c.now,
-			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}}
+			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
 		l.jobs[id] = j
 		l.order = append(l.order, j)
 		l.c.log.Debug("job", "job", id, "class", j.Class, "team", j.Team, "shape", j.Shape, "tasks", len(j.tasks))
-		if l.ready {
-			l.noteArrival(j)
-		}
+		l.noteArrival(j)
 	}
 	if version < j.version {
 		return
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -164,6 +164,9 @@
 				(m.reserved == nil || m.reserved == j || l.c.now >= m.reservedUntil)
 		},
 		Rank: func(t *topology.Machine) int {
+			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
+				return -1
+			}
 			if l.machines[t.Name].hasImage(j.Image) {
 				return 0
 			}
@@ -186,6 +189,7 @@
 			j.next++
 		}
 		t.attempt, t.zone, t.session, t.ours, t.placedAt = attempt, m.zone, m.session, true, l.c.now
+		delete(j.moveTo, i)
 		l.bind(j, i, m)
 		l.touch(j, i)
 		if m.reserved == j {
