--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -212,7 +212,7 @@
 // drainLeaving moves work off a machine that the cloud is about to take, in
 // time for the slowest save.
 func (l *leader) drainLeaving(m *machine) {
-	if (m.leaving == 0 && m.drain == "") || len(m.placed) == 0 {
+	if m.leaving == 0 && !m.evict || len(m.placed) == 0 {
 		return
 	}
 	for _, name := range sortedKeys(m.placed) {
@@ -451,7 +451,7 @@
 // only while nothing waits for room.
 func (l *leader) consolidate(spaces []*space, cands []*candidate) {
 	f := &l.fleet
-	if l.c.now < f.moveNext || l.c.now-l.loadedAt < 2*l.c.lease() {
+	if l.c.now < f.moveNext || l.c.now-l.loadedAt < l.c.lease() {
 		return
 	}
 	for _, c := range cands {
@@ -476,7 +476,16 @@
 		targets = append(targets, s)
 		free[s.name] = s.free
 	}
+	for _, name := range sortedKeys(l.machines) {
+		// Condemned machines come first, once their tasks are replicas alone.
+		if m := l.machines[name]; m.drain != "" && !m.evict && !m.returning && m.movable() {
+			from = append(from, m)
+		}
+	}
 	sort.SliceStable(from, func(a, b int) bool {
+		if ca, cb := from[a].drain != "", from[b].drain != ""; ca != cb {
+			return ca
+		}
 		pa, pb := l.price(from[a].typ, from[a].spot), l.price(from[b].typ, from[b].spot)
 		if pa != pb {
 			return pa > pb
@@ -491,6 +500,7 @@
 			}
 			f.moveNext = l.c.now + l.c.lease()
 			l.condemn(m, "its replicas fit on other machines")
+			m.evict = true
 			return
 		}
 	}
@@ -529,7 +539,7 @@
 		var best *space
 		for _, s := range targets {
 			o := l.machines[s.name]
-			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || l.avoid(j, o) {
+			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 {
 				continue
 			}
 			if room != nil {
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -62,7 +62,9 @@
 	}
 	if w.State == wire.TaskRunning && t.state != wire.TaskRunning {
 		t.upAt = l.c.now
-		t.m.successes++
+		if t.ours {
+			t.m.failed = map[string]bool{} // it can start tasks after all
+		}
 	}
 	t.state = w.State
 }
@@ -116,7 +118,6 @@
 	}
 	switch w.Cause {
 	case wire.CauseDone:
-		m.successes++
 		l.learnRun(j, l.c.now-t.upAt, t.upAt != 0)
 		l.markDone(j, i)
 		if j.Shape == wire.ShapeGang {
@@ -145,12 +146,12 @@
 	}
 }
 
-// taskFailed tells a faulty machine from a faulty job: several jobs failing on
-// one machine condemn the machine, one job failing on several machines has to
-// wait longer and longer.
+// taskFailed tells a faulty machine from a faulty job: several jobs failing in
+// a row on one machine condemn the machine, one job failing on several
+// machines has to wait longer and longer. After a first failure a machine is
+// only avoided where there is a choice.
 func (l *leader) taskFailed(j *job, m *machine) {
-	m.errors++
-	m.errorJobs[j.ID] = true
+	m.failed[j.ID] = true
 	j.failOn[m.name] = true
 	if len(j.failOn) > 1 {
 		j.fails++
@@ -158,12 +159,14 @@
 	} else {
 		j.retryAt = l.c.now + l.c.report()/5
 	}
-	if len(m.errorJobs) > 1 && m.errors > m.successes/2 {
+	if len(m.failed) > 1 {
 		l.condemn(m, "fails the tasks it starts")
 	}
 }
 
-// condemn stops a machine from taking tasks; it is returned once empty.
+// condemn stops a machine from taking tasks; it is returned once empty. What
+// runs there goes on: a machine that fails new tasks may well serve old ones,
+// and stopping a replica before another place holds its image costs more.
 func (l *leader) condemn(m *machine, why string) {
 	if m.drain == "" {
 		l.c.log.Info("machine condemned", "machine", m.name, "why", why)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -41,6 +41,7 @@
 	createdAt time.Duration // estimate of the rental
 	leaving   time.Duration // when the cloud takes it; 0 unknown
 	drain     string        // why it takes no more tasks
+	evict     bool          // its tasks are stopped, to run elsewhere
 	lostTerm  bool          // its lease ran out while it was silent
 	expired   int           // leases lost while it answered
 	deafSince time.Duration
@@ -52,9 +53,7 @@
 	doPending map[string]int // starts sent to /do whose outcome is unknown
 	probeBusy bool
 	probeAt   time.Duration
-	errors    int
-	errorJobs map[string]bool
-	successes int
+	failed    map[string]bool // jobs that failed since a task last started well
 
 	// A machine whose tasks are stopped for a job is kept for it.
 	reserved      *job
@@ -65,7 +64,7 @@
 	m := l.machines[name]
 	if m == nil {
 		m = &machine{name: name, placed: map[string]ref{}, tasks: map[string]wire.Task{},
-			doPending: map[string]int{}, errorJobs: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
+			doPending: map[string]int{}, failed: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
 		l.machines[name] = m
 	}
 	return m
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -167,10 +167,14 @@
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
 				return -1
 			}
-			if l.machines[t.Name].hasImage(j.Image) {
-				return 0
+			rank := 0
+			if m := l.machines[t.Name]; len(m.failed) > 0 {
+				rank = 2
 			}
-			return 1
+			if !l.machines[t.Name].hasImage(j.Image) {
+				rank++
+			}
+			return rank
 		},
 	}
 	if j.OneZone {
