--- /dev/null
+++ b/httpwire/httpwire_test.go
@@ -0,0 +1,125 @@
+package httpwire
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParseRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name, in string
+		err      error
+		method   string
+		path     string
+		query    string
+		body     string
+		close    bool
+		rest     string
+	}{
+		{name: "get", in: "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n", method: "GET", path: "/a", query: "b=c"},
+		{name: "post", in: "POST /a HTTP/1.1\r\ncontent-LENGTH: 3\r\nConnection: Close\r\n\r\nabcGET", method: "POST", path: "/a", body: "abc", close: true, rest: "GET"},
+		{name: "chunks", in: "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: v\r\n\r\n!", method: "POST", path: "/a", body: "abc", rest: "!"},
+		{name: "old", in: "GET / HTTP/1.0\r\n\r\n", method: "GET", path: "/", close: true},
+		{name: "partial header", in: "GET / HTTP/1.1\r\nHost", err: ErrPartial},
+		{name: "partial body", in: "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", err: ErrPartial},
+		{name: "partial chunk", in: "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", err: ErrPartial},
+		{name: "no version", in: "GET /\r\n\r\n", err: ErrMalformed},
+		{name: "no path", in: "GET x HTTP/1.1\r\n\r\n", err: ErrMalformed},
+		{name: "bad length", in: "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", err: ErrMalformed},
+		{name: "two lengths", in: "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", err: ErrMalformed},
+		{name: "length and chunks", in: "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na", err: ErrMalformed},
+		{name: "space before colon", in: "GET / HTTP/1.1\r\nHost : x\r\n\r\n", err: ErrMalformed},
+		{name: "large body", in: "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", err: ErrTooLarge},
+		{name: "large header", in: "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", MaxHeader+1), err: ErrTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, n, err := ParseRequest([]byte(tc.in))
+			if !errors.Is(err, tc.err) {
+				t.Fatalf("error %v, want %v", err, tc.err)
+			}
+			if err != nil {
+				return
+			}
+			if r.Method != tc.method || r.Path != tc.path || r.Query != tc.query || string(r.Body) != tc.body || r.Close != tc.close || tc.in[n:] != tc.rest {
+				t.Errorf("got %+v with rest %q", r, tc.in[n:])
+			}
+		})
+	}
+}
+
+func TestResponseRoundTrip(t *testing.T) {
+	b := AppendResponse(nil, 503, []byte(`{"error":"not now"}`), 2, true)
+	r, n, err := ParseResponse(b)
+	if err != nil || n != len(b) {
+		t.Fatalf("parsed %d of %d bytes: %v", n, len(b), err)
+	}
+	if r.Status != 503 || string(r.Body) != `{"error":"not now"}` || r.RetryAfter != "2" || !r.Close {
+		t.Errorf("got %+v", r)
+	}
+}
+
+// A client's kept connection that the server has closed must fail the call
+// and not be used again.
+func TestClientAfterClose(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			buf := make([]byte, 4096)
+			conn.Read(buf)
+			conn.Write(AppendResponse(nil, 200, []byte("{}"), 0, false))
+			conn.Close()
+		}
+	}()
+	c := &Client{Addr: ln.Addr().String(), MaxIdle: 1}
+	ok := 0
+	for i := 0; i < 4; i++ {
+		if r, err := c.Do("GET", "/", nil, 5*time.Second); err == nil && r.Status == 200 {
+			ok++
+		}
+	}
+	if ok < 2 {
+		t.Errorf("%d of 4 calls succeeded, at least every second one should", ok)
+	}
+}
+
+func FuzzParseRequest(f *testing.F) {
+	f.Add([]byte("GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r, n, err := ParseRequest(in)
+		if err != nil {
+			return
+		}
+		if n < 1 || n > len(in) || len(r.Body) > MaxRequestBody {
+			t.Fatalf("took %d of %d bytes for a body of %d", n, len(in), len(r.Body))
+		}
+		// No prefix of a whole request may parse as one of another length.
+		if _, m, err := ParseRequest(in[:n-1]); err == nil {
+			t.Fatalf("a request of %d bytes also ends after %d", n, m)
+		}
+	})
+}
+
+func FuzzParseResponse(f *testing.F) {
+	f.Add(AppendResponse(nil, 200, []byte("{}"), 0, false))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r, n, err := ParseResponse(in)
+		if err == nil && (n > len(in) || r.Status < 100 || r.Status > 999 || !bytes.Contains(in, r.Body)) && !bytes.Contains(in, []byte("hunked")) {
+			t.Fatalf("took %d of %d bytes: %+v", n, len(in), r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `
+host_name = "node-0"
+location = "east"
+listen = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+unknown_field = 1
+[[peers]]
+host_name = "node-1"
+peer_addr = "127.0.0.2:8081"
+[external]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[deployment.workers]
+report_s = 1.5
+lease_s = 10.0
+gang_wait_s = 50.0
+gang_peer_s = 8.0
+cancel_s = 35.0
+[deployment.state]
+rps = 250.0
+write_rps = 100.0
+value_kb = 16.0
+txn_ops = 16
+[deployment.cloud]
+rps = 8.0
+list_lag_s = 10.0
+[deployment.machine_limits]
+cpu = 0.18
+ram_mb = 98.0
+max_connections = 800
+`
+
+func TestParse(t *testing.T) {
+	if _, err := Parse(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ old, new, want string }{
+		{`host_name = "node-0"`, ``, "host_name"},
+		{`listen = "127.0.0.1:8080"`, `listen = "localhost"`, "listen"},
+		{`listen = "127.0.0.1:8080"`, `listen = "127.0.0.1:99999"`, "listen"},
+		{`lease_s = 10.0`, `lease_s = 0.0`, "lease_s"},
+		{`lease_s = 10.0`, `lease_s = "ten"`, "parse"},
+		{`host_name = "node-1"`, `host_name = "node-0"`, "repeated"},
+		{`txn_ops = 16`, ``, "txn_ops"},
+	} {
+		_, err := Parse(strings.Replace(good, tc.old, tc.new, 1))
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("with %q: error %v does not name %q", tc.new, err, tc.want)
+		}
+	}
+}
+
+func TestOperator(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "op.toml")
+	for _, tc := range []struct{ text, want string }{
+		{"warm_machines = 3\nidle_return_s = 20.0\nlog_level = \"debug\"", ""},
+		{"warm_machine = 3", "unknown key"},
+		{"warm_machines = -1", "below 0"},
+		{"idle_return_s = -1.0", "below 0"},
+	} {
+		if err := os.WriteFile(path, []byte(tc.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadOperator(path)
+		if tc.want == "" && err != nil || tc.want != "" && (err == nil || !strings.Contains(err.Error(), tc.want)) {
+			t.Errorf("%q: error %v, want %q", tc.text, err, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/topology/topology_test.go
@@ -0,0 +1,64 @@
+package topology
+
+import (
+	"strings"
+	"testing"
+)
+
+// tree: machines as zone/name/free GPUs.
+func tree(specs ...string) (*Tree, []*Machine) {
+	var ms []*Machine
+	for _, s := range specs {
+		f := strings.Split(s, "/")
+		ms = append(ms, &Machine{Zone: f[0], Name: f[1], Free: Resources{GPUs: float64(f[2][0] - '0')}})
+	}
+	return New(ms), ms
+}
+
+func names(ms []*Machine) string {
+	var out []string
+	for _, m := range ms {
+		out = append(out, m.Name)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestPlace(t *testing.T) {
+	one := Resources{GPUs: 1}
+	for _, tc := range []struct {
+		name string
+		tree []string
+		req  Request
+		want string
+	}{
+		{"the tightest machine that holds all", []string{"a/x/8", "a/y/3", "b/z/2"}, Request{Task: one, Count: 3, Required: LevelRoot}, "y y y"},
+		{"the tightest zone when no machine does", []string{"a/x/4", "a/y/4", "b/z/3", "b/w/3"}, Request{Task: one, Count: 6, Required: LevelRoot}, "w w w z z z"},
+		{"within a zone, the fullest part first", []string{"a/x/4", "a/y/2", "a/z/1"}, Request{Task: one, Count: 6, Required: LevelZone}, "x x x x y y"},
+		{"required waits though enough lies scattered", []string{"a/x/2", "b/y/2"}, Request{Task: one, Count: 3, Required: LevelZone}, ""},
+		{"preferred takes the zone that fits most, then the nearest", []string{"a/x/2", "b/y/2", "b/w/1"}, Request{Task: one, Count: 4, Required: LevelRoot}, "y y w x"},
+		{"nothing fits", []string{"a/x/1"}, Request{Task: Resources{GPUs: 2}, Count: 1, Required: LevelRoot}, ""},
+		{"a zone's bound", []string{"a/x/8", "b/y/8", "c/z/8"}, Request{Task: one, Count: 4, Required: LevelRoot, ZoneRoom: func(string) int { return 2 }}, "x x y y"},
+		{"the image decides between machines that hold all", []string{"a/x/2", "a/y/4"}, Request{Task: one, Count: 1, Required: LevelRoot,
+			Rank: func(m *Machine) int { return strings.Index("yx", m.Name) }}, "y"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tr, ms := tree(tc.tree...)
+			before := map[string]Resources{}
+			for _, m := range ms {
+				before[m.Name] = m.Free
+			}
+			got := tr.Place(tc.req)
+			if names(got) != tc.want {
+				t.Fatalf("placed on %q, want %q", names(got), tc.want)
+			}
+			for _, m := range got {
+				before[m.Name] = before[m.Name].Sub(tc.req.Task)
+			}
+			for _, m := range ms {
+				if m.Free != before[m.Name] {
+					t.Errorf("%s has %v free, want %v", m.Name, m.Free, before[m.Name])
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/httpwire"
+	"github.com/brookwalk/brookwalk/internal/config"
+)
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// TestServe runs a controller on loopback with no services to reach: it must
+// answer what it can, refuse at once what it cannot, and cut off what is not
+// HTTP.
+func TestServe(t *testing.T) {
+	cfg := &config.Settings{Name: "node-0", Listen: freeAddr(t), PeerListen: freeAddr(t),
+		External: config.External{Cloud: freeAddr(t), State: freeAddr(t)},
+		Deployment: config.Deployment{
+			Workers: config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 30, GangPeerS: 5, CancelS: 30},
+			State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16},
+			Cloud:   config.Cloud{RPS: 8, ListLagS: 5},
+			Limits:  config.Limits{CPU: 1, RAMMB: 200, MaxConnections: 100},
+		}}
+	n := New(cfg, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	failed := make(chan error, 1)
+	go func() { failed <- n.Run() }()
+	dial := func() net.Conn {
+		for {
+			select {
+			case err := <-failed:
+				t.Fatal(err)
+			default:
+			}
+			if conn, err := net.Dial("tcp4", cfg.Listen); err == nil {
+				conn.SetDeadline(time.Now().Add(30 * time.Second))
+				return conn
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	ask := func(conn net.Conn, msg string) *httpwire.Response {
+		t.Helper()
+		for i := range msg { // byte by byte: a request may come in any pieces
+			if _, err := conn.Write([]byte{msg[i]}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var in []byte
+		buf := make([]byte, 4096)
+		for {
+			k, err := conn.Read(buf)
+			if err != nil {
+				t.Fatalf("%q: %v", msg, err)
+			}
+			in = append(in, buf[:k]...)
+			if r, _, err := httpwire.ParseResponse(in); err == nil {
+				return r
+			}
+		}
+	}
+	conn := dial()
+	defer conn.Close()
+	for _, tc := range []struct {
+		msg    string
+		status int
+	}{
+		{"GET /healthz HTTP/1.1\r\n\r\n", 200},
+		{"GET /nowhere HTTP/1.1\r\n\r\n", 404},
+		{"DELETE /submissions HTTP/1.1\r\n\r\n", 405},
+		{"POST /submissions HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]", 400},
+		{"GET /submissions/job-000001 HTTP/1.1\r\n\r\n", 503},
+	} {
+		if r := ask(conn, tc.msg); r.Status != tc.status {
+			t.Errorf("%q: status %d, want %d", tc.msg, r.Status, tc.status)
+		}
+	}
+	bad := dial()
+	defer bad.Close()
+	if r := ask(bad, "no http\r\n\r\n"); r.Status != 400 || !r.Close {
+		t.Errorf("malformed: %+v", r)
+	}
+	if rest, err := io.ReadAll(bad); err != nil && !strings.Contains(err.Error(), "reset") || len(rest) > 0 {
+		t.Errorf("malformed: the connection stays open: %q, %v", rest, err)
+	}
+}
