--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -32,6 +32,7 @@
 	txnRetry time.Duration
 	dirty    bool
 
+	within    map[*job]bool // jobs within their team's guarantee
 	schedule  bool
 	schedNext time.Duration
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -38,6 +38,7 @@
 // by priority, deadline slack and submission.
 func (l *leader) candidates() []*candidate {
 	in := l.guaranteed()
+	l.within = in
 	var out []*candidate
 	for _, j := range l.order {
 		p := j.pendingTasks()
@@ -319,6 +320,16 @@
 // a gang of several tasks would be lost as a whole.
 func (j *job) preemptible() bool { return j.Shape != wire.ShapeGang || len(j.tasks) == 1 }
 
+// mayPreempt tells whether a task may be stopped for a job: for a higher
+// priority, or, where the job is within its team's guarantee, because another
+// team runs it beyond its own. In the second case only work of the same
+// priority that keeps its progress is stopped; the protocol would allow any.
 func (l *leader) mayPreempt(c *candidate, v *job) bool {
-	return v.preemptible() && priorityRank[v.Priority] < priorityRank[c.j.Priority]
+	if !v.preemptible() {
+		return false
+	}
+	if v, own := priorityRank[v.Priority], priorityRank[c.j.Priority]; v != own {
+		return v < own
+	}
+	return c.guaranteed && v.Team != c.j.Team && !l.within[v] && v.CheckpointS > 0
 }
