Take over from a leader that holds its key but is out of reach

A follower now takes the key over when it and another controller do not hear the leader, and sends workers that it cannot serve to a peer that can.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,13 +111,15 @@
 	forwards    map[uint64]*forward
 	nextForward uint64
 	digestAt    time.Duration
+	countsAt    time.Duration
 	counts      map[string]wire.JobCount // last digest of the leader
 }
 
 type peerState struct {
-	heard   time.Duration
-	storeOK bool
-	ever    bool
+	heard       time.Duration
+	storeOK     bool
+	hearsLeader bool
+	ever        bool
 }
 
 // New makes a core. The logger may be nil.
@@ -175,7 +177,7 @@
 	c.tickUsers()
 	c.tickForwards()
 	if c.now >= c.digestAt {
-		c.digestAt = c.now + time.Second
+		c.digestAt = c.now + c.ttl()/4
 		c.sendDigest()
 	}
 	if c.lead != nil {
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -71,6 +71,14 @@
 				return
 			}
 			c.learn(v.Term, v.Name)
+			if c.leaderLost() {
+				// It still holds its key, but neither we nor another
+				// controller hear it, so the workers' reports do not reach
+				// it and their leases run out. Its key gives way; its writes
+				// and commands do by the term.
+				c.log.Info("take over", "from", v.Name, "term", v.Term)
+				c.campaign(it.Version)
+			}
 		case 404:
 			e.asked = true
 			c.campaign(0)
@@ -92,9 +100,9 @@
 	}
 	if term > e.term || e.leader != name {
 		e.term, e.leader = term, name
+		e.heard = c.now
 		c.log.Info("leader", "name", name, "term", term)
 	}
-	e.heard = c.now
 	c.flushForwards()
 }
 
@@ -160,7 +168,21 @@
 		}
 		if r.Status == 404 {
 			c.stepDown("the lease ran out")
+			return
+		}
+		for _, p := range c.peers {
+			if c.fresh(p) {
+				return
+			}
 		}
+		// Nobody is heard: another controller may have taken the key over.
+		c.get(keyLeader, func(r Result) {
+			var it wire.Item
+			var v leaderValue
+			if c.lead == l && r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && json.Unmarshal(it.Value, &v) == nil {
+				c.learn(v.Term, v.Name)
+			}
+		})
 	})
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -24,6 +24,12 @@
 		c.out.Answers = append(c.out.Answers, Answer{ID: req, Status: status, Body: out})
 		return
 	}
+	if !c.hearsLeader() {
+		if to := c.bridge(); to != "" {
+			c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
+			return
+		}
+	}
 	c.nextForward++
 	// The worker waits 4 s for an answer; it gets ours well before.
 	c.forwards[c.nextForward] = &forward{req: req, body: body, until: c.now + 2500*time.Millisecond}
@@ -91,10 +97,13 @@
 		}
 	case m.Digest != nil:
 		d := m.Digest
-		p.storeOK = d.StoreOK
+		p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
 		if d.Leader {
 			c.learn(d.Term, m.From)
 			if c.lead == nil && c.elect.leader == m.From {
+				c.elect.heard = c.now
+			}
+			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
 				c.counts = make(map[string]wire.JobCount, len(d.Jobs))
 				for _, j := range d.Jobs {
 					c.counts[j.ID] = j
@@ -107,16 +116,57 @@
 }
 
 func (c *Core) sendDigest() {
-	d := &wire.Digest{Term: c.elect.term, StoreOK: c.storeOK()}
+	d := &wire.Digest{Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader()}
 	if c.lead != nil {
 		d.Leader = true
-		d.Jobs = c.lead.digest()
+		if c.now >= c.countsAt {
+			c.countsAt = c.now + c.ttl()
+			d.HasJobs, d.Jobs = true, c.lead.digest()
+		}
 	}
 	for _, p := range c.cfg.Peers {
 		c.send(p.Name, &wire.PeerMessage{Digest: d})
 	}
 }
 
+// fresh tells whether a peer was heard within the time of a leader's lease.
+func (c *Core) fresh(p *peerState) bool { return p.ever && c.now-p.heard < c.ttl() }
+
+// hearsLeader tells whether this controller leads or hears the one that does.
+func (c *Core) hearsLeader() bool {
+	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.heard < c.ttl()
+}
+
+// leaderLost tells whether a peer agrees that the leader, though it holds its
+// key, is out of reach. A controller that hears no peer is more likely cut off
+// itself, and must not take over from a leader that is well.
+func (c *Core) leaderLost() bool {
+	if c.hearsLeader() {
+		return false
+	}
+	agreed := false
+	for _, p := range c.cfg.Peers {
+		if s := c.peers[p.Name]; p.Name != c.elect.leader && c.fresh(s) {
+			if s.hearsLeader {
+				return false
+			}
+			agreed = true
+		}
+	}
+	return agreed
+}
+
+// bridge names a peer that hears the leader, for a worker whose report cannot
+// be forwarded from here; empty if there is none.
+func (c *Core) bridge() string {
+	for _, p := range c.cfg.Peers {
+		if s := c.peers[p.Name]; c.fresh(s) && s.hearsLeader {
+			return p.Name
+		}
+	}
+	return ""
+}
+
 // peerStoreOK tells whether another controller lately said that the state
 // service answers it.
 func (c *Core) peerStoreOK() bool {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -158,32 +158,25 @@
 at 1 submit job-000003 shape=service team=u tasks=2 cpus=4 gpus=2
 at 50 cancel job-000003
 `
-	double := func(pick func(w *World, from *machine) *machine) func(*node, *core.Output) {
-		return func(n *node, out *core.Output) {
-			for _, k := range out.Calls {
-				if k.Path != "/do" || !strings.Contains(string(k.Body), `"run"`) {
-					continue
-				}
-				from := n.w.cloud.byAddr[k.Addr]
-				if m := pick(n.w, from); m != nil {
-					var cmds []wire.Command
-					for _, t := range strings.Split(string(k.Body), `"shard":"`)[1:] {
-						cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: t[:strings.IndexByte(t, '"')], Attempt: 99})
-					}
-					// Later, so that the true start is there already.
-					n.w.after(5*time.Second, func() { m.execute(cmds) })
-				}
+	// A start goes to a second machine too, once the true one is there.
+	double := func(n *node, out *core.Output) {
+		for _, k := range out.Calls {
+			if k.Path != "/do" || !strings.Contains(string(k.Body), `"run"`) {
+				continue
 			}
-		}
-	}
-	other := func(same bool) func(w *World, from *machine) *machine {
-		return func(w *World, from *machine) *machine {
-			for _, name := range w.cloud.names() {
-				if m := w.cloud.machines[name]; m != from && !m.gone && m.upAt < w.now && (m.zone == from.zone) == same {
-					return m
-				}
+			var cmds []wire.Command
+			for _, t := range strings.Split(string(k.Body), `"shard":"`)[1:] {
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: t[:strings.IndexByte(t, '"')], Attempt: 99})
 			}
-			return nil
+			from := n.w.cloud.byAddr[k.Addr]
+			n.w.after(5*time.Second, func() {
+				for _, name := range n.w.cloud.names() {
+					if m := n.w.cloud.machines[name]; m != from && !m.gone && m.upAt < n.w.now {
+						m.execute(cmds)
+						return
+					}
+				}
+			})
 		}
 	}
 	answers := func(path string, status int, from, to string) func(*node, *core.Output) {
@@ -212,7 +205,7 @@
 		rule   string
 		mutate func(*node, *core.Output)
 	}{
-		{"ran_twice", double(other(false))},
+		{"ran_twice", double},
 		{"not_done", answers("job-000002", 200, `"status":"running"`, `"status":"done"`)},
 		{"forgotten", answers("job-000001", 404, "", "")},
 		{"went_back", answers("job-000002", 200, `"status":"running"`, `"status":"withdrawn"`)},
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -23,14 +23,17 @@
 	Body   []byte
 }
 
-// Digest is sent by every controller to the others about once a second: who
-// it takes for the leader, and whether the state service answers it. The
-// leader adds its jobs' counts for display.
+// Digest is sent by every controller to the others several times within the
+// leader's lease: who it takes for the leader, whether it hears that one, and
+// whether the state service answers it. Now and then the leader adds its jobs'
+// counts for display.
 type Digest struct {
-	Term    uint64
-	Leader  bool
-	StoreOK bool
-	Jobs    []JobCount
+	Term        uint64
+	Leader      bool
+	HearsLeader bool
+	StoreOK     bool
+	HasJobs     bool
+	Jobs        []JobCount
 }
 
 // JobCount carries the counts of an unfinished job.
