--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -153,8 +153,8 @@
 func TestCheckerCatches(t *testing.T) {
 	scenario := soakSetup + `
 until 120
-at 1 submit job-000001 team=t tasks=4 cpus=0.5 run=30
-at 1 submit job-000002 shape=service team=t priority=critical tasks=4 cpus=0.5 apart
+at 1 submit job-000001 team=t tasks=4 cpus=0.5 run=30 image_gb=0
+at 1 submit job-000002 shape=service team=t priority=critical tasks=4 cpus=0.5 image_gb=0 apart
 at 1 submit job-000003 shape=service team=u tasks=2 cpus=4 gpus=2
 at 50 cancel job-000003
 `
