--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -158,7 +158,7 @@
 at 1 submit job-000003 shape=service team=u tasks=2 cpus=4 gpus=2
 at 50 cancel job-000003
 `
-	// A start goes to a second machine too, once the true one is there.
+	// A start goes to a second machine too, once that one is up.
 	double := func(n *node, out *core.Output) {
 		for _, k := range out.Calls {
 			if k.Path != "/do" || !strings.Contains(string(k.Body), `"run"`) {
@@ -169,7 +169,7 @@
 				cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: t[:strings.IndexByte(t, '"')], Attempt: 99})
 			}
 			from := n.w.cloud.byAddr[k.Addr]
-			n.w.after(5*time.Second, func() {
+			n.w.after(20*time.Second, func() {
 				for _, name := range n.w.cloud.names() {
 					if m := n.w.cloud.machines[name]; m != from && !m.gone && m.upAt < n.w.now {
 						m.execute(cmds)
