Start the least remaining work first in classes to be finished in time

Cause: under overload nightsort's jobs queued first come, first served and nearly all were late. A job that has not begun after two minutes goes ahead, so that large ones begin too.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -13,6 +13,7 @@
 	j          *job
 	guaranteed bool
 	slack      float64
+	work       float64
 	pending    []int
 }
 
@@ -45,7 +46,7 @@
 		if len(p) == 0 {
 			continue
 		}
-		out = append(out, &candidate{j: j, guaranteed: in[j], slack: l.slack(j), pending: p})
+		out = append(out, &candidate{j: j, guaranteed: in[j], slack: l.slack(j), work: l.work(j, len(p)), pending: p})
 	}
 	sort.SliceStable(out, func(a, b int) bool {
 		x, y := out[a], out[b]
@@ -58,6 +59,9 @@
 		if x.slack != y.slack {
 			return x.slack < y.slack
 		}
+		if x.work != y.work {
+			return x.work < y.work
+		}
 		return x.j.order < y.j.order
 	})
 	return out
@@ -74,6 +78,26 @@
 	return *j.DeadlineS - float64(l.c.wall-j.at)/1000 - l.runEstimate(j)
 }
 
+// mustBegin is half the time within which the protocol has the largest jobs
+// begin.
+const mustBegin = 120 * time.Second
+
+// work is what a job of a class that is to be finished within a time still has
+// to run, in seconds of a task. When not all can be done in time, the least
+// work first gets the most jobs done; one that has waited long without a
+// beginning goes ahead, so that large jobs begin too.
+func (l *leader) work(j *job, pending int) float64 {
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		if o.Kind == "finished" && o.Class == j.Class {
+			if j.done+j.placed == 0 && time.Duration(l.c.wall-j.at)*time.Millisecond > mustBegin {
+				return 0
+			}
+			return float64(pending) * l.runEstimate(j)
+		}
+	}
+	return 0
+}
+
 // zoneRoom returns how many more tasks of a job each zone may take, counting
 // every task that is not certainly gone; nil if nothing bounds it.
 func (l *leader) zoneRoom(j *job) func(string) int {
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -119,9 +119,9 @@
 		case l.word == "team":
 			s.cfg.Deployment.Teams = append(s.cfg.Deployment.Teams, config.Team{Name: l.arg(0),
 				CPUs: l.num("cpus", 0), CPUsMax: l.num("cpus_max", 0), GPUs: l.num("gpus", 0), GPUsMax: l.num("gpus_max", 0)})
-		case l.word == "wait":
+		case l.word == "wait" || l.word == "finished":
 			s.cfg.Deployment.Objectives = append(s.cfg.Deployment.Objectives,
-				config.Objective{Kind: "wait", Class: l.arg(0), WithinS: l.num("within", 1), Share: 0.9})
+				config.Objective{Kind: l.word, Class: l.arg(0), WithinS: l.num("within", 1), Share: 0.9})
 		case l.word == "type":
 			s.setup = append(s.setup, l)
 		case l.word == "expect":
