Return a machine that is dead rather than wait for its lease

Cause: replicas of dead and cut-off machines waited for the whole lease. A machine that is silent for longer than a worker needs to change controllers, and that does not answer the leader's own question, is returned, while only few are silent. Leases also run out while a return waits for the cloud.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -48,12 +48,13 @@
 	returning bool
 	retryAt   time.Duration // of the return
 
-	doBusy    int
-	doRetry   time.Duration
-	doPending map[string]int // starts sent to /do whose outcome is unknown
-	probeBusy bool
-	probeAt   time.Duration
-	failed    map[string]bool // jobs that failed since a task last started well
+	doBusy      int
+	doRetry     time.Duration
+	doPending   map[string]int // starts sent to /do whose outcome is unknown
+	probeBusy   bool
+	probeAt     time.Duration
+	probeFailed time.Duration   // when a probe last got no answer
+	failed      map[string]bool // jobs that failed since a task last started well
 
 	// A machine whose tasks are stopped for a job is kept for it.
 	reserved      *job
@@ -330,6 +331,9 @@
 		rep, ok := decodeReport(r.Body)
 		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
 			m.probeBusy = false
+			if r.Status == 0 {
+				m.probeFailed = l.c.now
+			}
 			if !l.gone && r.Status == 200 {
 				l.directReport(m, r.Body)
 			}
@@ -345,6 +349,10 @@
 	})
 }
 
+// workerSwitch is how long a worker takes to leave a controller that does not
+// answer: the protocol's 4 s for the answer and 1 s before the next one.
+const workerSwitch = 5 * time.Second
+
 // tickMachines looks for machines that fell silent or deaf.
 func (l *leader) tickMachines() {
 	now := l.c.now
@@ -361,6 +369,7 @@
 	mass := silent > 2 && silent*2 > heard
 	for _, name := range sortedKeys(l.machines) {
 		m := l.machines[name]
+		l.expire(m)
 		if m.returning {
 			continue
 		}
@@ -369,13 +378,18 @@
 				l.probe(m)
 			}
 		}
-		l.expire(m)
 		silence := now - max(m.heard, l.loadedAt)
 		limit := 2 * l.leaseBound()
 		if mass {
 			limit *= 2
 		}
+		// Few machines are silent and this one does not answer us either,
+		// though it has had the time to find another controller: it is dead
+		// or cut off. Its return frees its tasks sooner than its lease.
+		dead := m.heard != 0 && m.probeFailed > m.heard && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6)
 		switch {
+		case dead:
+			l.giveBack(m, "dead")
 		case m.listedAs == wire.MachineFailed:
 			l.giveBack(m, "failed")
 		case (m.heard != 0 || len(m.placed) > 0) && silence > limit:
