--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -120,8 +121,8 @@
 }
 
 func (s *Settings) check() error {
-	var errs []error
-	bad := func(format string, a ...any) { errs = append(errs, fmt.Errorf(format, a...)) }
+	var faults []string
+	bad := func(format string, a ...any) { faults = append(faults, fmt.Sprintf(format, a...)) }
 	addr := func(name, v string) {
 		host, port, err := net.SplitHostPort(v)
 		if err != nil || net.ParseIP(host) == nil {
@@ -178,7 +179,10 @@
 	}
 	positive("deployment.machine_limits.ram_mb", d.Limits.RAMMB)
 	positive("deployment.machine_limits.max_connections", float64(d.Limits.MaxConnections))
-	return errors.Join(errs...)
+	if faults != nil {
+		return errors.New(strings.Join(faults, "; "))
+	}
+	return nil
 }
 
 // Operator is the operators' own optional file.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,8 +32,6 @@
 	Method string
 	Path   string
 	Body   []byte
-	// TooLarge marks a body above the limit; Body is then empty.
-	TooLarge bool
 }
 
 // Result ends a call. Status 0 means that no answer came; NotSent that the
@@ -242,7 +240,6 @@
 		}
 	} else if r.Status != 429 {
 		c.users.storeBadSince = 0
-		c.users.storeGood = c.now
 	}
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -21,7 +21,6 @@
 	listBusy bool
 	listNext time.Duration
 	listSeen map[string]bool
-	listGood time.Duration
 
 	rents    []*rent
 	rentSeq  int
@@ -151,7 +150,6 @@
 		}
 		f.listBusy = false
 		f.listNext = l.c.now + 2*time.Second
-		f.listGood = l.c.now
 		lag := 3 * time.Duration(l.c.cfg.Deployment.Cloud.ListLagS*float64(time.Second))
 		for _, name := range sortedKeys(l.machines) {
 			m := l.machines[name]
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -16,7 +16,6 @@
 	term        uint64
 	termVersion uint64
 	grant       uint64
-	since       time.Duration
 	gone        bool // the term is over
 	ready       bool // the records are loaded
 
@@ -50,7 +49,6 @@
 	cancelled bool
 	cancelAt  time.Duration
 	stale     bool // the open record must be read again
-	seenAt    time.Duration
 
 	tasks   []task
 	next    uint64 // next attempt number
@@ -64,9 +62,6 @@
 	fails   int
 	failOn  map[string]bool  // machines on which it failed
 	moveTo  map[int]*machine // where moving replicas have their room
-
-	preemptAt time.Duration
-	waitSince time.Duration
 }
 
 // chunk is one placement record: a run of a job's tasks.
@@ -291,7 +286,7 @@
 			return // an old event of a job that is over
 		}
 		n := (rec.Job.Tasks + l.chunkTasks() - 1) / l.chunkTasks()
-		j = &job{Job: rec.Job, at: rec.At, order: version, version: version, next: 1, seenAt: l.c.now, waitSince: l.c.now,
+		j = &job{Job: rec.Job, at: rec.At, order: version, version: version, next: 1,
 			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
 		l.jobs[id] = j
 		l.order = append(l.order, j)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -46,7 +46,6 @@
 	expired   int           // leases lost while it answered
 	deafSince time.Duration
 	returning bool
-	retryAt   time.Duration // of the return
 
 	doBusy      int
 	doRetry     time.Duration
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -181,7 +181,7 @@
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int) bool {
 	j := c.j
 	req := topology.Request{
-		Task: size(&j.Job), Count: len(tasks), Preferred: topology.LevelZone, Required: topology.LevelRoot,
+		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
 			m := l.machines[t.Name]
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -95,9 +95,9 @@
 	Allowed func(*Machine) bool
 	// ZoneRoom bounds the tasks in a zone; nil sets no bound.
 	ZoneRoom func(zone string) int
-	// Preferred and Required are the levels at or below which the whole
-	// request should and must be placed. LevelRoot requires nothing.
-	Preferred, Required Level
+	// Required is the level at or below which the whole request must be placed;
+	// LevelRoot requires nothing. The preferred level is always the zone.
+	Required Level
 	// Rank orders equally tight machines, lower first; nil ranks all alike.
 	Rank func(*Machine) int
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -48,7 +48,6 @@
 	cancels    map[string][]uint64
 
 	storeBadSince time.Duration
-	storeGood     time.Duration
 }
 
 type known struct {
@@ -103,8 +102,6 @@
 
 func (c *Core) onRequest(r Request) {
 	switch {
-	case r.TooLarge:
-		c.answer(r.ID, 400, errorBody("the body is too large"), 0)
 	case r.Path == "/healthz":
 		c.onHealth(r)
 	case r.Path == "/checkin":
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,16 +40,15 @@
 
 // conn is one incoming connection. All fields are guarded by Node.mu.
 type conn struct {
-	ev      evio.Conn
-	peer    *peer.Decoder
-	in      []byte
-	since   time.Time // first byte of a request that is not complete
-	busy    bool      // a request waits for its answer
-	ending  bool      // close after the answer
-	out     []byte
-	close   bool
-	closed  bool
-	counted bool
+	ev     evio.Conn
+	peer   *peer.Decoder
+	in     []byte
+	since  time.Time // first byte of a request that is not complete
+	busy   bool      // a request waits for its answer
+	ending bool      // close after the answer
+	out    []byte
+	close  bool
+	closed bool
 }
 
 // New makes a node.
