--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -120,7 +120,7 @@
 
 func newLeader(c *Core, term, termVersion, grant uint64) *leader {
 	return &leader{
-		c: c, term: term, termVersion: termVersion, grant: grant, since: c.now,
+		c: c, term: term, termVersion: termVersion, grant: grant,
 		jobs:     map[string]*job{},
 		machines: map[string]*machine{},
 		returned: map[string]time.Duration{},
