--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -142,6 +142,10 @@
 			l.c.log.Info("worker lost its lease", "machine", m.name, "session", r.Session)
 		}
 		m.doPending = map[string]int{}
+		// The new session's lease began with it, at the latest now, whatever
+		// was last answered: a session that a direct answer showed must not
+		// seem to have run out by the clock of the one before.
+		m.answered = l.c.now
 		m.lostTerm = false
 		m.deafSince = 0
 	}
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -257,7 +257,9 @@
 	case "leader", "follower":
 		return w.nodesOf(what)[0].name
 	case "busy":
-		return w.busiest().name
+		if m := w.busiest(); m != nil {
+			return m.name
+		}
 	}
 	return what
 }
@@ -292,6 +294,9 @@
 }
 
 func (w *World) act(l line) {
+	if l.has("busy") && w.busiest() == nil {
+		return // no machine is up to suffer it
+	}
 	d := seconds(l.num("for", 10))
 	w.trace("act %s %v", l.word, l.args)
 	switch l.word {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -113,11 +113,14 @@
 // TestSoak plays random days: no rule may break, and all that can be done is
 // done once the troubles are over.
 func TestSoak(t *testing.T) {
-	seeds := uint64(40)
-	if testing.Short() {
-		seeds = 5
+	// Seed 174 once ran a task twice: a session that the leader had learned
+	// from a direct answer seemed to have run out by the clock of the one
+	// before. Seed 65 found no machine for a trouble to hit.
+	seeds := []uint64{65, 174}
+	for seed := uint64(1); seed <= 40; seed++ {
+		seeds = append(seeds, seed)
 	}
-	for seed := uint64(1); seed <= seeds; seed++ {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			text := soak(seed)
