--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -306,6 +306,13 @@
 	l.schedule = true
 }
 
+// noteCancelled takes in a cancellation that another controller recorded.
+func (l *leader) noteCancelled(x wire.Cancelled) {
+	if j := l.jobs[x.ID]; j != nil && !j.cancelled {
+		l.noteOpen(x.ID, max(x.Version, j.version), openRecord{Job: j.Job, At: j.at, Cancelled: true})
+	}
+}
+
 // bind makes a task count on a machine.
 func (l *leader) bind(j *job, i int, m *machine) {
 	t := &j.tasks[i]
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -98,6 +98,11 @@
 	case m.Digest != nil:
 		d := m.Digest
 		p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
+		if c.lead != nil {
+			for _, x := range d.Cancelled {
+				c.lead.noteCancelled(x)
+			}
+		}
 		if d.Leader {
 			c.learn(d.Term, m.From)
 			if c.lead == nil && c.elect.leader == m.From {
@@ -117,6 +122,9 @@
 
 func (c *Core) sendDigest() {
 	d := &wire.Digest{Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader()}
+	for _, t := range c.users.cancelled {
+		d.Cancelled = append(d.Cancelled, t.Cancelled)
+	}
 	if c.lead != nil {
 		d.Leader = true
 		if c.now >= c.countsAt {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -45,11 +46,17 @@
 	lookups    map[string][]*lookup // by job
 	order      []string             // jobs with lookups, oldest first
 	lookupBusy int
-	cancels    map[string][]uint64
+	cancelled  []toldCancelled // lately, oldest first
 
 	storeBadSince time.Duration
 }
 
+// toldCancelled is a cancellation that a user was told here.
+type toldCancelled struct {
+	wire.Cancelled
+	at time.Duration
+}
+
 type known struct {
 	version uint64
 	rec     openRecord
@@ -84,7 +91,6 @@
 	u.open = map[string]*known{}
 	u.final = map[string]finalRecord{}
 	u.lookups = map[string][]*lookup{}
-	u.cancels = map[string][]uint64{}
 }
 
 func validID(id string) bool {
@@ -612,8 +618,13 @@
 					var tr wire.TxnResult
 					json.Unmarshal(r.Body, &tr)
 					c.users.open[id] = &known{version: tr.Revision, rec: rec}
+					// The leader learns of it by its watch, or, should the
+					// state service fail it just now, from us.
+					c.users.cancelled = append(c.users.cancelled, toldCancelled{wire.Cancelled{ID: id, Version: tr.Revision}, c.now})
 					if c.lead != nil {
 						c.lead.noteOpen(id, tr.Revision, rec)
+					} else {
+						c.sendDigest()
 					}
 					c.answer(req, 200, wire.JobStatus{ID: id, Status: wire.StatusCancelled}, 0)
 				case 409:
@@ -658,6 +669,9 @@
 		}
 	}
 	u.order = order
+	for len(u.cancelled) > 0 && c.now-u.cancelled[0].at > config.Seconds(c.cfg.Deployment.Workers.CancelS) {
+		u.cancelled = u.cancelled[1:]
+	}
 	if len(u.open) > maxFinal {
 		// Forgetting is safe: a job that is asked for is read again.
 		u.open = map[string]*known{}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -34,6 +34,16 @@
 	StoreOK     bool
 	HasJobs     bool
 	Jobs        []JobCount
+	// Cancelled lists the jobs whose users this controller has lately told so:
+	// the leader must stop their tasks even if it cannot read the state
+	// service meanwhile.
+	Cancelled []Cancelled
+}
+
+// Cancelled is a job's cancellation and the version of its record.
+type Cancelled struct {
+	ID      string
+	Version uint64
 }
 
 // JobCount carries the counts of an unfinished job.
