Make sure of the term before returning machines

Returns now wait for the state service to confirm the term, or in a general outage for a peer to be heard.

--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -170,10 +170,8 @@
 			c.stepDown("the lease ran out")
 			return
 		}
-		for _, p := range c.peers {
-			if c.fresh(p) {
-				return
-			}
+		if c.hearsPeer() {
+			return
 		}
 		// Nobody is heard: another controller may have taken the key over.
 		c.get(keyLeader, func(r Result) {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -415,11 +415,33 @@
 	l.fleet.returns[m.name] = true
 }
 
+// returnBatch returns machines, once it is sure that this term still holds: a
+// deposed leader that is cut off sees every machine silent, and would take the
+// fleet from its successor.
 func (l *leader) returnBatch() {
 	f := &l.fleet
 	if f.returnBusy || len(f.returns) == 0 || l.c.now < f.returnRetry {
 		return
 	}
+	f.returnBusy = true
+	l.c.commit(&wire.Txn{If: []wire.Cond{l.termCond()}}, true, func(r Result) {
+		f.returnBusy = false
+		switch {
+		case l.gone:
+		case r.Status == 409:
+			l.c.stepDown("the term has changed")
+		case r.Status == 200, l.c.hearsPeer():
+			// During a general outage of the state service nobody is elected;
+			// a peer that knew of a higher term would have told us.
+			l.sendReturns()
+		default:
+			f.returnRetry = l.c.now + time.Second
+		}
+	})
+}
+
+func (l *leader) sendReturns() {
+	f := &l.fleet
 	names := sortedKeys(f.returns)
 	if len(names) > 100 {
 		names = names[:100]
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -140,6 +140,16 @@
 // fresh tells whether a peer was heard within the time of a leader's lease.
 func (c *Core) fresh(p *peerState) bool { return p.ever && c.now-p.heard < c.ttl() }
 
+// hearsPeer tells whether any other controller is heard.
+func (c *Core) hearsPeer() bool {
+	for _, p := range c.peers {
+		if c.fresh(p) {
+			return true
+		}
+	}
+	return false
+}
+
 // hearsLeader tells whether this controller leads or hears the one that does.
 func (c *Core) hearsLeader() bool {
 	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.heard < c.ttl()
