Keep machines and placements in ordered slices, collect garbage less often

Cause: at 300 machines a pass of the core sorted the names of all machines and of all their tasks many times a second, and asked for consolidation with every pass. Expected: the same decisions for less processor time.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -104,8 +104,7 @@
 			l.rent(r)
 		}
 	}
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
+	for _, m := range l.byName {
 		l.drainLeaving(m)
 		l.returnIdle(m)
 	}
@@ -151,9 +150,8 @@
 		f.listBusy = false
 		f.listNext = l.c.now + 2*time.Second
 		lag := 3 * time.Duration(l.c.cfg.Deployment.Cloud.ListLagS*float64(time.Second))
-		for _, name := range sortedKeys(l.machines) {
-			m := l.machines[name]
-			if f.listSeen[name] {
+		for _, m := range l.byName {
+			if f.listSeen[m.name] {
 				m.listedAt = l.c.now
 				continue
 			}
@@ -213,9 +211,8 @@
 	if m.leaving == 0 && !m.evict || len(m.placed) == 0 {
 		return
 	}
-	for _, name := range sortedKeys(m.placed) {
-		p, ok := m.placed[name]
-		if !ok || p.j.tasks[p.i].stop != nil {
+	for _, p := range m.placed {
+		if t := p.task(); t.m != m || t.stop != nil {
 			continue
 		}
 		grace := 0.0
@@ -347,19 +344,18 @@
 	add := func(name string, k offerKey, free topology.Resources) {
 		spaces = append(spaces, &space{name: name, key: k, free: free})
 	}
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
+	for _, m := range l.byName {
 		total, ok := l.total(m)
-		if !ok || m.returning || f.returns[name] || m.drain != "" || m.leaving != 0 {
+		if !ok || m.returning || f.returns[m.name] || m.drain != "" || m.leaving != 0 {
 			continue
 		}
 		if !l.supply(m) {
 			continue
 		}
-		add(name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
+		add(m.name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
 		s := spaces[len(spaces)-1]
-		for _, k := range sortedKeys(m.placed) {
-			if p := m.placed[k]; p.j.preemptible() {
+		for _, p := range m.placed {
+			if p.j.preemptible() {
 				rank := priorityRank[p.j.Priority]
 				s.soft[rank] = s.soft[rank].Add(size(&p.j.Job))
 			}
@@ -474,9 +470,9 @@
 		targets = append(targets, s)
 		free[s.name] = s.free
 	}
-	for _, name := range sortedKeys(l.machines) {
+	for _, m := range l.byName {
 		// Condemned machines come first, once their tasks are replicas alone.
-		if m := l.machines[name]; m.drain != "" && !m.evict && !m.returning && m.movable() {
+		if m.drain != "" && !m.evict && !m.returning && m.movable() {
 			from = append(from, m)
 		}
 	}
@@ -490,11 +486,13 @@
 		}
 		return len(from[a].placed) < len(from[b].placed)
 	})
+	// Whether all find room changes slowly, and finding out costs a walk over
+	// machines times replicas.
+	f.moveNext = l.c.now + l.c.report()
 	for _, m := range from {
 		if to := l.elsewhere(m, targets, free); to != nil {
-			for _, name := range sortedKeys(to) {
-				p := m.placed[name]
-				p.j.moveTo[p.i] = to[name]
+			for k, p := range m.placed {
+				p.j.moveTo[p.i] = to[k]
 			}
 			f.moveNext = l.c.now + l.c.lease()
 			l.condemn(m, "its replicas fit on other machines")
@@ -515,9 +513,9 @@
 	return len(m.placed) > 0
 }
 
-// elsewhere finds a machine for each of a machine's replicas, by task; nil if
-// not all find one.
-func (l *leader) elsewhere(m *machine, targets []*space, free map[string]topology.Resources) map[string]*machine {
+// elsewhere finds a machine for each of a machine's replicas, in their order;
+// nil if not all find one.
+func (l *leader) elsewhere(m *machine, targets []*space, free map[string]topology.Resources) []*machine {
 	type jobZone struct {
 		j    *job
 		zone string
@@ -527,9 +525,9 @@
 		left[k] = v
 	}
 	added := map[jobZone]int{}
-	to := map[string]*machine{}
-	for _, name := range sortedKeys(m.placed) {
-		j := m.placed[name].j
+	var to []*machine
+	for _, p := range m.placed {
+		j := p.j
 		if j.OneZone {
 			return nil
 		}
@@ -558,7 +556,7 @@
 		}
 		left[best.name] = left[best.name].Sub(size(&j.Job))
 		added[jobZone{j, best.key.zone}]++
-		to[name] = l.machines[best.name]
+		to = append(to, l.machines[best.name])
 	}
 	return to
 }
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -22,17 +22,16 @@
 // review compares a machine's placements with its newest report.
 // heardTerm tells that the worker had seen this term when it made it.
 func (l *leader) review(m *machine, heardTerm bool) {
-	for _, name := range sortedKeys(m.placed) {
-		p, ok := m.placed[name]
-		if !ok {
+	for _, p := range m.placed {
+		t := p.task()
+		if t.m != m {
 			continue // released by an earlier one of its gang
 		}
-		t := &p.j.tasks[p.i]
 		if t.session < m.session {
 			l.lost(p, "session") // case 2
 			continue
 		}
-		w, listed := m.tasks[name]
+		w, listed := m.reported(p.name)
 		if listed && w.Attempt == t.attempt {
 			l.observe(p, w)
 			continue
@@ -77,8 +76,8 @@
 	}
 	m.lostTerm = true
 	l.c.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.placed))
-	for _, name := range sortedKeys(m.placed) {
-		if p, ok := m.placed[name]; ok && p.j.tasks[p.i].session <= m.session {
+	for _, p := range m.placed {
+		if t := p.task(); t.m == m && t.session <= m.session {
 			l.lost(p, "lease")
 		}
 	}
@@ -88,17 +87,17 @@
 // case 3.
 func (l *leader) machineGone(m *machine) {
 	l.c.log.Info("machine gone", "machine", m.name)
-	for _, name := range sortedKeys(m.placed) {
-		if p, ok := m.placed[name]; ok {
+	for _, p := range m.placed {
+		if p.task().m == m {
 			l.lost(p, "machine")
 		}
 	}
-	delete(l.machines, m.name)
+	l.dropMachine(m)
 }
 
 // lost releases a task that is certainly gone without an end of its own.
 func (l *leader) lost(p ref, why string) {
-	l.c.log.Debug("task lost", "task", taskName(p.j.ID, p.i), "machine", p.j.tasks[p.i].m.name, "why", why)
+	l.c.log.Debug("task lost", "task", p.name, "machine", p.j.tasks[p.i].m.name, "why", why)
 	gang := p.j.Shape == wire.ShapeGang && !p.j.tasks[p.i].done
 	l.release(p.j, p.i)
 	if gang {
@@ -215,14 +214,12 @@
 // tickStops repeats stops that had no effect, ends saves that take too long,
 // and returns machines on which cancelled work cannot be confirmed gone.
 func (l *leader) tickStops() {
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
-		for _, k := range sortedKeys(m.placed) {
-			p, ok := m.placed[k]
-			if !ok {
+	for _, m := range l.byName {
+		for _, p := range m.placed {
+			t := p.task()
+			if t.m != m {
 				continue
 			}
-			t := &p.j.tasks[p.i]
 			if t.stop == nil {
 				if p.j.cancelled {
 					l.stopTask(p.j, p.i, 0, "cancelled")
@@ -240,7 +237,7 @@
 			if !t.stop.hard && l.c.now-t.stop.at > 2*time.Duration(t.stop.grace*float64(time.Second)) {
 				t.stop.hard = true
 				t.stop.grace = 0
-				l.fleet.urge[name] = true
+				l.fleet.urge[m.name] = true
 			}
 			if p.j.cancelled && l.c.now-p.j.cancelAt > time.Duration(l.c.cfg.Deployment.Workers.CancelS*float64(time.Second))*2/5 {
 				l.giveBack(m, "cancelled work is not confirmed gone")
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +24,7 @@
 	jobs     map[string]*job
 	order    []*job // by submission
 	machines map[string]*machine
+	byName   []*machine // replaced, never changed in place
 	returned map[string]time.Duration // machines the cloud has taken back for certain
 
 	watchFrom uint64
@@ -289,7 +292,8 @@
 		j = &job{Job: rec.Job, at: rec.At, order: version, version: version, next: 1,
 			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
 		l.jobs[id] = j
-		l.order = append(l.order, j)
+		at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order > j.order })
+		l.order = slices.Insert(l.order, at, j)
 		l.c.log.Debug("job", "job", id, "class", j.Class, "team", j.Team, "shape", j.Shape, "tasks", len(j.tasks))
 		l.noteArrival(j)
 	}
@@ -317,7 +321,7 @@
 func (l *leader) bind(j *job, i int, m *machine) {
 	t := &j.tasks[i]
 	t.m = m
-	m.placed[taskName(j.ID, i)] = ref{j, i}
+	m.add(ref{j, i, taskName(j.ID, i)})
 	m.used = m.used.Add(size(&j.Job))
 	j.placed++
 }
@@ -326,7 +330,7 @@
 func (l *leader) release(j *job, i int) {
 	t := &j.tasks[i]
 	m := t.m
-	delete(m.placed, taskName(j.ID, i))
+	m.remove(j, i)
 	m.used = m.used.Sub(size(&j.Job))
 	if len(m.placed) == 0 {
 		m.used = topology.Resources{}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,10 +14,14 @@
 
 // ref names a task that counts on a machine.
 type ref struct {
-	j *job
-	i int
+	j    *job
+	i    int
+	name string
 }
 
+// task returns the task that a ref names.
+func (p ref) task() *task { return &p.j.tasks[p.i] }
+
 // machine is what the leader knows of a machine.
 type machine struct {
 	name, addr, typ, zone string
@@ -29,9 +34,12 @@
 	heard              time.Duration
 	answered           time.Duration // last answer of this term to a report
 	firstHeard         time.Duration
-	tasks              map[string]wire.Task // newest report
+	tasks              []wire.Task // newest report
 
-	placed    map[string]ref
+	// placed is ordered by name. It is replaced and never changed in place, so
+	// that whoever walks over it may release tasks; one that is released on
+	// the way no longer has this machine.
+	placed    []ref
 	used      topology.Resources
 	idleSince time.Duration
 	images    []image // believed to be cached, latest use first
@@ -63,13 +71,58 @@
 func (l *leader) machine(name string) *machine {
 	m := l.machines[name]
 	if m == nil {
-		m = &machine{name: name, placed: map[string]ref{}, tasks: map[string]wire.Task{},
-			doPending: map[string]int{}, failed: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
+		m = &machine{name: name, doPending: map[string]int{}, failed: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
 		l.machines[name] = m
+		at, _ := slices.BinarySearchFunc(l.byName, name, func(m *machine, name string) int { return strings.Compare(m.name, name) })
+		l.byName = slices.Insert(slices.Clone(l.byName), at, m)
 	}
 	return m
 }
 
+// dropMachine forgets a machine.
+func (l *leader) dropMachine(m *machine) {
+	delete(l.machines, m.name)
+	l.byName = slices.DeleteFunc(slices.Clone(l.byName), func(o *machine) bool { return o == m })
+}
+
+// add and remove change what counts on a machine.
+func (m *machine) add(p ref) {
+	at, _ := slices.BinarySearchFunc(m.placed, p.name, func(p ref, name string) int { return strings.Compare(p.name, name) })
+	placed := make([]ref, 0, len(m.placed)+1)
+	placed = append(append(placed, m.placed[:at]...), p)
+	m.placed = append(placed, m.placed[at:]...)
+}
+
+func (m *machine) remove(j *job, i int) {
+	placed := make([]ref, 0, len(m.placed))
+	for _, p := range m.placed {
+		if p.j != j || p.i != i {
+			placed = append(placed, p)
+		}
+	}
+	m.placed = placed
+}
+
+// counts finds the task of that name which counts on the machine.
+func (m *machine) counts(name string) *task {
+	for k := range m.placed {
+		if m.placed[k].name == name {
+			return m.placed[k].task()
+		}
+	}
+	return nil
+}
+
+// reported finds a task in the newest report.
+func (m *machine) reported(name string) (wire.Task, bool) {
+	for k := range m.tasks {
+		if m.tasks[k].Task == name {
+			return m.tasks[k], true
+		}
+	}
+	return wire.Task{}, false
+}
+
 func (l *leader) describe(m *machine, addr, typ, zone string, spot bool) {
 	if addr != "" {
 		m.addr = addr
@@ -159,9 +212,9 @@
 		}
 		m.leaving = l.c.now + config.Seconds(*r.WarningS)
 	}
-	m.tasks = make(map[string]wire.Task, len(r.Tasks))
-	for _, t := range r.Tasks {
-		m.tasks[t.Task] = t
+	m.tasks = r.Tasks
+	slices.SortFunc(m.tasks, func(a, b wire.Task) int { return strings.Compare(a.Task, b.Task) })
+	for _, t := range m.tasks {
 		if t.State == wire.TaskRunning || t.State == wire.TaskWaiting {
 			if j := l.jobs[jobOf(t.Task)]; j != nil {
 				l.useImage(m, j.Image, j.ImageGB)
@@ -185,9 +238,8 @@
 func (l *leader) commands(m *machine, inAnswer bool) []wire.Command {
 	cmds := []wire.Command{}
 	zero := 0.0
-	for _, name := range sortedKeys(m.placed) {
-		p := m.placed[name]
-		t := &p.j.tasks[p.i]
+	for _, p := range m.placed {
+		name, t := p.name, p.task()
 		if t.session != m.session {
 			continue
 		}
@@ -210,10 +262,9 @@
 			}
 		}
 	}
-	for _, name := range sortedKeys(m.tasks) {
-		w := m.tasks[name]
-		p, placed := m.placed[name]
-		if placed && p.j.tasks[p.i].attempt == w.Attempt {
+	for _, w := range m.tasks {
+		name := w.Task
+		if t := m.counts(name); t != nil && t.attempt == w.Attempt {
 			continue
 		}
 		if w.State != wire.TaskExited {
@@ -370,8 +421,7 @@
 	}
 	// Many silent machines are more likely our own cut than their death.
 	mass := silent > 2 && silent*2 > heard
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
+	for _, m := range l.byName {
 		l.expire(m)
 		if m.returning {
 			continue
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -130,13 +130,12 @@
 // place starts what fits.
 func (l *leader) place() {
 	var leaves []*topology.Machine
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
+	for _, m := range l.byName {
 		total, ok := l.total(m)
 		if !ok || !l.usable(m) {
 			continue
 		}
-		leaves = append(leaves, &topology.Machine{Name: name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used)})
+		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used)})
 	}
 	tree := topology.New(leaves)
 	usage := l.usage()
@@ -253,7 +252,7 @@
 		}
 	}
 	reserved := 0
-	for _, m := range l.machines {
+	for _, m := range l.byName {
 		if m.reserved == j && l.c.now < m.reservedUntil {
 			reserved++
 		}
@@ -266,8 +265,7 @@
 		var best *machine
 		var bestVictims []ref
 		bestLoss := 0.0
-		for _, name := range sortedKeys(l.machines) {
-			m := l.machines[name]
+		for _, m := range l.byName {
 			total, ok := l.total(m)
 			if !ok || !l.usable(m) || !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) || m.reserved != nil && l.c.now < m.reservedUntil {
 				continue
@@ -307,9 +305,8 @@
 	}
 	var vs []victim
 	need := size(&c.j.Job)
-	for _, name := range sortedKeys(m.placed) {
-		p := m.placed[name]
-		t := &p.j.tasks[p.i]
+	for _, p := range m.placed {
+		t := p.task()
 		if t.stop != nil {
 			free = free.Add(size(&p.j.Job)) // already on its way out
 			continue
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"sort"
-
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
@@ -36,10 +34,9 @@
 // usage adds up, by team, every task that is not certainly gone.
 func (l *leader) usage() map[string]topology.Resources {
 	u := map[string]topology.Resources{}
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
-		for _, k := range sortedKeys(m.placed) {
-			j := m.placed[k].j
+	for _, m := range l.byName {
+		for _, p := range m.placed {
+			j := p.j
 			u[j.Team] = u[j.Team].Add(size(&j.Job))
 		}
 	}
@@ -65,11 +62,9 @@
 		cpus = cpus || t.CPUs > 0
 		gpus = gpus || t.GPUs > 0
 	}
-	jobs := append([]*job(nil), l.order...)
-	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].order < jobs[b].order })
 	sum := map[string]topology.Resources{}
 	in := map[*job]bool{}
-	for _, j := range jobs {
+	for _, j := range l.order {
 		if j.cancelled {
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,9 @@
 func (n *Node) Run() error {
 	// The runtime collects harder as its limit comes near; the rest of the
 	// machine's memory is for code, stacks and what the system holds.
+	// What is live is a small part of that, so collections can be rare.
 	debug.SetMemoryLimit(int64(0.55 * n.cfg.Deployment.Limits.RAMMB * (1 << 20)))
+	debug.SetGCPercent(400)
 	// One processor for the event loop, which blocks in a system call that
 	// the runtime does not see, and one for everything else.
 	runtime.GOMAXPROCS(2)
