Extend workers' leases in a zone that is cut off from the leader

A controller that cannot reach the leader now answers reports in its name, without commands, by an authority that the leader can bound (internal/core/keep.go); workers report to a controller of their own zone; the leader neither returns machines of a zone that is cut off nor rents there.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,6 +89,7 @@
 	cfg  *config.Settings
 	op   *config.Operator
 	log  *slog.Logger
+	boot uint64
 	now  time.Duration
 	wall int64 // ms, time of day
 	out  Output
@@ -108,20 +109,24 @@
 
 	forwards    map[uint64]*forward
 	nextForward uint64
+	keep        keeper
+	visitors    map[string]*visitor // workers that report here
 	digestAt    time.Duration
 	countsAt    time.Duration
 	counts      map[string]wire.JobCount // last digest of the leader
 }
 
 type peerState struct {
-	heard       time.Duration
+	heard time.Duration
+	testimony
 	storeOK     bool
 	hearsLeader bool
 	ever        bool
 }
 
-// New makes a core. The logger may be nil.
-func New(cfg *config.Settings, op *config.Operator, log *slog.Logger) *Core {
+// New makes a core. The logger may be nil; boot has to differ from that of any
+// other run of the program.
+func New(cfg *config.Settings, op *config.Operator, boot uint64, log *slog.Logger) *Core {
 	if op == nil {
 		op = &config.Operator{}
 	}
@@ -129,11 +134,11 @@
 		log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
 	c := &Core{
-		cfg: cfg, op: op, log: log,
+		cfg: cfg, op: op, log: log, boot: boot,
 		calls:    map[uint64]func(Result){},
 		types:    map[string]*wire.MachineType{},
 		peers:    map[string]*peerState{},
-		forwards: map[uint64]*forward{},
+		forwards: map[uint64]*forward{}, visitors: map[string]*visitor{},
 	}
 	for _, p := range cfg.Peers {
 		c.peers[p.Name] = &peerState{}
@@ -177,6 +182,7 @@
 	if c.now >= c.digestAt {
 		c.digestAt = c.now + c.ttl()/4
 		c.sendDigest()
+		c.tickVisitors()
 	}
 	if c.lead != nil {
 		c.lead.tick()
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -25,8 +25,9 @@
 	rents    []*rent
 	rentSeq  int
 	refused  map[offerKey]time.Duration
-	moveNext time.Duration   // no machine is emptied for others before
-	keep     map[string]bool // idle machines that are kept for work to come
+	cutAt    map[string]time.Duration // when a zone was last seen cut off
+	moveNext time.Duration            // no machine is emptied for others before
+	keep     map[string]bool          // idle machines that are kept for work to come
 
 	urge       map[string]bool // machines to send commands to at once
 	watchRetry time.Duration
@@ -46,7 +47,7 @@
 }
 
 func newFleet() fleet {
-	return fleet{returns: map[string]bool{}, refused: map[offerKey]time.Duration{}, keep: map[string]bool{}, urge: map[string]bool{}}
+	return fleet{returns: map[string]bool{}, refused: map[offerKey]time.Duration{}, cutAt: map[string]time.Duration{}, keep: map[string]bool{}, urge: map[string]bool{}}
 }
 
 type image struct {
@@ -647,7 +648,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if zone != nil && !zone(z) {
+			if zone != nil && !zone(z) || l.cutOff(z) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
@@ -671,6 +672,13 @@
 	return cs[0].k, true
 }
 
+// cutOff tells whether a zone is, or was a moment ago, out of reach: what is
+// rented there is of no use before it is back.
+func (l *leader) cutOff(zone string) bool {
+	at, ok := l.fleet.cutAt[zone]
+	return ok && l.c.now-at < l.c.report()
+}
+
 // rent sends a rental request; a shortage closes the offer for a while.
 func (l *leader) rent(r *rent) {
 	f := &l.fleet
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -16,8 +16,9 @@
 //  2. the worker reports a later session;
 //  3. the cloud has confirmed the machine's return;
 //  4. the worker has seen this term, and its lease has certainly run out since
-//     this term's last answer. A worker that has not seen this term may still
-//     be kept alive by a deposed leader.
+//     the last answer that this term, or a controller that was out of its
+//     leader's reach, gave it (keep.go). A worker that has not seen this term
+//     may still be kept alive by a deposed leader.
 
 // review compares a machine's placements with its newest report.
 // heardTerm tells that the worker had seen this term when it made it.
@@ -71,7 +72,7 @@
 // expire ends the placements of a silent worker once its lease has certainly
 // run out: case 4.
 func (l *leader) expire(m *machine) {
-	if m.token < l.term || m.answered == 0 || m.lostTerm || l.c.now-m.answered <= l.leaseBound() {
+	if m.token < l.term || m.answered == 0 || m.lostTerm || l.c.now-m.answered <= l.leaseBound() || !l.leaseOver(m) {
 		return
 	}
 	m.lostTerm = true
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -24,7 +24,7 @@
 	jobs     map[string]*job
 	order    []*job // by submission
 	machines map[string]*machine
-	byName   []*machine // replaced, never changed in place
+	byName   []*machine               // replaced, never changed in place
 	returned map[string]time.Duration // machines the cloud has taken back for certain
 
 	watchFrom uint64
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -33,6 +33,8 @@
 	token              uint64 // highest token the worker has reported
 	heard              time.Duration
 	answered           time.Duration // last answer of this term to a report
+	kept               time.Duration // last extension of its lease by a controller out of reach
+	contact            time.Duration // last answer to a probe or a direct command
 	firstHeard         time.Duration
 	tasks              []wire.Task // newest report
 
@@ -142,7 +144,7 @@
 // hears this term: a late copy of a machine's report never does.
 func (l *leader) usable(m *machine) bool {
 	return m.token >= l.term && m.drain == "" && !m.returning && !m.lostTerm && m.leaving == 0 &&
-		l.c.now-m.heard < 3*l.c.report()+l.c.report()/2 && m.deafSince == 0
+		l.c.now-max(m.heard, m.contact) < 3*l.c.report()+l.c.report()/2 && m.deafSince == 0
 }
 
 // leaseBound is after how long without an answer a worker that has seen this
@@ -368,6 +370,7 @@
 		l.c.stepDown("a worker has seen a higher term")
 		return
 	}
+	m.contact = l.c.now
 	if rep.Newer(m.session, m.seq) {
 		l.apply(m, rep)
 	}
@@ -411,13 +414,29 @@
 func (l *leader) tickMachines() {
 	now := l.c.now
 	silent, heard := 0, 0
-	for _, m := range l.machines {
-		if m.heard != 0 {
-			heard++
-			if now-m.heard > 3*l.c.report() {
-				silent++
+	type count struct{ silent, heard int }
+	in := map[string]count{}
+	for _, m := range l.byName {
+		if m.heard == 0 {
+			continue
+		}
+		n := in[m.zone]
+		heard++
+		n.heard++
+		if now-max(m.heard, m.contact) > 3*l.c.report() {
+			silent++
+			if !l.leaseOver(m) {
+				n.silent++
 			}
 		}
+		in[m.zone] = n
+	}
+	for zone, n := range in {
+		// Most of a zone at once is more likely cut off, and goes on under a
+		// controller there, than dead.
+		if n.silent > 2 && n.silent*2 > n.heard {
+			l.fleet.cutAt[zone] = now
+		}
 	}
 	// Many silent machines are more likely our own cut than their death.
 	mass := silent > 2 && silent*2 > heard
@@ -431,7 +450,7 @@
 				l.probe(m)
 			}
 		}
-		silence := now - max(m.heard, l.loadedAt)
+		silence := now - max(m.heard, m.contact, l.loadedAt, l.fleet.cutAt[m.zone])
 		limit := 2 * l.leaseBound()
 		if mass {
 			limit *= 2
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -10,6 +10,7 @@
 // forward is a worker's report that waits for the leader's answer.
 type forward struct {
 	req    uint64
+	from   *visitor
 	body   []byte
 	until  time.Duration
 	sentTo string
@@ -19,7 +20,13 @@
 // controller hands it to the leader, and holds it for a moment while there is
 // none.
 func (c *Core) onReport(req uint64, body []byte) {
+	v, home := c.visit(body)
+	if home != "" {
+		c.answer(req, 421, wire.Redirect{ReportTo: home}, 0)
+		return
+	}
 	if c.lead != nil {
+		v.answered = c.now
 		status, out := c.lead.handleReport(body)
 		c.out.Answers = append(c.out.Answers, Answer{ID: req, Status: status, Body: out})
 		return
@@ -29,10 +36,13 @@
 			c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
 			return
 		}
+		if c.keepLease(req, body) {
+			return
+		}
 	}
 	c.nextForward++
 	// The worker waits 4 s for an answer; it gets ours well before.
-	c.forwards[c.nextForward] = &forward{req: req, body: body, until: c.now + 2500*time.Millisecond}
+	c.forwards[c.nextForward] = &forward{req: req, from: v, body: body, until: c.now + 2500*time.Millisecond}
 	c.flushForwards()
 }
 
@@ -67,7 +77,9 @@
 	for _, id := range c.forwardIDs() {
 		if f := c.forwards[id]; c.now >= f.until {
 			delete(c.forwards, id)
-			c.answer(f.req, 503, nil, 0)
+			if !c.keepLease(f.req, f.body) {
+				c.answer(f.req, 503, nil, 0)
+			}
 		}
 	}
 }
@@ -93,10 +105,14 @@
 	case m.Reply != nil:
 		if f := c.forwards[m.Reply.ID]; f != nil && f.sentTo == m.From {
 			delete(c.forwards, m.Reply.ID)
+			if m.Reply.Status == 200 {
+				f.from.answered = c.now
+			}
 			c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: m.Reply.Status, Body: m.Reply.Body})
 		}
 	case m.Digest != nil:
 		d := m.Digest
+		c.noteTestimony(p, d)
 		p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
 		if c.lead != nil {
 			for _, x := range d.Cancelled {
@@ -107,6 +123,7 @@
 			c.learn(d.Term, m.From)
 			if c.lead == nil && c.elect.leader == m.From {
 				c.elect.heard = c.now
+				c.noteAuthority(d)
 			}
 			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
 				c.counts = make(map[string]wire.JobCount, len(d.Jobs))
@@ -121,7 +138,7 @@
 }
 
 func (c *Core) sendDigest() {
-	d := &wire.Digest{Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader()}
+	d := wire.Digest{Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.keep.list(c.now)}
 	for _, t := range c.users.cancelled {
 		d.Cancelled = append(d.Cancelled, t.Cancelled)
 	}
@@ -133,7 +150,9 @@
 		}
 	}
 	for _, p := range c.cfg.Peers {
-		c.send(p.Name, &wire.PeerMessage{Digest: d})
+		one, s := d, c.peers[p.Name]
+		one.EchoBoot, one.Echo = s.boot, int64(s.clock)
+		c.send(p.Name, &wire.PeerMessage{Digest: &one})
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -57,7 +58,7 @@
 		cfg: cfg, log: log, start: time.Now(),
 		store: store.New(cfg), cloud: cloud.New(cfg), worker: worker.New(cfg),
 		links: map[string]*peer.Link{},
-		core:  core.New(cfg, op, log), requests: map[uint64]*conn{}, conns: map[*conn]bool{},
+		core:  core.New(cfg, op, rand.Uint64(), log), requests: map[uint64]*conn{}, conns: map[*conn]bool{},
 	}
 }
 
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -110,6 +110,11 @@
 			if err != nil {
 				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
 			}
+		case l.word == "controllers":
+			s.cfg.Deployment.Size, err = strconv.Atoi(l.arg(0))
+			if err != nil {
+				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
+			}
 		case l.word == "until":
 			t, err := strconv.ParseFloat(l.arg(0), 64)
 			if err != nil {
@@ -380,6 +385,12 @@
 			}
 			return ""
 		}
+		if what == "expired" {
+			if most := int(l.num("most", 0)); w.expired > most {
+				return fmt.Sprintf("%d tasks lost their worker's lease, at most %d expected", w.expired, most)
+			}
+			return ""
+		}
 		if what == "starts" {
 			if most := int(l.num("most", 1e9)); w.started > most {
 				return fmt.Sprintf("%d starts, at most %d expected", w.started, most)
--- /dev/null
+++ b/internal/sim/size_test.go
@@ -0,0 +1,151 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// grown writes a scenario of a fleet of the given number of machines: services,
+// arrays and wide gangs of several teams, in proportion to the fleet.
+func grown(machines int, seed uint64, until int, troubles ...string) string {
+	r := rand.New(rand.NewPCG(seed, 11))
+	var b strings.Builder
+	per := (machines + 11) / 12 // of a type, zone and kind
+	gpus := float64(machines)
+	fmt.Fprintf(&b, "seed %d\nuntil %d\n", seed, until)
+	fmt.Fprintf(&b, "team t gpus=%g gpus_max=%g\nteam u gpus=%g gpus_max=%g\n", 1.5*gpus, 4*gpus, 1.5*gpus, 4*gpus)
+	fmt.Fprintf(&b, "type small cpus=48 gpus=4 mem=192 price=14 spot_price=6 boot=20 fetch=9 cache=300 cap=%d spot=%d\n", per, per)
+	fmt.Fprintf(&b, "type big cpus=96 gpus=8 mem=384 price=20 spot_price=8 boot=15 fetch=5 cache=600 cap=%d spot=%d\n", per, per)
+	b.WriteString("wait web within=20\nwait train within=10\nfinished sweep within=300\n")
+	team := func() string { return []string{"t", "u"}[r.IntN(2)] }
+	n := 0
+	submit := func(at int, format string, a ...any) {
+		n++
+		fmt.Fprintf(&b, "at %d submit job-%06d team=%s %s\n", at, n, team(), fmt.Sprintf(format, a...))
+	}
+	add := func(at int) {
+		switch r.IntN(6) {
+		case 0:
+			submit(at, "shape=service class=big priority=critical tasks=%d cpus=33 gpus=4 mem=100 image=b%d image_gb=70 apart", 1+r.IntN(3), r.IntN(6))
+		case 1, 2:
+			submit(at, "shape=service class=web priority=critical tasks=%d cpus=8 gpus=1 mem=25 image=w%d image_gb=16 apart", 2+r.IntN(7), r.IntN(10))
+		case 3, 4:
+			submit(at, "shape=gang class=train priority=urgent tasks=%d cpus=43 gpus=4 mem=150 run=%d checkpoint=15 save=3 image=t%d image_gb=16 together spot", 1<<r.IntN(3), 60+r.IntN(120), r.IntN(8))
+		case 5:
+			submit(at, "class=sweep priority=idle tasks=%d cpus=8 gpus=1 mem=25 run=%d checkpoint=10 save=4 image=s%d image_gb=34 spot", 8+r.IntN(60), 30+r.IntN(60), r.IntN(4))
+		}
+	}
+	for i := 0; i < machines/3; i++ {
+		add(1 + i%5)
+	}
+	for at := 10; at < until*3/4; at++ {
+		for k := 0; k < machines/50; k++ {
+			if r.IntN(10) == 0 {
+				add(at)
+			}
+		}
+	}
+	for _, t := range troubles {
+		b.WriteString(t + "\n")
+	}
+	return b.String()
+}
+
+// troubles writes random troubles that overlap, at the size of a fleet.
+func troubles(r *rand.Rand, from, to int) []string {
+	var out []string
+	who := func() string { return []string{"leader", "follower", "all", "leader"}[r.IntN(4)] }
+	zone := func() string { return "zone:" + []string{"east", "north", "west"}[r.IntN(3)] }
+	for range 7 {
+		at, d := from+r.IntN(to-from), 5+r.IntN(45)
+		mode := []string{"hold", ""}[r.IntN(2)]
+		add := func(format string, a ...any) {
+			out = append(out, fmt.Sprintf("at %d ", at)+fmt.Sprintf(format, a...))
+		}
+		switch r.IntN(8) {
+		case 0:
+			add("crash %s for=%g", who(), []float64{0.2, 3, 10}[r.IntN(3)])
+		case 1, 2:
+			z := zone()
+			for _, o := range []string{"zone:east", "zone:north", "zone:west", "state", "cloud"} {
+				if o != z {
+					add("cut %s %s for=%d %s", z, o, d, mode)
+				}
+			}
+		case 3:
+			add("cut zone:east zone:west for=%d %s", d, mode)
+		case 4:
+			add("cut %s %s for=%d %s", []string{"leader", "follower"}[r.IntN(2)], []string{"state", "workers", "nodes"}[r.IntN(3)], d, mode)
+		case 5:
+			add("cut follower state for=%d", d)
+			add("cut follower nodes for=%d", d)
+		case 6:
+			add("copies for=%d delay=%d", d, 1+r.IntN(30))
+		case 7:
+			for range 4 {
+				add("%s busy for=%d", []string{"kill", "hang", "take", "faulty"}[r.IntN(4)], d)
+			}
+		}
+	}
+	return out
+}
+
+// soakDays is how many random days a soak plays: a sample, or what
+// BROOKWALK_SOAK says.
+func soakDays(sample int) int {
+	if v, err := strconv.Atoi(os.Getenv("BROOKWALK_SOAK")); err == nil {
+		return v
+	}
+	return sample
+}
+
+// TestSoakGrown plays random days of a larger fleet with five controllers and
+// wide gangs.
+func TestSoakGrown(t *testing.T) {
+	for seed := 1; seed <= soakDays(4); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(uint64(seed), 5))
+			machines := []int{24, 48, 100, 240}[seed%4]
+			text := grown(machines, uint64(seed), 280, append([]string{fmt.Sprint("controllers ", 3+2*r.IntN(2))}, troubles(r, 30, 200)...)...)
+			s, err := ParseScenario(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w, faults := s.Run(nil)
+			for _, f := range faults {
+				t.Error(f)
+			}
+			begun := 0
+			for _, id := range w.users.names() {
+				if j := w.users.jobs[id]; j.accepted && (j.final != "" || w.running(id) > 0) {
+					begun++
+				}
+			}
+			if all := len(w.users.names()); begun*2 < all {
+				t.Errorf("%d of %d jobs have begun", begun, all)
+			}
+		})
+	}
+}
+
+func BenchmarkGrown(b *testing.B) {
+	for _, machines := range []int{50, 300} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			for range b.N {
+				s, err := ParseScenario(grown(machines, 1, 200))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, faults := s.Run(nil)
+				for _, f := range faults {
+					b.Error(f)
+				}
+			}
+		})
+	}
+}
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -92,6 +92,9 @@
 	// The lease runs out on a hanging machine too.
 	if m.w.now-m.answered > seconds(m.w.cfg.Deployment.Workers.LeaseS) {
 		for _, t := range m.sorted() {
+			if t.on {
+				m.w.expired++
+			}
 			m.off(t)
 		}
 		m.tasks = map[string]*task{}
@@ -266,6 +269,17 @@
 		m.busy = false
 		period := seconds(w.cfg.Deployment.Workers.ReportS)
 		m.nextReport = w.now + time.Duration(float64(period)*(0.75+0.5*w.rng.Float64()))
+		if status == 421 && w.now >= m.hangUntil {
+			var r wire.Redirect
+			json.Unmarshal(answer, &r)
+			for i, n := range w.nodes {
+				if n.name == r.ReportTo && i != m.node {
+					m.node = i
+					m.nextReport = w.now + time.Duration(w.rng.Int64N(int64(time.Second/2)))
+					return
+				}
+			}
+		}
 		if status != 200 || w.now < m.hangUntil {
 			m.node = (m.node + 1) % len(w.nodes)
 			m.nextReport = w.now + time.Second
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -62,6 +62,7 @@
 	cuts    []*cut
 	jobs    map[string]*jobTruth
 	started int
+	expired int // tasks that a worker dropped for want of an answer
 
 	// mutate, if set, changes what a core asks for: it stands for a broken
 	// core in the checker's own test.
@@ -164,11 +165,11 @@
 
 func (n *node) settings() *config.Settings {
 	s := *n.w.cfg
-	s.Name = n.name
+	s.Name, s.Zone = n.name, n.w.zoneOf(n.name)
 	s.Peers = nil
 	for _, o := range n.w.nodes {
 		if o != n {
-			s.Peers = append(s.Peers, config.Peer{Name: o.name})
+			s.Peers = append(s.Peers, config.Peer{Name: o.name, Zone: n.w.zoneOf(o.name)})
 		}
 	}
 	return &s
@@ -179,7 +180,7 @@
 	n.life++
 	n.born = n.w.now
 	n.reqs = map[uint64]func(int, []byte){}
-	n.core = core.New(n.settings(), nil, n.w.log.With("node", n.name))
+	n.core = core.New(n.settings(), nil, uint64(n.index+1)<<32+uint64(n.life), n.w.log.With("node", n.name))
 	n.tick(n.life)
 }
 
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -34,12 +34,26 @@
 	StoreOK     bool
 	HasJobs     bool
 	Jobs        []JobCount
+	// Boot tells one run of the sender's process from another. Clock is the
+	// sender's steady clock at this digest, in nanoseconds; EchoBoot and Echo
+	// are those of the newest digest that the sender has from the receiver.
+	Boot, EchoBoot uint64
+	Clock, Echo    int64
+	// Kept lists the workers whose leases the sender has lately extended while
+	// it could not reach the leader.
+	Kept []Kept
 	// Cancelled lists the jobs whose users this controller has lately told so:
 	// the leader must stop their tasks even if it cannot read the state
 	// service meanwhile.
 	Cancelled []Cancelled
 }
 
+// Kept is a worker's lease that was extended without the leader.
+type Kept struct {
+	Machine string
+	AgeMS   int64 // since the latest extension
+}
+
 // Cancelled is a job's cancellation and the version of its record.
 type Cancelled struct {
 	ID      string
