--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -212,6 +213,14 @@
 	l.dirty = true
 }
 
+// cancelLate tells whether a task that is not confirmed gone this long after
+// its job's cancellation has to go with its machine. A new leader first gives
+// the machine the time to report, as long as there is some.
+func (l *leader) cancelLate(since time.Duration) bool {
+	all := config.Seconds(l.c.cfg.Deployment.Workers.CancelS)
+	return since > all*2/5 && (since > all*3/5 || l.c.now-l.loadedAt > 2*l.c.report())
+}
+
 // tickStops repeats stops that had no effect, ends saves that take too long,
 // and returns machines on which cancelled work cannot be confirmed gone.
 func (l *leader) tickStops() {
@@ -240,7 +249,7 @@
 				t.stop.grace = 0
 				l.fleet.urge[m.name] = true
 			}
-			if p.j.cancelled && l.c.now-p.j.cancelAt > time.Duration(l.c.cfg.Deployment.Workers.CancelS*float64(time.Second))*2/5 {
+			if p.j.cancelled && l.cancelLate(l.c.now-p.j.cancelAt) {
 				l.giveBack(m, "cancelled work is not confirmed gone")
 			}
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -303,7 +303,13 @@
 	j.version = version
 	if rec.Cancelled && !j.cancelled {
 		j.cancelled = true
+		// Not from when this leader learns of it: each of several leaders in
+		// a row would take its time anew, and the task run on beyond it.
 		j.cancelAt = l.c.now
+		if rec.CancelledAt != 0 {
+			skew := int64(l.c.cfg.Deployment.SkewMs)
+			j.cancelAt -= time.Duration(max(0, l.c.wall-rec.CancelledAt+skew)) * time.Millisecond
+		}
 		l.c.log.Info("job cancelled", "job", id)
 		l.cancelTasks(j)
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -26,6 +26,9 @@
 	Job       wire.Job `json:"j"`
 	At        int64    `json:"at"` // ms, time of day of the submission
 	Cancelled bool     `json:"c,omitempty"`
+	// CancelledAt is the time of day, in ms, at which the user was about to be
+	// told: cancel_s runs from it, whoever leads.
+	CancelledAt int64 `json:"ca,omitempty"`
 }
 
 type finalRecord struct {
@@ -607,7 +610,7 @@
 			c.answer(req, 200, c.statusOf(id, f), 0)
 		default:
 			rec := f.open.rec
-			rec.Cancelled = true
+			rec.Cancelled, rec.CancelledAt = true, c.wall
 			txn := &wire.Txn{
 				If:     []wire.Cond{{Key: prefixOpen + id, Version: f.open.version}},
 				Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
