Let wide gangs preempt and be preempted as a whole

Room for the whole gang is now found in one zone at the least loss, its machines are kept for it, and nobody is stopped if it cannot be had. Preempted work is stopped without a save where that loses less than the save keeps two waiting. A pass skips shapes that it has found not to fit.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -356,10 +356,8 @@
 		add(m.name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
 		s := spaces[len(spaces)-1]
 		for _, p := range m.placed {
-			if p.j.preemptible() {
-				rank := priorityRank[p.j.Priority]
-				s.soft[rank] = s.soft[rank].Add(size(&p.j.Job))
-			}
+			rank := priorityRank[p.j.Priority]
+			s.soft[rank] = s.soft[rank].Add(size(&p.j.Job))
 		}
 	}
 	for _, r := range f.rents {
@@ -381,12 +379,12 @@
 		}
 		room := l.zoneRoom(c.j)
 		added := map[string]int{}
-		for k := 0; k < len(c.pending) && k < 500; k++ {
+		for k := c.held; k < len(c.pending) && k < 500; k++ {
 			if !underLimit(l.c.team(c.j.Team), sum[c.j.Team], size(&c.j.Job), 1) {
 				break
 			}
 			zone := func(z string) bool {
-				if c.j.OneZone && k > 0 {
+				if c.j.OneZone && k > c.held {
 					return added[z] > 0
 				}
 				return room == nil || added[z] < room(z)
@@ -622,7 +620,7 @@
 		*spaces = append(*spaces, best)
 	}
 	best.free = best.free.Sub(need)
-	if !expected && j.preemptible() {
+	if !expected {
 		best.soft[rank] = best.soft[rank].Add(need)
 	}
 	best.used = true
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/topology"
@@ -15,6 +16,7 @@
 	slack      float64
 	work       float64
 	pending    []int
+	held       int // tasks for which room is being made
 }
 
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
@@ -140,36 +142,80 @@
 	tree := topology.New(leaves)
 	usage := l.usage()
 	cands := l.candidates()
+	full := map[shape]bool{} // found not to fit in this pass, in which room only shrinks
+	firm := map[shape]bool{} // found nobody to stop for
 	for _, c := range cands {
 		j := c.j
 		if l.c.now < j.retryAt {
 			continue
 		}
+		key := shapeOf(c)
+		plain := len(j.failOn) == 0 && !j.Spread
 		team := l.c.team(j.Team)
 		if j.Shape == wire.ShapeGang {
 			if !underLimit(team, usage[j.Team], size(&j.Job), len(c.pending)) {
 				continue
 			}
-			if l.placeTasks(tree, c, c.pending) {
+			if (!plain || !full[key]) && l.placeTasks(tree, c, c.pending) {
 				usage[j.Team] = usage[j.Team].Add(times(size(&j.Job), len(c.pending)))
 				c.pending = nil
+			} else {
+				full[key] = plain && !l.keptFor(j)
 			}
 		} else {
-			for len(c.pending) > 0 && underLimit(team, usage[j.Team], size(&j.Job), 1) {
+			for (!plain || !full[key]) && len(c.pending) > 0 && underLimit(team, usage[j.Team], size(&j.Job), 1) {
 				if !l.placeTasks(tree, c, c.pending[:1]) {
+					full[key] = plain && !l.keptFor(j)
 					break
 				}
 				usage[j.Team] = usage[j.Team].Add(size(&j.Job))
 				c.pending = c.pending[1:]
 			}
 		}
-		if len(c.pending) > 0 {
+		if len(c.pending) > 0 && (!plain || !firm[key]) {
 			l.preempt(c, usage)
+			firm[key] = plain && c.held == 0
 		}
 	}
 	l.plan(cands, usage)
 }
 
+// shape is what decides whether a job's tasks find room, apart from spread and
+// failures: many jobs of a class share it.
+type shape struct {
+	size       topology.Resources
+	types      string
+	zone       string
+	spot       bool
+	oneZone    bool
+	gang       int // tasks that start together
+	rank       int
+	guaranteed bool
+	team       string
+}
+
+func shapeOf(c *candidate) shape {
+	j := c.j
+	s := shape{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot,
+		rank: priorityRank[j.Priority], guaranteed: c.guaranteed, team: j.Team}
+	if j.Shape == wire.ShapeGang {
+		s.gang, s.oneZone = len(c.pending), j.OneZone
+	} else if j.OneZone {
+		s.zone = j.ID // bound to the zone of its other tasks
+	}
+	return s
+}
+
+// keptFor tells whether machines are kept for a job.
+func (l *leader) keptFor(j *job) bool {
+	for _, m := range l.byName {
+		if m.reserved == j && l.c.now < m.reservedUntil {
+			return true
+		}
+	}
+	return false
+}
+
 func times(r topology.Resources, n int) topology.Resources {
 	f := float64(n)
 	return topology.Resources{CPUs: r.CPUs * f, GPUs: r.GPUs * f, MemGB: r.MemGB * f}
@@ -236,121 +282,3 @@
 func (l *leader) avoid(j *job, m *machine) bool {
 	return len(j.failOn) < 3 && j.failOn[m.name]
 }
-
-// preempt makes room for one more task of a job that found none: it stops
-// work of lower priority, or work that another team runs beyond its
-// guarantee when the job is within its own.
-func (l *leader) preempt(c *candidate, usage map[string]topology.Resources) {
-	j := c.j
-	n := 1
-	if j.Shape == wire.ShapeGang {
-		n = len(c.pending)
-		if n > 1 {
-			// Room for a wide gang would need many stops at once before any
-			// of it is of use; it waits for machines instead.
-			return
-		}
-	}
-	reserved := 0
-	for _, m := range l.byName {
-		if m.reserved == j && l.c.now < m.reservedUntil {
-			reserved++
-		}
-	}
-	room := l.zoneRoom(j)
-	for k := reserved; k < len(c.pending) && k < 8; k++ {
-		if !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n+k) {
-			return
-		}
-		var best *machine
-		var bestVictims []ref
-		bestLoss := 0.0
-		for _, m := range l.byName {
-			total, ok := l.total(m)
-			if !ok || !l.usable(m) || !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) || m.reserved != nil && l.c.now < m.reservedUntil {
-				continue
-			}
-			if room != nil && room(m.zone) < 1 {
-				continue
-			}
-			victims, loss, ok := l.victims(c, m, total.Sub(m.used))
-			if ok && (best == nil || loss < bestLoss) {
-				best, bestVictims, bestLoss = m, victims, loss
-			}
-		}
-		if best == nil {
-			return
-		}
-		wait := 0.0
-		for _, v := range bestVictims {
-			grace := v.j.SaveS
-			if v.j.CheckpointS == 0 {
-				grace = 0
-			}
-			wait = max(wait, grace)
-			l.c.log.Info("preempt", "task", taskName(v.j.ID, v.i), "machine", best.name, "for", j.ID)
-			l.stopTask(v.j, v.i, grace, "preempted")
-		}
-		best.reserved = j
-		best.reservedUntil = l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
-	}
-}
-
-// victims picks the tasks whose stop makes room on a machine at the least
-// loss, in seconds of a task's work. Gangs of several tasks are left alone.
-func (l *leader) victims(c *candidate, m *machine, free topology.Resources) ([]ref, float64, bool) {
-	type victim struct {
-		r    ref
-		loss float64
-	}
-	var vs []victim
-	need := size(&c.j.Job)
-	for _, p := range m.placed {
-		t := p.task()
-		if t.stop != nil {
-			free = free.Add(size(&p.j.Job)) // already on its way out
-			continue
-		}
-		if !l.mayPreempt(c, p.j) {
-			continue
-		}
-		loss := p.j.SaveS
-		if p.j.CheckpointS == 0 {
-			loss = 0
-			if t.upAt != 0 {
-				loss = (l.c.now - t.upAt).Seconds()
-			}
-		}
-		vs = append(vs, victim{p, loss})
-	}
-	sort.SliceStable(vs, func(a, b int) bool { return vs[a].loss < vs[b].loss })
-	var out []ref
-	sum := 0.0
-	for _, v := range vs {
-		if free.Holds(need) {
-			break
-		}
-		free = free.Add(size(&v.r.j.Job))
-		out = append(out, v.r)
-		sum += v.loss + 1
-	}
-	return out, sum, free.Holds(need)
-}
-
-// preemptible tells whether single tasks of a job may be stopped for others;
-// a gang of several tasks would be lost as a whole.
-func (j *job) preemptible() bool { return j.Shape != wire.ShapeGang || len(j.tasks) == 1 }
-
-// mayPreempt tells whether a task may be stopped for a job: for a higher
-// priority, or, where the job is within its team's guarantee, because another
-// team runs it beyond its own. In the second case only work of the same
-// priority that keeps its progress is stopped; the protocol would allow any.
-func (l *leader) mayPreempt(c *candidate, v *job) bool {
-	if !v.preemptible() {
-		return false
-	}
-	if v, own := priorityRank[v.Priority], priorityRank[c.j.Priority]; v != own {
-		return v < own
-	}
-	return c.guaranteed && v.Team != c.j.Team && !l.within[v] && v.CheckpointS > 0
-}
--- /dev/null
+++ b/internal/core/preempt.go
@@ -0,0 +1,245 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// seat is room for one more task on a machine, and who has to go for it.
+type seat struct {
+	m       *machine
+	victims []ref
+	cost    float64 // seconds of a task's work that are lost
+}
+
+// maxSeats bounds how many tasks of an array or a service make room in one
+// pass: what is stopped for them comes back as work to place.
+const maxSeats = 8
+
+// preempt makes room for tasks of a job that found none: it stops work of
+// lower priority, or work that another team runs beyond its guarantee when the
+// job is within its own. A gang gets its whole room in one domain, at the least
+// loss, or nobody is stopped for it. The machines are kept for the job until
+// the room is there.
+func (l *leader) preempt(c *candidate, usage map[string]topology.Resources) {
+	j := c.j
+	if l.keptFor(j) {
+		c.held = j.seats
+		return
+	}
+	if priorityRank[j.Priority] == 0 && !c.guaranteed {
+		return
+	}
+	want := min(len(c.pending), maxSeats)
+	if j.Shape == wire.ShapeGang {
+		want = len(c.pending)
+	}
+	for want > 0 && !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), want) {
+		if j.Shape == wire.ShapeGang {
+			return
+		}
+		want--
+	}
+	if want == 0 {
+		return
+	}
+	var best []seat
+	if j.OneZone {
+		for _, zone := range l.zones() {
+			seats := l.seats(c, want, zone)
+			if len(seats) > len(best) || len(seats) == len(best) && total(seats) < total(best) {
+				best = seats
+			}
+		}
+	} else {
+		best = l.seats(c, want, "")
+	}
+	if len(best) == 0 || j.Shape == wire.ShapeGang && len(best) < want {
+		return
+	}
+	c.held, j.seats = len(best), len(best)
+	wait := 0.0
+	for _, s := range best {
+		for _, v := range s.victims {
+			grace := l.preemptGrace(v.j)
+			wait = max(wait, grace)
+			l.c.log.Info("preempt", "task", v.name, "machine", s.m.name, "for", j.ID, "grace_s", grace)
+			if v.j.Shape != wire.ShapeGang {
+				l.stopTask(v.j, v.i, grace, "preempted")
+				continue
+			}
+			// A gang has to be told together, or its save fails.
+			for i := range v.j.tasks {
+				if v.j.tasks[i].m != nil {
+					l.stopTask(v.j, i, grace, "preempted")
+				}
+			}
+		}
+	}
+	for _, s := range best {
+		s.m.reserved = j
+		s.m.reservedUntil = l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
+	}
+}
+
+// preemptGrace is the time that preempted work gets to save. A stop without it
+// loses half an interval of checkpoints on average; with it, two wait for the
+// save.
+func (l *leader) preemptGrace(j *job) float64 {
+	if j.CheckpointS == 0 || j.CheckpointS/2 <= 2*j.SaveS {
+		return 0
+	}
+	return j.SaveS
+}
+
+// stopLoss is what the stop of a task loses, in seconds of its work.
+func (l *leader) stopLoss(j *job, t *task) float64 {
+	if j.CheckpointS == 0 {
+		if t.upAt == 0 {
+			return 0
+		}
+		return (l.c.now - t.upAt).Seconds()
+	}
+	if l.preemptGrace(j) == 0 {
+		return j.CheckpointS / 2
+	}
+	return j.SaveS
+}
+
+func total(seats []seat) float64 {
+	sum := 0.0
+	for _, s := range seats {
+		sum += s.cost
+	}
+	return sum
+}
+
+// zones lists the zones in which there are machines.
+func (l *leader) zones() []string {
+	in := map[string]bool{}
+	for _, m := range l.byName {
+		in[m.zone] = true
+	}
+	return sortedKeys(in)
+}
+
+// seats finds room for up to want tasks, in one zone or anywhere, at the least
+// loss: free room first.
+func (l *leader) seats(c *candidate, want int, zone string) []seat {
+	j := c.j
+	room := l.zoneRoom(j)
+	var all []seat
+	for _, m := range l.byName {
+		if zone != "" && m.zone != zone || !l.mayTake(j, m) || m.reserved != nil && l.c.now < m.reservedUntil {
+			continue
+		}
+		if room != nil && room(m.zone) < 1 {
+			continue
+		}
+		cap, ok := l.total(m)
+		if !ok || !cap.Holds(size(&j.Job)) {
+			continue
+		}
+		all = append(all, l.seatsOn(c, m, cap.Sub(m.used), want)...)
+	}
+	// The seats of one machine build on each other: a later one never costs
+	// less, see seatsOn, so the order by cost keeps theirs.
+	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
+	var out []seat
+	inZone := map[string]int{}
+	gone := map[*job]bool{} // gangs that are stopped already
+	for _, s := range all {
+		if len(out) == want {
+			break
+		}
+		if room != nil && inZone[s.m.zone] >= room(s.m.zone) {
+			continue
+		}
+		inZone[s.m.zone]++
+		var victims []ref
+		for _, v := range s.victims {
+			if v.j.Shape == wire.ShapeGang {
+				if gone[v.j] {
+					continue
+				}
+				gone[v.j] = true
+			}
+			victims = append(victims, v)
+		}
+		s.victims = victims
+		out = append(out, s)
+	}
+	return out
+}
+
+// seatsOn lists the seats on one machine, cheapest first; each needs those
+// before it.
+func (l *leader) seatsOn(c *candidate, m *machine, free topology.Resources, want int) []seat {
+	type victim struct {
+		r    ref
+		loss float64
+	}
+	need := size(&c.j.Job)
+	var vs []victim
+	counted := false
+	var out []seat
+	for len(out) < want {
+		var s seat
+		s.m = m
+		for !free.Holds(need) {
+			if !counted {
+				counted = true
+				for _, p := range m.placed {
+					t := p.task()
+					if t.stop != nil {
+						free = free.Add(size(&p.j.Job)) // already on its way out
+						continue
+					}
+					if !l.mayPreempt(c, p.j) {
+						continue
+					}
+					loss := l.stopLoss(p.j, t) + 1
+					if p.j.Shape == wire.ShapeGang {
+						// All of the gang goes.
+						loss *= float64(2 * len(p.j.tasks))
+					}
+					vs = append(vs, victim{p, loss})
+				}
+				sort.SliceStable(vs, func(a, b int) bool { return vs[a].loss < vs[b].loss })
+				continue
+			}
+			if len(vs) == 0 {
+				return out
+			}
+			free = free.Add(size(&vs[0].r.j.Job))
+			s.victims = append(s.victims, vs[0].r)
+			s.cost += vs[0].loss
+			vs = vs[1:]
+		}
+		free = free.Sub(need)
+		if len(out) > 0 {
+			s.cost = max(s.cost, out[len(out)-1].cost)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// mayTake tells whether a machine may take a job's tasks, were there room.
+func (l *leader) mayTake(j *job, m *machine) bool {
+	return l.usable(m) && eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m)
+}
+
+// mayPreempt tells whether a task may be stopped for a job: for a higher
+// priority, or, where the job is within its team's guarantee, because another
+// team runs it beyond its own. In the second case only work of the same
+// priority that keeps its progress is stopped; the protocol would allow any.
+func (l *leader) mayPreempt(c *candidate, v *job) bool {
+	if v, own := priorityRank[v.Priority], priorityRank[c.j.Priority]; v != own {
+		return v < own
+	}
+	return c.guaranteed && v.Team != c.j.Team && !l.within[v] && v.CheckpointS > 0
+}
