--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -233,11 +233,25 @@
 	return l.usable(m) && eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m)
 }
 
+// worthGang tells whether a gang may be stopped for a job at all: not where far
+// more room than the job needs would be emptied, which the gang as a whole has
+// to find again.
+func worthGang(c *candidate, v *job) bool {
+	n, k := float64(len(v.tasks)), float64(len(c.pending))
+	if v.GPUs > 0 {
+		return v.GPUs*n <= 2*c.j.GPUs*k
+	}
+	return v.CPUs*n <= 2*c.j.CPUs*k
+}
+
 // mayPreempt tells whether a task may be stopped for a job: for a higher
 // priority, or, where the job is within its team's guarantee, because another
 // team runs it beyond its own. In the second case only work of the same
 // priority that keeps its progress is stopped; the protocol would allow any.
 func (l *leader) mayPreempt(c *candidate, v *job) bool {
+	if v.Shape == wire.ShapeGang && !worthGang(c, v) {
+		return false
+	}
 	if v, own := priorityRank[v.Priority], priorityRank[c.j.Priority]; v != own {
 		return v < own
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -49,6 +49,7 @@
 	lookups    map[string][]*lookup // by job
 	order      []string             // jobs with lookups, oldest first
 	lookupBusy int
+	confirmAt  time.Duration // known jobs wait until then, to be confirmed together
 	cancelled  []toldCancelled // lately, oldest first
 
 	storeBadSince time.Duration
@@ -457,11 +458,14 @@
 }
 
 // pumpLookups confirms known jobs by one compare-only transaction for many of
-// them, and reads the others.
+// them, and reads the others. Questions of a moment are gathered: users poll
+// without end, and a transaction for each would take most of the processor and
+// of the state service's requests.
 func (c *Core) pumpLookups() {
 	u := &c.users
 	for len(u.order) > 0 && u.lookupBusy < 4 {
 		var batch, rest []string
+		confirm := c.now >= u.confirmAt
 		txn := &wire.Txn{}
 		limit := 4 * c.cfg.Deployment.State.TxnOps
 		unknown := ""
@@ -475,7 +479,7 @@
 				}
 				continue
 			}
-			if len(batch) >= limit {
+			if len(batch) >= limit || !confirm {
 				rest = append(rest, id)
 				continue
 			}
@@ -488,8 +492,12 @@
 			c.read(unknown, u.take(unknown))
 		}
 		if len(batch) == 0 {
+			if unknown == "" {
+				return
+			}
 			continue
 		}
+		u.confirmAt = c.now + c.report()/10
 		u.lookupBusy++
 		waiting := map[string][]*lookup{}
 		for _, id := range batch {
@@ -672,6 +680,7 @@
 		}
 	}
 	u.order = order
+	c.pumpLookups()
 	for len(u.cancelled) > 0 && c.now-u.cancelled[0].at > config.Seconds(c.cfg.Deployment.Workers.CancelS) {
 		u.cancelled = u.cancelled[1:]
 	}
