--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -23,6 +23,7 @@
 	listSeen map[string]bool
 
 	rents    []*rent
+	rentNext time.Duration
 	rentSeq  int
 	refused  map[offerKey]time.Duration
 	cutAt    map[string]time.Duration // when a zone was last seen cut off
@@ -428,6 +429,13 @@
 		}
 	}
 	for _, k := range keys {
+		// The cloud takes few calls: what is wanted gathers until the next
+		// one, the most urgent first, instead of going out machine by machine.
+		if l.c.now < f.rentNext || len(f.rents) >= 4 {
+			l.schedule = true
+			break
+		}
+		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
 		f.rentSeq++
 		r := &rent{req: wire.RentRequest{
 			Request: "r-" + strconv.FormatUint(l.term, 10) + "-" + strconv.Itoa(f.rentSeq),
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -233,15 +233,15 @@
 	return l.usable(m) && eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m)
 }
 
-// worthGang tells whether a gang may be stopped for a job at all: not where far
-// more room than the job needs would be emptied, which the gang as a whole has
-// to find again.
+// worthGang tells whether a gang may be stopped for a job at all: not where more
+// room than the job needs would be emptied, all of which the gang has to find
+// again.
 func worthGang(c *candidate, v *job) bool {
 	n, k := float64(len(v.tasks)), float64(len(c.pending))
 	if v.GPUs > 0 {
-		return v.GPUs*n <= 2*c.j.GPUs*k
+		return v.GPUs*n <= c.j.GPUs*k
 	}
-	return v.CPUs*n <= 2*c.j.CPUs*k
+	return v.CPUs*n <= c.j.CPUs*k
 }
 
 // mayPreempt tells whether a task may be stopped for a job: for a higher
