--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -53,19 +53,20 @@
 	cancelAt  time.Duration
 	stale     bool // the open record must be read again
 
-	tasks   []task
-	next    uint64 // next attempt number
-	chunks  []chunk
-	done    int
-	placed  int
-	loaded  bool
-	final   bool // the end is being recorded
-	ended   bool // the end is recorded
-	retryAt time.Duration
-	fails   int
-	seats   int              // tasks for which room was last made
-	failOn  map[string]bool  // machines on which it failed
-	moveTo  map[int]*machine // where moving replicas have their room
+	tasks     []task
+	next      uint64 // next attempt number
+	chunks    []chunk
+	done      int
+	placed    int
+	loaded    bool
+	final     bool // the end is being recorded
+	ended     bool // the end is recorded
+	retryAt   time.Duration
+	fails     int
+	seats     int              // tasks for which room was last made
+	preempted int              // how often it made way, as a gang
+	failOn    map[string]bool  // machines on which it failed
+	moveTo    map[int]*machine // where moving replicas have their room
 }
 
 // chunk is one placement record: a run of a job's tasks.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -71,6 +71,7 @@
 				l.stopTask(v.j, v.i, grace, "preempted")
 				continue
 			}
+			v.j.preempted++
 			// A gang has to be told together, or its save fails.
 			for i := range v.j.tasks {
 				if v.j.tasks[i].m != nil {
@@ -109,6 +110,25 @@
 	return j.SaveS
 }
 
+// victimCost weighs a stop: what is lost of the work, by the share of a machine
+// it takes, by its priority, and by how often it had to make way before: else
+// the same cheap victim is stopped again and again.
+func (l *leader) victimCost(j *job, t *task, whole topology.Resources) float64 {
+	share := 0.0
+	if whole.GPUs > 0 {
+		share = j.GPUs / whole.GPUs
+	}
+	if whole.CPUs > 0 {
+		share = max(share, j.CPUs/whole.CPUs)
+	}
+	n := 1
+	if j.Shape == wire.ShapeGang {
+		n = len(j.tasks) // all of it goes
+	}
+	rank := float64(1 + priorityRank[j.Priority])
+	return (l.stopLoss(j, t) + 1) * share * float64(n) * rank * rank * float64(1+j.preempted)
+}
+
 func total(seats []seat) float64 {
 	sum := 0.0
 	for _, s := range seats {
@@ -183,6 +203,7 @@
 		loss float64
 	}
 	need := size(&c.j.Job)
+	whole, _ := l.total(m)
 	var vs []victim
 	counted := false
 	var out []seat
@@ -201,12 +222,7 @@
 					if !l.mayPreempt(c, p.j) {
 						continue
 					}
-					loss := l.stopLoss(p.j, t) + 1
-					if p.j.Shape == wire.ShapeGang {
-						// All of the gang goes.
-						loss *= float64(2 * len(p.j.tasks))
-					}
-					vs = append(vs, victim{p, loss})
+					vs = append(vs, victim{p, l.victimCost(p.j, t, whole)})
 				}
 				sort.SliceStable(vs, func(a, b int) bool { return vs[a].loss < vs[b].loss })
 				continue
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -49,7 +49,7 @@
 	lookups    map[string][]*lookup // by job
 	order      []string             // jobs with lookups, oldest first
 	lookupBusy int
-	confirmAt  time.Duration // known jobs wait until then, to be confirmed together
+	confirmAt  time.Duration   // known jobs wait until then, to be confirmed together
 	cancelled  []toldCancelled // lately, oldest first
 
 	storeBadSince time.Duration
