Prefer machines that hold the image or fetch it fast, for wide gangs too

Cause: a gang took the machine that held most of its tasks though others held its image, and boilerboxes, which fetch at half the rate, as readily as vanboxes: stainschool within 5 s.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -225,6 +226,7 @@
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int) bool {
 	j := c.j
+	slow := l.c.slowFetch(j.Class)
 	req := topology.Request{
 		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
@@ -237,12 +239,16 @@
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
 				return -1
 			}
+			m := l.machines[t.Name]
 			rank := 0
-			if m := l.machines[t.Name]; len(m.failed) > 0 {
-				rank = 2
+			if len(m.failed) > 0 {
+				rank = 3
 			}
-			if !l.machines[t.Name].hasImage(j.Image) {
+			if !m.hasImage(j.Image) {
 				rank++
+				if t := l.c.types[m.typ]; t != nil && j.ImageGB > slow*t.FetchGBPS {
+					rank++
+				}
 			}
 			return rank
 		},
@@ -277,6 +283,18 @@
 	return true
 }
 
+// slowFetch is how long a fetch may take, in seconds, before the class's wait
+// is in danger: other fetches share the rate, which varies by a third.
+func (c *Core) slowFetch(class string) float64 {
+	within := math.Inf(1)
+	for _, o := range c.cfg.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			within = min(within, o.WithinS)
+		}
+	}
+	return within * 2 / 3
+}
+
 // avoid keeps a job away from machines on which it failed, until it has
 // failed on so many that the job is the likelier cause.
 func (l *leader) avoid(j *job, m *machine) bool {
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -214,9 +214,9 @@
 	return a.name < b.name
 }
 
-// assign spreads the tasks over leaves: the tightest machine that holds all
-// that are left, else the machine that holds most of them. Machines of the
-// zone near come before the others.
+// assign spreads the tasks over leaves: machines of the zone near come before
+// the others, then those of the lowest rank, then the one that holds most of
+// the tasks that are left, then the tightest.
 func (t *Tree) assign(r Request, leaves []*leaf, near string) []*Machine {
 	out := make([]*Machine, 0, r.Count)
 	used := map[*leaf]bool{}
@@ -260,12 +260,12 @@
 	if na, nb := a.m.Zone == near, b.m.Zone == near; na != nb {
 		return na
 	}
-	if fa != fb {
-		return fa > fb
-	}
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
+	if fa != fb {
+		return fa > fb
+	}
 	if a.m.Free != b.m.Free {
 		return a.m.Free.Less(b.m.Free)
 	}
