--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -63,7 +63,6 @@
 	ended     bool // the end is recorded
 	retryAt   time.Duration
 	fails     int
-	seats     int              // tasks for which room was last made
 	preempted int              // how often it made way, as a gang
 	failOn    map[string]bool  // machines on which it failed
 	moveTo    map[int]*machine // where moving replicas have their room
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -68,6 +68,7 @@
 	// A machine whose tasks are stopped for a job is kept for it.
 	reserved      *job
 	reservedUntil time.Duration
+	seats         int // tasks of the job that it is kept for
 }
 
 func (l *leader) machine(name string) *machine {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -152,35 +152,41 @@
 		}
 		key := shapeOf(c)
 		plain := len(j.failOn) == 0 && !j.Spread
-		team := l.c.team(j.Team)
-		if j.Shape == wire.ShapeGang {
-			if !underLimit(team, usage[j.Team], size(&j.Job), len(c.pending)) {
-				continue
-			}
-			if (!plain || !full[key]) && l.placeTasks(tree, c, c.pending) {
-				usage[j.Team] = usage[j.Team].Add(times(size(&j.Job), len(c.pending)))
-				c.pending = nil
-			} else {
-				full[key] = plain && !l.keptFor(j)
-			}
-		} else {
-			for (!plain || !full[key]) && len(c.pending) > 0 && underLimit(team, usage[j.Team], size(&j.Job), 1) {
-				if !l.placeTasks(tree, c, c.pending[:1]) {
-					full[key] = plain && !l.keptFor(j)
-					break
-				}
-				usage[j.Team] = usage[j.Team].Add(size(&j.Job))
-				c.pending = c.pending[1:]
+		if wait := l.c.slowFetch(j.Class); !math.IsInf(wait, 1) {
+			// First where it can start in time, making room there if need be.
+			l.fill(tree, c, usage, true)
+			if len(c.pending) > 0 {
+				l.preempt(c, usage, true)
 			}
 		}
-		if len(c.pending) > 0 && (!plain || !firm[key]) {
-			l.preempt(c, usage)
+		if len(c.pending) > c.held && (!plain || !full[key]) {
+			l.fill(tree, c, usage, false)
+			full[key] = plain && len(c.pending) > c.held && l.heldFor(j) == 0
+		}
+		if len(c.pending) > c.held && (!plain || !firm[key]) {
+			l.preempt(c, usage, false)
 			firm[key] = plain && c.held == 0
 		}
 	}
 	l.plan(cands, usage)
 }
 
+// fill places what of a job fits, a gang as a whole. quick leaves out machines
+// on which the image would come too late.
+func (l *leader) fill(tree *topology.Tree, c *candidate, usage map[string]topology.Resources, quick bool) {
+	j, n := c.j, 1
+	if j.Shape == wire.ShapeGang {
+		n = len(c.pending)
+	}
+	for len(c.pending) >= n+c.held && len(c.pending) > 0 && underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) {
+		if !l.placeTasks(tree, c, c.pending[:n], quick) {
+			return
+		}
+		usage[j.Team] = usage[j.Team].Add(times(size(&j.Job), n))
+		c.pending = c.pending[n:]
+	}
+}
+
 // shape is what decides whether a job's tasks find room, apart from spread and
 // failures: many jobs of a class share it.
 type shape struct {
@@ -207,16 +213,6 @@
 	return s
 }
 
-// keptFor tells whether machines are kept for a job.
-func (l *leader) keptFor(j *job) bool {
-	for _, m := range l.byName {
-		if m.reserved == j && l.c.now < m.reservedUntil {
-			return true
-		}
-	}
-	return false
-}
-
 func times(r topology.Resources, n int) topology.Resources {
 	f := float64(n)
 	return topology.Resources{CPUs: r.CPUs * f, GPUs: r.GPUs * f, MemGB: r.MemGB * f}
@@ -224,15 +220,15 @@
 
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
-func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int) bool {
+func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
 	j := c.j
-	slow := l.c.slowFetch(j.Class)
+	wait := l.c.slowFetch(j.Class)
 	req := topology.Request{
 		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
 			m := l.machines[t.Name]
-			return eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m) &&
+			return eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m) && !(quick && l.slow(j, m, wait)) &&
 				(m.reserved == nil || m.reserved == j || l.c.now >= m.reservedUntil)
 		},
 		Rank: func(t *topology.Machine) int {
@@ -246,7 +242,7 @@
 			}
 			if !m.hasImage(j.Image) {
 				rank++
-				if t := l.c.types[m.typ]; t != nil && j.ImageGB > slow*t.FetchGBPS {
+				if l.slow(j, m, wait) {
 					rank++
 				}
 			}
@@ -273,7 +269,9 @@
 		l.bind(j, i, m)
 		l.touch(j, i)
 		if m.reserved == j {
-			m.reserved = nil
+			if m.seats--; m.seats < 1 {
+				m.reserved = nil
+			}
 		}
 		l.c.log.Debug("place", "task", taskName(j.ID, i), "attempt", attempt, "machine", m.name, "image", m.hasImage(j.Image))
 	}
@@ -295,6 +293,12 @@
 	return within * 2 / 3
 }
 
+// slow tells whether a job's image would come too late on a machine.
+func (l *leader) slow(j *job, m *machine, wait float64) bool {
+	t := l.c.types[m.typ]
+	return !m.hasImage(j.Image) && t != nil && j.ImageGB > wait*t.FetchGBPS
+}
+
 // avoid keeps a job away from machines on which it failed, until it has
 // failed on so many that the job is the likelier cause.
 func (l *leader) avoid(j *job, m *machine) bool {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -24,10 +24,12 @@
 // job is within its own. A gang gets its whole room in one domain, at the least
 // loss, or nobody is stopped for it. The machines are kept for the job until
 // the room is there.
-func (l *leader) preempt(c *candidate, usage map[string]topology.Resources) {
+//
+// quick makes room only where the image is or comes in time, and only at the
+// cost of lower priorities: without it there may well be room elsewhere.
+func (l *leader) preempt(c *candidate, usage map[string]topology.Resources, quick bool) {
 	j := c.j
-	if l.keptFor(j) {
-		c.held = j.seats
+	if c.held = l.heldFor(j); c.held > 0 {
 		return
 	}
 	if priorityRank[j.Priority] == 0 && !c.guaranteed {
@@ -46,21 +48,21 @@
 	if want == 0 {
 		return
 	}
+	seats := func(zone string) []seat { return l.seats(c, want, zone, quick) }
 	var best []seat
 	if j.OneZone {
 		for _, zone := range l.zones() {
-			seats := l.seats(c, want, zone)
-			if len(seats) > len(best) || len(seats) == len(best) && total(seats) < total(best) {
-				best = seats
+			if s := seats(zone); len(s) > len(best) || len(s) == len(best) && total(s) < total(best) {
+				best = s
 			}
 		}
 	} else {
-		best = l.seats(c, want, "")
+		best = seats("")
 	}
 	if len(best) == 0 || j.Shape == wire.ShapeGang && len(best) < want {
 		return
 	}
-	c.held, j.seats = len(best), len(best)
+	c.held = len(best)
 	wait := 0.0
 	for _, s := range best {
 		for _, v := range s.victims {
@@ -81,7 +83,10 @@
 		}
 	}
 	for _, s := range best {
-		s.m.reserved = j
+		s.m.reserved, s.m.seats = j, 0
+	}
+	for _, s := range best {
+		s.m.seats++
 		s.m.reservedUntil = l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
 	}
 }
@@ -137,6 +142,17 @@
 	return sum
 }
 
+// heldFor counts the tasks for which room is being made.
+func (l *leader) heldFor(j *job) int {
+	n := 0
+	for _, m := range l.byName {
+		if m.reserved == j && l.c.now < m.reservedUntil {
+			n += m.seats
+		}
+	}
+	return n
+}
+
 // zones lists the zones in which there are machines.
 func (l *leader) zones() []string {
 	in := map[string]bool{}
@@ -148,12 +164,14 @@
 
 // seats finds room for up to want tasks, in one zone or anywhere, at the least
 // loss: free room first.
-func (l *leader) seats(c *candidate, want int, zone string) []seat {
+func (l *leader) seats(c *candidate, want int, zone string, quick bool) []seat {
 	j := c.j
+	wait := l.c.slowFetch(j.Class)
 	room := l.zoneRoom(j)
 	var all []seat
 	for _, m := range l.byName {
-		if zone != "" && m.zone != zone || !l.mayTake(j, m) || m.reserved != nil && l.c.now < m.reservedUntil {
+		if zone != "" && m.zone != zone || !l.mayTake(j, m) || m.reserved != nil && l.c.now < m.reservedUntil ||
+			quick && l.slow(j, m, wait) {
 			continue
 		}
 		if room != nil && room(m.zone) < 1 {
@@ -163,7 +181,7 @@
 		if !ok || !cap.Holds(size(&j.Job)) {
 			continue
 		}
-		all = append(all, l.seatsOn(c, m, cap.Sub(m.used), want)...)
+		all = append(all, l.seatsOn(c, m, cap.Sub(m.used), want, quick)...)
 	}
 	// The seats of one machine build on each other: a later one never costs
 	// less, see seatsOn, so the order by cost keeps theirs.
@@ -197,12 +215,13 @@
 
 // seatsOn lists the seats on one machine, cheapest first; each needs those
 // before it.
-func (l *leader) seatsOn(c *candidate, m *machine, free topology.Resources, want int) []seat {
+func (l *leader) seatsOn(c *candidate, m *machine, free topology.Resources, want int, quick bool) []seat {
 	type victim struct {
 		r    ref
 		loss float64
 	}
-	need := size(&c.j.Job)
+	j := c.j
+	need := size(&j.Job)
 	whole, _ := l.total(m)
 	var vs []victim
 	counted := false
@@ -219,7 +238,7 @@
 						free = free.Add(size(&p.j.Job)) // already on its way out
 						continue
 					}
-					if !l.mayPreempt(c, p.j) {
+					if !l.mayPreempt(c, p.j) || quick && p.j.Priority == j.Priority {
 						continue
 					}
 					vs = append(vs, victim{p, l.victimCost(p.j, t, whole)})
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -49,6 +49,7 @@
 	ready    time.Duration // image there
 	waitFrom time.Duration
 	runFrom  time.Duration
+	base     float64 // progress at the start of this run
 	saveEnd  time.Duration
 	lostAt   time.Duration // a gang's other task is gone
 }
@@ -143,7 +144,7 @@
 			t.state, t.waitFrom = wire.TaskWaiting, now
 			w.gather(t)
 		default:
-			t.state, t.runFrom = wire.TaskRunning, now
+			t.run(now)
 		}
 	case wire.TaskWaiting:
 		if now-t.waitFrom > seconds(d.GangWaitS) {
@@ -191,7 +192,12 @@
 }
 
 func (t *task) progressNow(now time.Duration) float64 {
-	return t.job.progress[t.key()] + max(0, (now-t.runFrom).Seconds())
+	return t.base + max(0, (now-t.runFrom).Seconds())
+}
+
+// run begins a task's run, from what is saved.
+func (t *task) run(now time.Duration) {
+	t.state, t.runFrom, t.base = wire.TaskRunning, now, t.job.progress[t.key()]
 }
 
 // gather starts a gang once its last task waits.
@@ -206,7 +212,7 @@
 	}
 	if len(all) == t.job.Tasks {
 		for _, o := range all {
-			o.state, o.runFrom = wire.TaskRunning, w.now
+			o.run(w.now)
 		}
 	}
 }
