--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -56,6 +56,9 @@
 // observe takes in the state of a task that a report shows.
 func (l *leader) observe(p ref, w wire.Task) {
 	t := &p.j.tasks[p.i]
+	if t.ours && !t.seen {
+		t.m.deafSince = 0 // it has heard that start
+	}
 	t.seen, t.copied, t.recorded = true, true, true
 	if w.State == wire.TaskExited {
 		l.exited(p, w) // case 1
@@ -236,9 +239,11 @@
 				} else if p.j.ended || t.done {
 					l.stopTask(p.j, p.i, 0, "over")
 				}
-				if t.m != nil && t.ours && t.recorded && !t.seen && l.c.now-t.placedAt > 4*l.c.report() && m.deafSince == 0 && l.c.now-m.heard < 2*l.c.report() {
-					// Reports arrive but the start never shows: the worker
-					// does not hear us.
+				if t.m != nil && t.ours && t.recorded && !t.seen && m.deafSince == 0 && l.c.now-m.heard < 2*l.c.report() &&
+					l.c.now-max(t.placedAt, m.heardFrom) > 4*l.c.report() {
+					// Reports arrive all the while but the start never shows:
+					// the worker does not hear us. Reports that were held back
+					// and come all at once do not tell that.
 					l.c.log.Info("machine does not hear", "machine", m.name)
 					m.deafSince = l.c.now
 				}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -32,6 +32,7 @@
 	repSession, repSeq uint64 // newest report
 	token              uint64 // highest token the worker has reported
 	heard              time.Duration
+	heardFrom          time.Duration // reports have come regularly since then
 	answered           time.Duration // last answer of this term to a report
 	kept               time.Duration // last extension of its lease by a controller out of reach
 	contact            time.Duration // last answer to a probe or a direct command
@@ -178,6 +179,9 @@
 		m.firstHeard = l.c.now
 		l.c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
 	}
+	if l.c.now-m.heard > 3*l.c.report() {
+		m.heardFrom = l.c.now
+	}
 	m.heard = l.c.now
 	if r.Newer(m.session, m.seq) {
 		l.apply(m, r)
