--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -501,7 +501,7 @@
 			for k, p := range m.placed {
 				p.j.moveTo[p.i] = to[k]
 			}
-			f.moveNext = l.c.now + l.c.lease()
+			f.moveNext = l.c.now + 2*l.c.report()
 			l.condemn(m, "its replicas fit on other machines")
 			m.evict = true
 			return
