--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,6 +39,7 @@
 	schedNext time.Duration
 
 	fleet    fleet
+	perGPU   topology.Resources
 	arrivals map[string]*arrivals
 	estimate map[string]*estimate
 }
