--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -496,9 +496,6 @@
 	// Whether all find room changes slowly, and finding out costs a walk over
 	// machines times replicas.
 	f.moveNext = l.c.now + l.c.report()
-	if l.unstrand(targets, free) {
-		return
-	}
 	for _, m := range from {
 		if to := l.elsewhere(m, targets, free); to != nil {
 			for k, p := range m.placed {
@@ -515,21 +512,21 @@
 // movable tells whether all that a machine does is to run settled replicas.
 func (m *machine) movable() bool {
 	for _, p := range m.placed {
-		if !p.j.settled(p.task()) {
+		t := &p.j.tasks[p.i]
+		if p.j.Shape != wire.ShapeService || t.state != wire.TaskRunning || t.stop != nil {
 			return false
 		}
 	}
 	return len(m.placed) > 0
 }
 
-// settled tells whether a task is a running replica that nothing moves.
-func (j *job) settled(t *task) bool {
-	return j.Shape == wire.ShapeService && t.state == wire.TaskRunning && t.stop == nil && !j.cancelled
-}
-
 // elsewhere finds a machine for each of a machine's replicas, in their order;
 // nil if not all find one.
 func (l *leader) elsewhere(m *machine, targets []*space, free map[string]topology.Resources) []*machine {
+	type jobZone struct {
+		j    *job
+		zone string
+	}
 	left := map[string]topology.Resources{}
 	for k, v := range free {
 		left[k] = v
@@ -537,52 +534,38 @@
 	added := map[jobZone]int{}
 	var to []*machine
 	for _, p := range m.placed {
-		best := l.roomFor(p, m, targets, left, added)
-		if best == nil {
+		j := p.j
+		if j.OneZone {
 			return nil
 		}
-		left[best.name] = left[best.name].Sub(size(&p.j.Job))
-		added[jobZone{p.j, best.key.zone}]++
-		to = append(to, l.machines[best.name])
-	}
-	return to
-}
-
-type jobZone struct {
-	j    *job
-	zone string
-}
-
-// roomFor finds the tightest target that holds a replica's image and has room
-// for it; added counts those of its job that are to move already.
-func (l *leader) roomFor(p ref, m *machine, targets []*space, left map[string]topology.Resources, added map[jobZone]int) *space {
-	j := p.j
-	if j.OneZone {
-		return nil
-	}
-	room := l.zoneRoom(j)
-	plain := l.plainBoot(j)
-	var best *space
-	for _, s := range targets {
-		o := l.machines[s.name]
-		if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 ||
-			l.strands(j, plain, o.typ, left[s.name]) {
-			continue
-		}
-		if room != nil {
-			n := room(o.zone) - added[jobZone{j, o.zone}]
-			if o.zone == m.zone {
-				n++ // its own place there becomes free
-			}
-			if n < 1 {
+		room := l.zoneRoom(j)
+		var best *space
+		for _, s := range targets {
+			o := l.machines[s.name]
+			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 {
 				continue
 			}
+			if room != nil {
+				n := room(o.zone) - added[jobZone{j, o.zone}]
+				if o.zone == m.zone {
+					n++ // its own place there becomes free
+				}
+				if n < 1 {
+					continue
+				}
+			}
+			if best == nil || left[s.name].Less(left[best.name]) {
+				best = s
+			}
 		}
-		if best == nil || left[s.name].Less(left[best.name]) {
-			best = s
+		if best == nil {
+			return nil
 		}
+		left[best.name] = left[best.name].Sub(size(&j.Job))
+		added[jobZone{j, best.key.zone}]++
+		to = append(to, l.machines[best.name])
 	}
-	return best
+	return to
 }
 
 // expected is how many tasks of a class may come while a machine boots and
@@ -626,11 +609,9 @@
 // may still grant.
 func (l *leader) pack(spaces *[]*space, j *job, zone func(string) bool, expected bool) *space {
 	need, rank := size(&j.Job), priorityRank[j.Priority]
-	plain := l.plainBoot(j)
 	var best *space
 	for _, s := range *spaces {
-		if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) || zone != nil && !zone(s.key.zone) ||
-			l.strands(j, plain, s.key.typ, s.free) {
+		if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) || zone != nil && !zone(s.key.zone) {
 			continue
 		}
 		if best == nil || s.free.Less(best.free) {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,7 +39,6 @@
 	schedNext time.Duration
 
 	fleet    fleet
-	perGPU   topology.Resources
 	arrivals map[string]*arrivals
 	estimate map[string]*estimate
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -141,7 +141,6 @@
 		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used)})
 	}
 	tree := topology.New(leaves)
-	l.measurePerGPU()
 	usage := l.usage()
 	cands := l.candidates()
 	full := map[shape]bool{} // found not to fit in this pass, in which room only shrinks
@@ -152,7 +151,7 @@
 			continue
 		}
 		key := shapeOf(c)
-		plain := len(j.failOn) == 0 && !j.Spread && math.IsInf(l.plainBoot(j), 1)
+		plain := len(j.failOn) == 0 && !j.Spread
 		if wait := l.c.slowFetch(j.Class); !math.IsInf(wait, 1) {
 			// First where it can start in time, making room there if need be.
 			l.fill(tree, c, usage, true)
@@ -224,14 +223,12 @@
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
 	j := c.j
 	wait := l.c.slowFetch(j.Class)
-	plain := l.plainBoot(j)
 	req := topology.Request{
 		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
 			m := l.machines[t.Name]
 			return eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m) && !(quick && l.slow(j, m, wait)) &&
-				!l.waitsForPlain(j, plain, m, t.Free) &&
 				(m.reserved == nil || m.reserved == j || l.c.now >= m.reservedUntil)
 		},
 		Rank: func(t *topology.Machine) int {
@@ -241,17 +238,14 @@
 			m := l.machines[t.Name]
 			rank := 0
 			if len(m.failed) > 0 {
-				rank = 6
+				rank = 3
 			}
 			if !m.hasImage(j.Image) {
-				rank += 2
+				rank++
 				if l.slow(j, m, wait) {
-					rank += 2
+					rank++
 				}
 			}
-			if l.strands(j, plain, m.typ, t.Free) {
-				rank++
-			}
 			return rank
 		},
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -167,7 +167,6 @@
 func (l *leader) seats(c *candidate, want int, zone string, quick bool) []seat {
 	j := c.j
 	wait := l.c.slowFetch(j.Class)
-	plain := l.plainBoot(j)
 	room := l.zoneRoom(j)
 	var all []seat
 	for _, m := range l.byName {
@@ -179,7 +178,7 @@
 			continue
 		}
 		cap, ok := l.total(m)
-		if !ok || !cap.Holds(size(&j.Job)) || l.waitsForPlain(j, plain, m, cap.Sub(m.used)) {
+		if !ok || !cap.Holds(size(&j.Job)) {
 			continue
 		}
 		all = append(all, l.seatsOn(c, m, cap.Sub(m.used), want, quick)...)
