--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -177,6 +177,7 @@
 func (c *Core) onTick() {
 	c.tickElection()
 	c.tickTypes()
+	c.tickPreload()
 	c.tickUsers()
 	c.tickForwards()
 	if c.now >= c.digestAt {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -30,6 +30,9 @@
 	watchFrom uint64
 	loadedAt  time.Duration
 
+	again   func() // a page to be read again
+	againAt time.Duration
+
 	txnBusy  bool
 	txnRetry time.Duration
 	dirty    bool
@@ -152,21 +155,14 @@
 }
 
 func (l *leader) page(prefix, after string, f func(*wire.Page)) {
-	path := "/store?under=" + prefix + "&limit=500"
-	if after != "" {
-		path += "&since=" + after
-	}
-	l.c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: 2 * l.c.storeTimeout(), Urgent: true}, func(r Result) {
-		if l.gone {
-			return
-		}
-		l.c.noteStore(r)
-		var p wire.Page
-		if r.Status != 200 || json.Unmarshal(r.Body, &p) != nil {
-			l.page(prefix, after, f)
-			return
+	l.c.readPage(prefix, after, true, func(p *wire.Page) {
+		switch {
+		case l.gone:
+		case p == nil:
+			l.again, l.againAt = func() { l.page(prefix, after, f) }, l.c.now+l.c.ttl()/20
+		default:
+			f(p)
 		}
-		f(&p)
 	})
 }
 
@@ -375,6 +371,10 @@
 func (j *job) finished() bool { return j.loaded && !j.cancelled && j.done == len(j.tasks) }
 
 func (l *leader) tick() {
+	if f := l.again; f != nil && l.c.now >= l.againAt {
+		l.again = nil
+		f()
+	}
 	if l.fleet.watchRetry != 0 && l.c.now >= l.fleet.watchRetry {
 		l.fleet.watchRetry = 0
 		l.watch()
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -78,6 +78,7 @@
 		if f := c.forwards[id]; c.now >= f.until {
 			delete(c.forwards, id)
 			if !c.keepLease(f.req, f.body) {
+				c.log.Debug("report not answered in time", "leader", f.sentTo)
 				c.answer(f.req, 503, nil, 0)
 			}
 		}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -51,6 +51,8 @@
 	lookupBusy int
 	confirmAt  time.Duration   // known jobs wait until then, to be confirmed together
 	cancelled  []toldCancelled // lately, oldest first
+	preloaded  bool
+	preloadAt  time.Duration
 
 	storeBadSince time.Duration
 }
@@ -649,6 +651,54 @@
 	})
 }
 
+// tickPreload reads the open jobs once after the start, in pages: else the polls
+// of every user, right after all controllers have restarted, would each take a
+// read of their own, and the state service's budget with them.
+func (c *Core) tickPreload() {
+	if u := &c.users; !u.preloaded && c.now >= u.preloadAt {
+		u.preloaded = true
+		c.preload("")
+	}
+}
+
+func (c *Core) preload(after string) {
+	c.readPage(prefixOpen, after, false, func(p *wire.Page) {
+		u := &c.users
+		if p == nil {
+			u.preloaded, u.preloadAt = false, c.now+c.ttl()
+			return
+		}
+		for _, it := range p.Items {
+			after = it.Key
+			id := it.Key[len(prefixOpen):]
+			k := &known{version: it.Version}
+			if _, over := u.final[id]; !over && u.open[id] == nil && json.Unmarshal(it.Value, &k.rec) == nil {
+				u.open[id] = k
+			}
+		}
+		if p.More {
+			c.preload(after)
+		}
+	})
+}
+
+// readPage reads keys in order; f gets nil if there was no answer.
+func (c *Core) readPage(prefix, after string, urgent bool, f func(*wire.Page)) {
+	path := "/store?under=" + prefix + "&limit=500"
+	if after != "" {
+		path += "&since=" + after
+	}
+	c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: 2 * c.storeTimeout(), Urgent: urgent}, func(r Result) {
+		c.noteStore(r)
+		var p wire.Page
+		if r.Status != 200 || json.Unmarshal(r.Body, &p) != nil {
+			f(nil)
+			return
+		}
+		f(&p)
+	})
+}
+
 // tickUsers gives up on what has waited too long, at once and with word of
 // when to come back.
 func (c *Core) tickUsers() {
