--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -28,7 +28,8 @@
 	term     uint64 // highest term known
 	leader   string // who holds it, if known
 	heard    time.Duration
-	asked    bool // the leader key was read since the start
+	keyAt    time.Duration // when the leader's key was last read
+	asked    bool          // the leader key was read since the start
 }
 
 // ttl of the leader's lease: a crash, the election and the workers' move to
@@ -71,6 +72,7 @@
 				return
 			}
 			c.learn(v.Term, v.Name)
+			e.keyAt = c.now
 			if c.leaderLost() {
 				// It still holds its key, but neither we nor another
 				// controller hear it, so the workers' reports do not reach
--- a/internal/core/home.go
+++ b/internal/core/home.go
@@ -16,7 +16,9 @@
 type visitor struct {
 	seen     time.Duration
 	answered time.Duration
-	sent     time.Duration // when it was last sent home
+	sent     time.Duration // when it was last sent elsewhere
+	toLeader string        // the leader that it was sent to
+	back     time.Duration // when it came back from there
 }
 
 // visit notes a worker's report, and names the controller that the worker had
@@ -35,7 +37,7 @@
 		c.visitors[r.Machine] = v
 	}
 	v.seen = c.now
-	if v.answered == 0 || c.now-v.answered > 2*c.report() || v.sent != 0 && c.now-v.sent < 6*c.lease() {
+	if v.answered == 0 || c.now-v.answered > 2*c.report() || !v.maySend(c) {
 		return v, ""
 	}
 	home := c.home(r.Machine, r.Zone)
@@ -47,6 +49,9 @@
 	return v, home
 }
 
+// maySend tells whether the worker was not sent elsewhere for a while.
+func (v *visitor) maySend(c *Core) bool { return v.sent == 0 || c.now-v.sent > 6*c.lease() }
+
 // home names a controller in a zone that leads or hears the leader. Where
 // there are several, the machines are spread over them.
 func (c *Core) home(machine, zone string) string {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -36,6 +36,16 @@
 			c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
 			return
 		}
+		if c.leaderAlive() && v.maySend(c) {
+			// Only the controllers may be apart: the worker asks the leader
+			// itself, and comes back if it does not reach it either.
+			v.sent, v.toLeader = c.now, c.elect.leader
+			c.answer(req, 421, wire.Redirect{ReportTo: c.elect.leader}, 0)
+			return
+		}
+		if v.toLeader == c.elect.leader && c.now-v.sent < 2*c.lease() {
+			v.back = c.now
+		}
 		if c.keepLease(req, body) {
 			return
 		}
@@ -175,6 +185,13 @@
 	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.heard < c.ttl()
 }
 
+// leaderAlive tells whether another controller's leadership was lately seen in
+// the state service.
+func (c *Core) leaderAlive() bool {
+	e := &c.elect
+	return e.leader != "" && e.leader != c.cfg.Name && e.keyAt != 0 && c.now-e.keyAt < c.ttl()
+}
+
 // leaderLost tells whether a peer agrees that the leader, though it holds its
 // key, is out of reach. A controller that hears no peer is more likely cut off
 // itself, and must not take over from a leader that is well.
@@ -191,9 +208,24 @@
 			agreed = true
 		}
 	}
-	return agreed
+	if agreed {
+		return true
+	}
+	// With all peers out of reach, workers that did not find the leader either
+	// speak against it.
+	back := 0
+	for _, v := range c.visitors {
+		if v.back != 0 && c.now-v.back < c.lease() {
+			back++
+		}
+	}
+	return back >= minBack
 }
 
+// minBack is how many workers have to come back from a leader that they were
+// sent to before it counts as lost.
+const minBack = 3
+
 // bridge names a peer that hears the leader, for a worker whose report cannot
 // be forwarded from here; empty if there is none.
 func (c *Core) bridge() string {
