Keep leases under an earlier term too, and after stepping down

The one that learned from the state service of a new leader it could not reach gave up the authority it had, and a deposed leader had none: 500 replicas twice. Workers that know a later term drop such answers, and a later leader does not let leases of the others run out.

--- a/internal/core/keep.go
+++ b/internal/core/keep.go
@@ -58,7 +58,7 @@
 // authority.
 func (c *Core) keepLease(req uint64, body []byte) bool {
 	k := &c.keep
-	if k.from == 0 || k.term != c.elect.term || c.now-k.from >= c.keepFor() {
+	if !c.mayKeep() {
 		return false
 	}
 	r, ok := decodeReport(body)
@@ -73,6 +73,17 @@
 	return true
 }
 
+// mayKeep tells whether this controller has authority under some term. That a
+// later term exists does not end it: workers that have seen that one drop our
+// answers, and for the others the later leader counts on somebody keeping them.
+func (c *Core) mayKeep() bool { return c.keep.from != 0 && c.now-c.keep.from < c.keepFor() }
+
+// deposed gives a leader that has stepped down the authority to keep those
+// workers that have heard of no later term.
+func (k *keeper) deposed(term uint64, now time.Duration) {
+	*k = keeper{term: term, from: now, kept: map[string]time.Duration{}}
+}
+
 func (k *keeper) list(now time.Duration) []wire.Kept {
 	var out []wire.Kept
 	for _, name := range sortedKeys(k.kept) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -49,6 +49,11 @@
 		if c.keepLease(req, body) {
 			return
 		}
+		if !c.storeOK() && !c.hearsPeer() {
+			// There is nobody to wait for; another controller may know more.
+			c.answer(req, 503, nil, 0)
+			return
+		}
 	}
 	c.nextForward++
 	// The worker waits 4 s for an answer; it gets ours well before.
@@ -212,7 +217,10 @@
 		return true
 	}
 	// With all peers out of reach, workers that did not find the leader either
-	// speak against it.
+	// speak against it; at once only if their leases cannot be kept.
+	if c.mayKeep() && c.now-c.elect.heard < 2*c.lease() {
+		return false
+	}
 	back := 0
 	for _, v := range c.visitors {
 		if v.back != 0 && c.now-v.back < c.lease() {
