Keep leases under the worker's own token, after a restart too

A controller now answers under the token that the worker has seen; the leader takes a lease for over only once every controller has testified for a span as long as it, and otherwise relies on the cloud's return. A machine with placements is not taken for one that never came up.

--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -202,7 +202,7 @@
 func (c *Core) stepDown(why string) {
 	c.log.Info("step down", "term", c.lead.term, "why", why)
 	c.lead.gone = true
-	c.keep.deposed(c.lead.term, c.now)
+	c.elect.heard = c.now
 	c.lead = nil
 	c.elect.leader = ""
 	c.elect.busy = false
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -245,7 +245,8 @@
 	if m.heard == 0 {
 		// A new leader has to give a machine that came up under an earlier
 		// term the time to report first.
-		if l.overdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() {
+		// One that has placements did come up: another controller may keep it.
+		if l.overdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
 			l.giveBack(m, "does not come up")
 		}
 		return
--- a/internal/core/home.go
+++ b/internal/core/home.go
@@ -15,6 +15,7 @@
 // visitor is a worker that reports to this controller.
 type visitor struct {
 	seen     time.Duration
+	idle     bool // it has no tasks
 	answered time.Duration
 	sent     time.Duration // when it was last sent elsewhere
 	toLeader string        // the leader that it was sent to
@@ -25,8 +26,9 @@
 // better report to, if that is another one.
 func (c *Core) visit(body []byte) (*visitor, string) {
 	var r struct {
-		Machine string `json:"host"`
-		Zone    string `json:"berth"`
+		Machine string     `json:"host"`
+		Zone    string     `json:"berth"`
+		Tasks   []struct{} `json:"shards"`
 	}
 	if json.Unmarshal(body, &r) != nil || r.Machine == "" {
 		return &visitor{}, ""
@@ -36,7 +38,7 @@
 		v = &visitor{}
 		c.visitors[r.Machine] = v
 	}
-	v.seen = c.now
+	v.seen, v.idle = c.now, len(r.Tasks) == 0
 	if v.answered == 0 || c.now-v.answered > 2*c.report() || !v.maySend(c) {
 		return v, ""
 	}
--- a/internal/core/keep.go
+++ b/internal/core/keep.go
@@ -8,43 +8,43 @@
 
 // A zone that is cut off keeps working as long as its workers' leases are
 // extended. A controller that cannot reach the leader therefore answers
-// reports in its name, without commands, for as long as it has authority: it
-// holds that by the leader's term, from the last digest of its own that the
-// leader is known to have received. The leader counts a silent worker's tasks
-// until no such controller can have extended the lease:
+// reports in its place, without commands, under the token that the worker has
+// seen. The leader counts a silent worker's tasks until nobody can have
+// extended the lease for as long as it lasts:
 //
 //   - a controller's digests list the leases it has extended, until the leader
 //     is known to have received that. A digest that echoes the leader's clock
 //     was made after that time; so it testifies for all until then;
-//   - where there is no testimony, authority ends at last a fixed time after
-//     the leader last heard the controller;
-//   - a controller that has been restarted testifies only for its own run.
+//   - a controller that has been restarted testifies only for its own run: an
+//     earlier one may have extended any lease until the new one was heard;
+//   - of a controller that is out of reach nothing is known. Machines that
+//     stay silent then go by their return to the cloud (case 3), not by case 4.
 //
-// All of it holds for this term alone: workers that have seen it drop the
-// answers of earlier ones.
+// Workers that have not seen the leader's term are none of this: case 4 does
+// not apply to them, since a deposed leader may keep them as well.
 
-// keeper is what a controller knows of its authority.
+// keeper is what a controller knows of the leases it has extended.
 type keeper struct {
-	term uint64
-	from time.Duration            // our clock: the leader was heard and heard us
+	term uint64                   // of the leader that from is about
+	from time.Duration            // our clock: this leader has our digests until then
 	kept map[string]time.Duration // leases extended, not yet known to the leader
 }
 
-// keepMax is how long a controller extends leases on its own, in worker
-// leases: long enough for a zone's cut, and an end to holding on to what
-// cannot be reached.
+// keepMax is how long a controller extends leases without having heard a
+// leader, in worker leases: long enough for a zone's cut, and an end to holding
+// on to what cannot be reached.
 const keepMax = 12
 
 func (c *Core) keepFor() time.Duration { return keepMax * c.lease() }
 
-// noteAuthority takes in the leader's digest, on another controller.
-func (c *Core) noteAuthority(d *wire.Digest) {
+// noteEcho takes in the leader's digest, on another controller.
+func (c *Core) noteEcho(d *wire.Digest) {
 	k := &c.keep
 	if d.EchoBoot != c.boot || d.Term < k.term {
 		return
 	}
 	if d.Term > k.term {
-		*k = keeper{term: d.Term, kept: map[string]time.Duration{}}
+		k.term, k.from = d.Term, 0
 	}
 	k.from = max(k.from, time.Duration(d.Echo))
 	for name, at := range k.kept {
@@ -54,36 +54,27 @@
 	}
 }
 
-// keepLease answers a report in the leader's name, if this controller has the
-// authority.
+// mayKeep tells whether this controller still extends leases on its own.
+func (c *Core) mayKeep() bool { return c.now-c.elect.heard < c.keepFor() }
+
+// keepLease answers a report in the leader's place.
 func (c *Core) keepLease(req uint64, body []byte) bool {
-	k := &c.keep
-	if !c.mayKeep() {
-		return false
-	}
 	r, ok := decodeReport(body)
-	if !ok || r.Token > k.term {
+	if !ok || r.Token == 0 || !c.mayKeep() {
 		return false
 	}
-	if _, ok := k.kept[r.Machine]; !ok {
+	k := &c.keep
+	if k.kept == nil {
+		k.kept = map[string]time.Duration{}
+	}
+	if at, ok := k.kept[r.Machine]; !ok || c.now-at > c.lease() {
 		c.log.Debug("lease kept without the leader", "machine", r.Machine)
 	}
 	k.kept[r.Machine] = c.now
-	c.answer(req, 200, wire.Orders{Token: k.term, Commands: []wire.Command{}}, 0)
+	c.answer(req, 200, wire.Orders{Token: r.Token, Commands: []wire.Command{}}, 0)
 	return true
 }
 
-// mayKeep tells whether this controller has authority under some term. That a
-// later term exists does not end it: workers that have seen that one drop our
-// answers, and for the others the later leader counts on somebody keeping them.
-func (c *Core) mayKeep() bool { return c.keep.from != 0 && c.now-c.keep.from < c.keepFor() }
-
-// deposed gives a leader that has stepped down the authority to keep those
-// workers that have heard of no later term.
-func (k *keeper) deposed(term uint64, now time.Duration) {
-	*k = keeper{term: term, from: now, kept: map[string]time.Duration{}}
-}
-
 func (k *keeper) list(now time.Duration) []wire.Kept {
 	var out []wire.Kept
 	for _, name := range sortedKeys(k.kept) {
@@ -94,24 +85,20 @@
 
 // testimony is what a controller's digests say of the leases it extends.
 type testimony struct {
-	boot    uint64
-	clock   time.Duration // its clock at its newest digest
-	arrived time.Duration // when that one arrived
-	until   time.Duration // our clock: it has testified for all before
-	unsure  time.Duration // our clock: an earlier run of it may have extended any lease until then
+	boot   uint64
+	clock  time.Duration // its clock at its newest digest
+	until  time.Duration // our clock: it has testified for all before
+	unsure time.Duration // our clock: an earlier run of it may have extended any lease until then
 }
 
 // noteTestimony takes in another controller's digest.
 func (c *Core) noteTestimony(p *peerState, d *wire.Digest) {
 	t := &p.testimony
 	if d.Boot != t.boot {
-		if t.boot != 0 {
-			t.unsure = c.now
-		}
+		t.unsure = c.now
 		t.boot, t.clock = d.Boot, 0
 	}
 	t.clock = max(t.clock, time.Duration(d.Clock))
-	t.arrived = c.now
 	if d.EchoBoot == c.boot {
 		t.until = max(t.until, time.Duration(d.Echo))
 	}
@@ -126,23 +113,16 @@
 }
 
 // leaseOver tells whether a silent worker's lease has certainly run out: there
-// is a span as long as the lease in which nobody can have extended it.
+// is a span as long as the lease in which nobody has extended it.
 func (l *leader) leaseOver(m *machine) bool {
-	c := l.c
 	from := max(m.answered, m.kept)
-	for _, p := range c.peers {
+	for _, p := range l.c.peers {
 		from = max(from, p.unsure)
 	}
-	for moved := true; moved; {
-		moved = false
-		for _, p := range c.peers {
-			// The clocks may drift apart while its authority lasts.
-			end := p.arrived + c.keepFor() + c.lease()/20
-			if p.arrived == 0 || p.until > from+l.leaseBound() || end <= from {
-				continue
-			}
-			from, moved = end, true
+	for _, p := range l.c.peers {
+		if p.boot == 0 || p.until < from+l.leaseBound() {
+			return false
 		}
 	}
-	return c.now-from > l.leaseBound()
+	return l.c.now-from > l.leaseBound()
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -36,9 +36,10 @@
 			c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
 			return
 		}
-		if c.leaderAlive() && v.maySend(c) {
+		if c.leaderAlive() && v.maySend(c) && (v.idle || !c.mayKeep()) {
 			// Only the controllers may be apart: the worker asks the leader
-			// itself, and comes back if it does not reach it either.
+			// itself, and comes back if it does not reach it either. One that
+			// has tasks is not risked while its lease can be kept.
 			v.sent, v.toLeader = c.now, c.elect.leader
 			c.answer(req, 421, wire.Redirect{ReportTo: c.elect.leader}, 0)
 			return
@@ -139,7 +140,7 @@
 			c.learn(d.Term, m.From)
 			if c.lead == nil && c.elect.leader == m.From {
 				c.elect.heard = c.now
-				c.noteAuthority(d)
+				c.noteEcho(d)
 			}
 			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
 				c.counts = make(map[string]wire.JobCount, len(d.Jobs))
@@ -217,23 +218,15 @@
 		return true
 	}
 	// With all peers out of reach, workers that did not find the leader either
-	// speak against it; at once only if their leases cannot be kept.
-	if c.mayKeep() && c.now-c.elect.heard < 2*c.lease() {
-		return false
-	}
-	back := 0
+	// speak against it.
 	for _, v := range c.visitors {
-		if v.back != 0 && c.now-v.back < c.lease() {
-			back++
+		if v.back != 0 && c.now-v.back < c.lease() && c.now-c.elect.heard > 2*c.lease() {
+			return true
 		}
 	}
-	return back >= minBack
+	return false
 }
 
-// minBack is how many workers have to come back from a leader that they were
-// sent to before it counts as lost.
-const minBack = 3
-
 // bridge names a peer that hears the leader, for a worker whose report cannot
 // be forwarded from here; empty if there is none.
 func (c *Core) bridge() string {
