--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -502,7 +502,7 @@
 			for k, p := range m.placed {
 				p.j.moveTo[p.i] = to[k]
 			}
-			f.moveNext = l.c.now + 2*l.c.report()
+			f.moveNext = l.c.now + l.movePace()
 			l.condemn(m, "its replicas fit on other machines")
 			m.evict = true
 			return
@@ -510,6 +510,29 @@
 	}
 }
 
+// movePace is the time between two machines that are emptied. A machine that
+// goes takes its images with it: while a class arrives whose image is fetched
+// too slowly everywhere, they go seldom.
+func (l *leader) movePace() time.Duration {
+	for _, class := range sortedKeys(l.arrivals) {
+		a := l.arrivals[class]
+		if a.last == nil || len(a.at) == 0 || l.c.now-a.at[len(a.at)-1] > arrivalWindow {
+			continue
+		}
+		slow, wait := true, l.c.slowFetch(class)
+		for _, t := range l.c.types {
+			if allowed(a.last.Types, t.Name) && (topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(&a.last.Job)) &&
+				a.last.ImageGB <= wait*t.FetchGBPS {
+				slow = false
+			}
+		}
+		if slow {
+			return l.c.lease()
+		}
+	}
+	return 2 * l.c.report()
+}
+
 // movable tells whether all that a machine does is to run settled replicas.
 func (m *machine) movable() bool {
 	for _, p := range m.placed {
