--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -426,15 +426,11 @@
 			continue
 		}
 		n := in[m.zone]
+		heard++
 		n.heard++
 		since := now - max(m.heard, m.contact, l.loadedAt)
-		if m.heard != 0 {
-			heard++
-		}
 		if since > 3*l.c.report() {
-			if m.heard != 0 {
-				silent++
-			}
+			silent++
 			// One that a new leader has not heard yet may hear a deposed one.
 			if since < l.c.keepFor() && (m.heard == 0 || !l.leaseOver(m)) {
 				n.silent++
@@ -469,7 +465,7 @@
 		// Few machines are silent and this one does not answer us either,
 		// though it has had the time to find another controller: it is dead
 		// or cut off. Its return frees its tasks sooner than its lease.
-		dead := m.heard != 0 && m.probeFailed > m.heard && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6)
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6)
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
