Ask users to come back with a cancellation while its tasks are out of reach

The wish is recorded and acted on at once; the user is told only when the tasks are gone, or after three fifths of cancel_s. Idle machines are kept for one and a half leases instead of three.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -262,7 +262,7 @@
 		l.giveBack(m, "will be taken")
 		return
 	}
-	idle := 3 * l.c.lease()
+	idle := l.c.lease() * 3 / 2
 	if s := l.c.op.IdleReturnS; s != nil {
 		idle = time.Duration(*s * float64(time.Second))
 	}
@@ -709,6 +709,30 @@
 	return ok && l.c.now-at < l.c.report()
 }
 
+// anyCutOff tells whether any zone is out of reach.
+func (l *leader) anyCutOff() bool {
+	for zone := range l.fleet.cutAt {
+		if l.cutOff(zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// apart tells whether a task of a job is in a zone out of reach.
+func (l *leader) apart(id string) bool {
+	j := l.jobs[id]
+	if j == nil {
+		return false
+	}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.m != nil && l.cutOff(t.zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // rent sends a rental request; a shortage closes the offer for a while.
 func (l *leader) rent(r *rent) {
 	f := &l.fleet
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -254,7 +254,7 @@
 				t.stop.grace = 0
 				l.fleet.urge[m.name] = true
 			}
-			if p.j.cancelled && l.cancelLate(l.c.now-p.j.cancelAt) {
+			if p.j.told && l.cancelLate(l.c.now-p.j.cancelAt) {
 				l.giveBack(m, "cancelled work is not confirmed gone")
 			}
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -53,6 +53,7 @@
 	order     uint64 // version of the first record seen: submission order
 	version   uint64 // of the open record
 	cancelled bool
+	told      bool // the user may have been told so
 	cancelAt  time.Duration
 	stale     bool // the open record must be read again
 
@@ -301,6 +302,11 @@
 	j.version = version
 	if rec.Cancelled && !j.cancelled {
 		j.cancelled = true
+		l.c.log.Info("job cancelled", "job", id, "told", rec.told())
+		l.cancelTasks(j)
+	}
+	if rec.told() && !j.told {
+		j.told = true
 		// Not from when this leader learns of it: each of several leaders in
 		// a row would take its time anew, and the task run on beyond it.
 		j.cancelAt = l.c.now
@@ -308,15 +314,13 @@
 			skew := int64(l.c.cfg.Deployment.SkewMs)
 			j.cancelAt -= time.Duration(max(0, l.c.wall-rec.CancelledAt+skew)) * time.Millisecond
 		}
-		l.c.log.Info("job cancelled", "job", id)
-		l.cancelTasks(j)
 	}
 	l.schedule = true
 }
 
 // noteCancelled takes in a cancellation that another controller recorded.
 func (l *leader) noteCancelled(x wire.Cancelled) {
-	if j := l.jobs[x.ID]; j != nil && !j.cancelled {
+	if j := l.jobs[x.ID]; j != nil && !j.told {
 		l.noteOpen(x.ID, max(x.Version, j.version), openRecord{Job: j.Job, At: j.at, Cancelled: true})
 	}
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -141,6 +141,9 @@
 			if c.lead == nil && c.elect.leader == m.From {
 				c.elect.heard = c.now
 				c.noteEcho(d)
+				if d.Apart {
+					c.apartAt = c.now
+				}
 			}
 			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
 				c.counts = make(map[string]wire.JobCount, len(d.Jobs))
@@ -160,7 +163,7 @@
 		d.Cancelled = append(d.Cancelled, t.Cancelled)
 	}
 	if c.lead != nil {
-		d.Leader = true
+		d.Leader, d.Apart = true, c.lead.anyCutOff()
 		if c.now >= c.countsAt {
 			c.countsAt = c.now + c.ttl()
 			d.HasJobs, d.Jobs = true, c.lead.digest()
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -26,11 +26,18 @@
 	Job       wire.Job `json:"j"`
 	At        int64    `json:"at"` // ms, time of day of the submission
 	Cancelled bool     `json:"c,omitempty"`
+	// AskedAt is the time of day, in ms, at which the user asked to cancel
+	// while tasks were out of reach: they are stopped, but the user is told to
+	// come back, see Core.cancel.
+	AskedAt int64 `json:"ak,omitempty"`
 	// CancelledAt is the time of day, in ms, at which the user was about to be
 	// told: cancel_s runs from it, whoever leads.
 	CancelledAt int64 `json:"ca,omitempty"`
 }
 
+// told tells whether the user may have been told that the job is cancelled.
+func (r *openRecord) told() bool { return r.Cancelled && (r.CancelledAt != 0 || r.AskedAt == 0) }
+
 type finalRecord struct {
 	Status string `json:"s"`
 	Tasks  int    `json:"n"`
@@ -423,7 +430,7 @@
 		return f.final.status(id)
 	}
 	s := wire.JobStatus{ID: id, Status: wire.StatusPending}
-	if f.open.rec.Cancelled {
+	if f.open.rec.told() {
 		s.Status = wire.StatusCancelled
 		return s
 	}
@@ -609,6 +616,12 @@
 	c.cancel(req, id, 0)
 }
 
+// cancel records a cancellation and tells the user. Within cancel_s of that all
+// tasks have to be gone, and a machine that cannot be reached has to be returned
+// for it with all that it runs. So while machines are out of reach the wish
+// alone is recorded, the tasks are stopped wherever they are reached, and the
+// user is asked to come back: until they are gone, or the wish has waited as
+// long as a cancelled task may.
 func (c *Core) cancel(req uint64, id string, tries int) {
 	c.find(id, func(f found) {
 		switch {
@@ -616,11 +629,18 @@
 			c.answer(req, 503, errorBody("the state service does not answer"), 1)
 		case f.open == nil && f.final == nil:
 			c.answer(req, 404, errorBody("no such job"), 0)
-		case f.final != nil || f.open.rec.Cancelled:
+		case f.final != nil || f.open.rec.told():
 			c.answer(req, 200, c.statusOf(id, f), 0)
+		case f.open.rec.Cancelled && c.apart(id) && c.patient(f.open.rec.AskedAt):
+			c.answer(req, 503, errorBody("tasks are out of reach"), cancelRetry)
 		default:
 			rec := f.open.rec
-			rec.Cancelled, rec.CancelledAt = true, c.wall
+			if !rec.Cancelled && c.apart(id) {
+				rec.AskedAt = c.wall
+			} else {
+				rec.CancelledAt = c.wall
+			}
+			rec.Cancelled = true
 			txn := &wire.Txn{
 				If:     []wire.Cond{{Key: prefixOpen + id, Version: f.open.version}},
 				Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
@@ -631,6 +651,13 @@
 					var tr wire.TxnResult
 					json.Unmarshal(r.Body, &tr)
 					c.users.open[id] = &known{version: tr.Revision, rec: rec}
+					if !rec.told() {
+						if c.lead != nil {
+							c.lead.noteOpen(id, tr.Revision, rec)
+						}
+						c.answer(req, 503, errorBody("tasks are out of reach"), cancelRetry)
+						return
+					}
 					// The leader learns of it by its watch, or, should the
 					// state service fail it just now, from us.
 					c.users.cancelled = append(c.users.cancelled, toldCancelled{wire.Cancelled{ID: id, Version: tr.Revision}, c.now})
@@ -651,6 +678,23 @@
 	})
 }
 
+// cancelRetry is when a user is asked to come back with a cancellation, in
+// seconds.
+const cancelRetry = 3
+
+// patient tells whether a wish to cancel may wait some more.
+func (c *Core) patient(asked int64) bool {
+	return float64(c.wall-asked)/1000 < c.cfg.Deployment.Workers.CancelS*3/5
+}
+
+// apart tells whether tasks of a job may be on machines out of reach.
+func (c *Core) apart(id string) bool {
+	if c.lead != nil {
+		return c.lead.apart(id)
+	}
+	return c.apartAt != 0 && c.now-c.apartAt < c.ttl()
+}
+
 // tickPreload reads the open jobs once after the start, in pages: else the polls
 // of every user, right after all controllers have restarted, would each take a
 // read of their own, and the state service's budget with them.
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -32,8 +32,10 @@
 	Leader      bool
 	HearsLeader bool
 	StoreOK     bool
-	HasJobs     bool
-	Jobs        []JobCount
+	// Apart is set by the leader while a zone is out of its reach.
+	Apart   bool
+	HasJobs bool
+	Jobs    []JobCount
 	// Boot tells one run of the sender's process from another. Clock is the
 	// sender's steady clock at this digest, in nanoseconds; EchoBoot and Echo
 	// are those of the newest digest that the sender has from the receiver.
