--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -262,7 +262,7 @@
 		l.giveBack(m, "will be taken")
 		return
 	}
-	idle := l.c.lease() * 3 / 2
+	idle := 3 * l.c.lease()
 	if s := l.c.op.IdleReturnS; s != nil {
 		idle = time.Duration(*s * float64(time.Second))
 	}
