--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -17,7 +17,8 @@
 	slack      float64
 	work       float64
 	pending    []int
-	held       int // tasks for which room is being made
+	held       int  // tasks for which room is being made
+	cornered   bool // no machine can be rented for it just now
 }
 
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -35,6 +35,8 @@
 	if priorityRank[j.Priority] == 0 && !c.guaranteed {
 		return
 	}
+	_, offered := l.offer(nil, &j.Job, nil)
+	c.cornered = !offered
 	want := min(len(c.pending), maxSeats)
 	if j.Shape == wire.ShapeGang {
 		want = len(c.pending)
@@ -268,9 +270,9 @@
 	return l.usable(m) && eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m)
 }
 
-// worthGang tells whether a gang may be stopped for a job at all: not where more
-// room than the job needs would be emptied, all of which the gang has to find
-// again.
+// worthGang tells whether a gang may be stopped for a job that could have a
+// machine rented instead: not where more room than the job needs would be
+// emptied, all of which the gang has to find again.
 func worthGang(c *candidate, v *job) bool {
 	n, k := float64(len(v.tasks)), float64(len(c.pending))
 	if v.GPUs > 0 {
@@ -284,7 +286,7 @@
 // team runs it beyond its own. In the second case only work of the same
 // priority that keeps its progress is stopped; the protocol would allow any.
 func (l *leader) mayPreempt(c *candidate, v *job) bool {
-	if v.Shape == wire.ShapeGang && !worthGang(c, v) {
+	if v.Shape == wire.ShapeGang && !c.cornered && !worthGang(c, v) {
 		return false
 	}
 	if v, own := priorityRank[v.Priority], priorityRank[c.j.Priority]; v != own {
