--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -247,10 +247,6 @@
 					rank++
 				}
 			}
-			rank *= 2
-			if j.Spot && !m.spot {
-				rank++ // ordinary machines are left to those that need them
-			}
 			return rank
 		},
 	}
