--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -239,14 +239,11 @@
 			m := l.machines[t.Name]
 			rank := 0
 			if len(m.failed) > 0 {
-				rank = 6
+				rank = 3
 			}
 			if !m.hasImage(j.Image) {
-				rank += 2
+				rank++
 				if l.slow(j, m, wait) {
-					rank += 2
-				}
-				if m.fetches(j.Image) {
 					rank++
 				}
 			}
@@ -297,18 +294,6 @@
 	return within * 2 / 3
 }
 
-// fetches tells whether a machine is likely to fetch another image just now:
-// fetches share its rate.
-func (m *machine) fetches(image string) bool {
-	for _, p := range m.placed {
-		t := p.task()
-		if (t.state == "" || t.state == wire.TaskFetching) && p.j.Image != image && !m.hasImage(p.j.Image) {
-			return true
-		}
-	}
-	return false
-}
-
 // slow tells whether a job's image would come too late on a machine.
 func (l *leader) slow(j *job, m *machine, wait float64) bool {
 	t := l.c.types[m.typ]
