Rank the work: reports as they come, decisions by the ticker, users queued

Requests were handled in their order, and a placement pass could run within a report's answer. Users' requests now wait in a bounded queue and are refused at once with when to come back if it is full.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,7 +170,10 @@
 		c.onTick()
 	}
 	if c.lead != nil {
-		c.lead.settle()
+		// Decisions wait for the next tick, so that no report's answer is late
+		// behind one; what they have changed is recorded at once.
+		_, tick := in.(Tick)
+		c.lead.settle(tick)
 	}
 	return c.out
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -394,12 +394,13 @@
 	}
 }
 
-// settle runs after every input: decisions first, then the records they need.
-func (l *leader) settle() {
+// settle runs after every input: decisions first, where it is time for them,
+// then the records they need.
+func (l *leader) settle(decide bool) {
 	if l.gone || !l.ready {
 		return
 	}
-	if l.schedule && l.c.now >= l.schedNext {
+	if decide && l.schedule && l.c.now >= l.schedNext {
 		l.schedule = false
 		l.schedNext = l.c.now + l.c.report()/50
 		l.place()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,10 @@
 	worker *worker.Client
 	links  map[string]*peer.Link
 
+	// queue holds the requests of users: they come after reports, which are
+	// handled as they arrive, and decisions, which go by the ticker.
+	queue chan userRequest
+
 	mu       sync.Mutex
 	core     *core.Core
 	requests map[uint64]*conn
@@ -58,6 +63,7 @@
 		cfg: cfg, log: log, start: time.Now(),
 		store: store.New(cfg), cloud: cloud.New(cfg), worker: worker.New(cfg),
 		links: map[string]*peer.Link{},
+		queue: make(chan userRequest, max(1, cfg.Deployment.Limits.MaxConnections/userQueue)),
 		core:  core.New(cfg, op, rand.Uint64(), log), requests: map[uint64]*conn{}, conns: map[*conn]bool{},
 	}
 }
@@ -79,6 +85,7 @@
 	ev.Serving = func(evio.Server) evio.Action {
 		n.log.Info("serving", "name", n.cfg.Name, "listen", n.cfg.Listen, "peers", n.cfg.PeerListen)
 		go n.tick()
+		go n.serveUsers()
 		return evio.None
 	}
 	ev.Opened = n.opened
@@ -90,6 +97,41 @@
 	return nil
 }
 
+// userQueue is the part of the sockets for whose users a request may wait.
+const userQueue = 4
+
+// userRequest is a user's request that waits for its turn.
+type userRequest struct {
+	req  core.Request
+	conn *conn
+	at   time.Time
+}
+
+// serveUsers hands the users' requests to the core one at a time, so that
+// reports and ticks come in between.
+func (n *Node) serveUsers() {
+	patience := config.Seconds(n.cfg.Deployment.Workers.ReportS)
+	for u := range n.queue {
+		n.mu.Lock()
+		if time.Since(u.at) > patience {
+			n.refuse(u.conn, u.req.ID)
+			u.conn.ev.Wake()
+		} else {
+			n.step(u.req, nil)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// refuse answers a request that cannot be taken now, with when to come back.
+func (n *Node) refuse(c *conn, id uint64) {
+	delete(n.requests, id)
+	c.busy = false
+	if !c.closed {
+		c.out = httpwire.AppendResponse(c.out, 503, []byte(`{"error":"busy"}`), 1, c.ending)
+	}
+}
+
 func (n *Node) tick() {
 	period := config.Seconds(n.cfg.Deployment.Workers.ReportS / 20)
 	sweep := time.Now()
@@ -183,7 +225,16 @@
 		c.busy, c.ending = true, r.Close
 		n.nextReq++
 		n.requests[n.nextReq] = c
-		n.step(core.Request{ID: n.nextReq, Method: r.Method, Path: r.Path, Body: r.Body}, c)
+		req := core.Request{ID: n.nextReq, Method: r.Method, Path: r.Path, Body: r.Body}
+		if !strings.HasPrefix(r.Path, "/submissions") {
+			n.step(req, c)
+			continue
+		}
+		select {
+		case n.queue <- userRequest{req, c, time.Now()}:
+		default:
+			n.refuse(c, req.ID)
+		}
 	}
 	out := c.out
 	c.out = nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/brookwalk/brookwalk/httpwire"
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/tidwall/evio"
 )
 
 func freeAddr(t *testing.T) string {
@@ -95,3 +96,52 @@
 		t.Errorf("malformed: the connection stays open: %q, %v", rest, err)
 	}
 }
+
+// fakeConn is a connection of which only the context matters.
+type fakeConn struct {
+	evio.Conn
+	ctx any
+}
+
+func (f *fakeConn) Context() any     { return f.ctx }
+func (f *fakeConn) SetContext(c any) { f.ctx = c }
+func (f *fakeConn) AddrIndex() int   { return 0 }
+
+// TestRanks fills the users' queue: a further submission has to be refused at
+// once, with when to come back, while a report is still taken.
+func TestRanks(t *testing.T) {
+	cfg := &config.Settings{Name: "node-0", Deployment: config.Deployment{
+		Workers: config.Workers{ReportS: 1.5, LeaseS: 10, CancelS: 30},
+		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16},
+		Cloud:   config.Cloud{RPS: 8},
+		Limits:  config.Limits{CPU: 1, RAMMB: 200, MaxConnections: 2 * userQueue},
+	}}
+	n := New(cfg, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	send := func(msg string) string {
+		f := &fakeConn{}
+		n.opened(f)
+		out, _ := n.data(f, []byte(msg))
+		return string(out)
+	}
+	const submit = "POST /submissions HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
+	for i := 0; i < cap(n.queue); i++ {
+		if out := send(submit); out != "" {
+			t.Fatalf("submission %d was answered before its turn: %q", i, out)
+		}
+	}
+	out := send(submit)
+	if !strings.HasPrefix(out, "HTTP/1.1 503") || !strings.Contains(out, "Retry-After: 1") {
+		t.Errorf("a submission beyond the queue got %q", out)
+	}
+	if out := send("GET /healthz HTTP/1.1\r\n\r\n"); !strings.HasPrefix(out, "HTTP/1.1 200") {
+		t.Errorf("a health check behind users got %q", out)
+	}
+	// A report goes to the core, which holds it until there is a leader.
+	if out := send("POST /checkin HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"); out != "" || len(n.queue) != cap(n.queue) {
+		t.Errorf("a report behind users got %q", out)
+	}
+	u := <-n.queue
+	if _, ok := n.requests[u.req.ID]; !ok || u.req.Path != "/submissions" {
+		t.Errorf("the queue holds %+v", u.req)
+	}
+}
