--- a/internal/core/home.go
+++ b/internal/core/home.go
@@ -38,6 +38,9 @@
 		v = &visitor{}
 		c.visitors[r.Machine] = v
 	}
+	if v.seen == 0 || c.now-v.seen > 3*c.report() {
+		c.log.Debug("worker reports here", "machine", r.Machine, "zone", r.Zone)
+	}
 	v.seen, v.idle = c.now, len(r.Tasks) == 0
 	if v.answered == 0 || c.now-v.answered > 2*c.report() || !v.maySend(c) {
 		return v, ""
