--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -66,13 +65,10 @@
 		return
 	}
 	c.held = len(best)
-	wait, spare := 0.0, l.spareWait(j)
+	wait := 0.0
 	for _, s := range best {
 		for _, v := range s.victims {
 			grace := l.preemptGrace(v.j)
-			if grace >= spare {
-				grace = 0
-			}
 			wait = max(wait, grace)
 			l.c.log.Info("preempt", "task", v.name, "machine", s.m.name, "for", j.ID, "grace_s", grace)
 			if v.j.Shape != wire.ShapeGang {
@@ -107,28 +103,6 @@
 	return j.SaveS
 }
 
-// spareWait is how long, in seconds, a job may wait for others to save if it is
-// still to start within its class's time: what the fetch of its image and the
-// way of the commands leave.
-func (l *leader) spareWait(j *job) float64 {
-	within := math.Inf(1)
-	for _, o := range l.c.cfg.Deployment.Objectives {
-		if o.Kind == "wait" && o.Class == j.Class {
-			within = min(within, o.WithinS)
-		}
-	}
-	fetch := math.Inf(1)
-	for _, t := range l.c.types {
-		if allowed(j.Types, t.Name) && t.FetchGBPS > 0 {
-			fetch = min(fetch, j.ImageGB/t.FetchGBPS)
-		}
-	}
-	if spare := within - fetch - l.c.report().Seconds()/2; spare > 0 {
-		return spare
-	}
-	return math.Inf(1) // late in any case
-}
-
 // stopLoss is what the stop of a task loses, in seconds of its work.
 func (l *leader) stopLoss(j *job, t *task) float64 {
 	if j.CheckpointS == 0 {
