Keep an extended lease on record until a leader that may count on it knows

Found on rereading: a deposed leader's echo let a controller drop an extension made under a later term. A refused request no longer wakes a closed connection.

--- a/internal/core/keep.go
+++ b/internal/core/keep.go
@@ -25,9 +25,15 @@
 
 // keeper is what a controller knows of the leases it has extended.
 type keeper struct {
-	term uint64                   // of the leader that from is about
-	from time.Duration            // our clock: this leader has our digests until then
-	kept map[string]time.Duration // leases extended, not yet known to the leader
+	term uint64               // of the leader that from is about
+	from time.Duration        // our clock: this leader has our digests until then
+	kept map[string]keptLease // leases extended, not yet known to the leader
+}
+
+// keptLease is the latest extension of a worker's lease.
+type keptLease struct {
+	at    time.Duration
+	token uint64 // under which it was
 }
 
 // keepMax is how long a controller extends leases without having heard a
@@ -47,8 +53,10 @@
 		k.term, k.from = d.Term, 0
 	}
 	k.from = max(k.from, time.Duration(d.Echo))
-	for name, at := range k.kept {
-		if at < k.from && c.now-at > 2*c.lease() {
+	for name, x := range k.kept {
+		// A leader of an earlier term than the worker has seen need not be the
+		// one that has to know.
+		if x.at < k.from && x.token <= k.term && c.now-x.at > 2*c.lease() {
 			delete(k.kept, name)
 		}
 	}
@@ -65,12 +73,12 @@
 	}
 	k := &c.keep
 	if k.kept == nil {
-		k.kept = map[string]time.Duration{}
+		k.kept = map[string]keptLease{}
 	}
-	if at, ok := k.kept[r.Machine]; !ok || c.now-at > c.lease() {
+	if x, ok := k.kept[r.Machine]; !ok || c.now-x.at > c.lease() {
 		c.log.Debug("lease kept without the leader", "machine", r.Machine)
 	}
-	k.kept[r.Machine] = c.now
+	k.kept[r.Machine] = keptLease{c.now, max(r.Token, k.kept[r.Machine].token)}
 	c.answer(req, 200, wire.Orders{Token: r.Token, Commands: []wire.Command{}}, 0)
 	return true
 }
@@ -78,7 +86,7 @@
 func (k *keeper) list(now time.Duration) []wire.Kept {
 	var out []wire.Kept
 	for _, name := range sortedKeys(k.kept) {
-		out = append(out, wire.Kept{Machine: name, AgeMS: int64((now - k.kept[name]) / time.Millisecond)})
+		out = append(out, wire.Kept{Machine: name, AgeMS: int64((now - k.kept[name].at) / time.Millisecond)})
 	}
 	return out
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,7 +115,9 @@
 		n.mu.Lock()
 		if time.Since(u.at) > patience {
 			n.refuse(u.conn, u.req.ID)
-			u.conn.ev.Wake()
+			if !u.conn.closed {
+				u.conn.ev.Wake()
+			}
 		} else {
 			n.step(u.req, nil)
 		}
