--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -447,8 +447,9 @@
 	}
 	for zone, n := range in {
 		// Most of a zone at once is more likely cut off, and goes on under a
-		// controller there, than dead.
-		if n.silent > 2 && n.silent*2 > n.heard {
+		// controller there, than dead; so is a zone of a machine or two, if
+		// its controllers are out of reach with all of them.
+		if n.silent > 2 && n.silent*2 > n.heard || n.silent > 0 && n.silent == n.heard && l.c.zoneLost(zone) {
 			l.fleet.cutAt[zone] = now
 		}
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -179,6 +179,20 @@
 // fresh tells whether a peer was heard within the time of a leader's lease.
 func (c *Core) fresh(p *peerState) bool { return p.ever && c.now-p.heard < c.ttl() }
 
+// zoneLost tells whether a zone has controllers and none of them is heard.
+func (c *Core) zoneLost(zone string) bool {
+	lost := false
+	for _, p := range c.cfg.Peers {
+		if p.Zone == zone {
+			if c.fresh(c.peers[p.Name]) {
+				return false
+			}
+			lost = true
+		}
+	}
+	return lost && c.cfg.Zone != zone
+}
+
 // hearsPeer tells whether any other controller is heard.
 func (c *Core) hearsPeer() bool {
 	for _, p := range c.peers {
