--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -426,7 +426,7 @@
 func (l *leader) tickMachines() {
 	now := l.c.now
 	silent, heard := 0, 0
-	type count struct{ silent, heard int }
+	type count struct{ silent, quiet, heard int }
 	in := map[string]count{}
 	for _, m := range l.byName {
 		if m.heard == 0 && len(m.placed) == 0 {
@@ -436,6 +436,9 @@
 		heard++
 		n.heard++
 		since := now - max(m.heard, m.contact, l.loadedAt)
+		if since > l.c.report()+l.c.report()/2 {
+			n.quiet++
+		}
 		if since > 3*l.c.report() {
 			silent++
 			// One that a new leader has not heard yet may hear a deposed one.
@@ -453,6 +456,12 @@
 			l.fleet.cutAt[zone] = now
 		}
 	}
+	// A machine of a zone that has just been cut off must not pass for a dead
+	// one because its report had been due a little earlier than the others':
+	// when it seems dead all of the zone has missed a report. With reports as
+	// far apart as the workers' change of controllers takes, a third of a cut
+	// zone was returned before the zone counted as cut.
+	hushed := func(zone string) bool { n := in[zone]; return n.quiet > 2 && n.quiet*2 > n.heard }
 	// Many silent machines are more likely our own cut than their death.
 	mass := silent > 2 && silent*2 > heard
 	for _, m := range l.byName {
@@ -473,7 +482,7 @@
 		// Few machines are silent and this one does not answer us either,
 		// though it has had the time to find another controller: it is dead
 		// or cut off. Its return frees its tasks sooner than its lease.
-		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6)
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6) && !hushed(m.zone)
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -127,6 +127,9 @@
 		case l.word == "wait" || l.word == "finished":
 			s.cfg.Deployment.Objectives = append(s.cfg.Deployment.Objectives,
 				config.Objective{Kind: l.word, Class: l.arg(0), WithinS: l.num("within", 1), Share: 0.9})
+		case l.word == "workers":
+			d := &s.cfg.Deployment.Workers
+			d.ReportS, d.LeaseS, d.CancelS = l.num("report", d.ReportS), l.num("lease", d.LeaseS), l.num("cancel", d.CancelS)
 		case l.word == "type":
 			s.setup = append(s.setup, l)
 		case l.word == "expect":
