--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 type conn struct {
 	ev     evio.Conn
 	peer   *peer.Decoder
+	worker bool // it has brought a report
+	last   time.Time
 	in     []byte
 	since  time.Time // first byte of a request that is not complete
 	busy   bool      // a request waits for its answer
@@ -79,7 +81,7 @@
 	// the runtime does not see, and one for everything else.
 	runtime.GOMAXPROCS(2)
 	for _, p := range n.cfg.Peers {
-		n.links[p.Name] = peer.NewLink(p.Addr, config.Seconds(n.cfg.Deployment.Workers.ReportS), n.log)
+		n.links[p.Name] = peer.NewLink(p.Addr, config.Seconds(n.cfg.Deployment.Workers.ReportS), n.cfg.Deployment.Limits.MaxConnections, n.log)
 	}
 	ev := evio.Events{NumLoops: 1}
 	ev.Serving = func(evio.Server) evio.Action {
@@ -148,35 +150,73 @@
 	}
 }
 
-// sweep cuts off senders that do not finish their request.
+// sweep cuts off senders that do not finish their request, and workers that
+// have given up: one that was silent for a lease has left this connection. When
+// a zone is cut off nobody closes the workers' ends of theirs, and what is left
+// of them would take the sockets of those that come back.
 func (n *Node) sweep(now time.Time) {
 	limit := config.Seconds(n.cfg.Deployment.Workers.LeaseS)
 	for c := range n.conns {
-		if !c.busy && !c.since.IsZero() && now.Sub(c.since) > limit {
-			c.close = true
-			c.ev.Wake()
+		if c.busy || c.peer != nil {
+			continue
+		}
+		if !c.since.IsZero() && now.Sub(c.since) > limit || c.worker && now.Sub(c.last) > limit {
+			n.drop(c)
 		}
 	}
 }
 
-// userShare is the share of the sockets that incoming connections may take;
-// the rest is for the services, the peers and direct commands.
-const userShare = 0.7
+// drop closes a connection from outside its own events.
+func (n *Node) drop(c *conn) {
+	c.close = true
+	c.ev.Wake()
+}
+
+// outgoing is the part of the sockets that is kept for the services, the peers
+// and direct commands. Incoming connections share the rest, workers first: one
+// controller may have to take the reports of all workers.
+const outgoing = 6
+
+// incoming is how many incoming connections are taken.
+func (n *Node) incoming() int {
+	m := n.cfg.Deployment.Limits.MaxConnections
+	return max(1, m-m/outgoing)
+}
 
 func (n *Node) opened(ec evio.Conn) (out []byte, opts evio.Options, action evio.Action) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c := &conn{ev: ec}
+	c := &conn{ev: ec, last: time.Now()}
 	ec.SetContext(c)
 	if ec.AddrIndex() == 1 {
 		c.peer = peer.NewDecoder()
-	} else if len(n.conns) >= int(userShare*float64(n.cfg.Deployment.Limits.MaxConnections)) {
+	} else if len(n.conns) >= n.incoming() && !n.makeRoom() {
+		n.log.Debug("connection refused", "open", len(n.conns))
 		return nil, opts, evio.Close
 	}
 	n.conns[c] = true
 	return nil, opts, evio.None
 }
 
+// makeRoom closes the user's connection that has been idle for longest, so that
+// no worker is turned away for users.
+func (n *Node) makeRoom() bool {
+	var oldest *conn
+	for c := range n.conns {
+		if c.worker || c.peer != nil || c.busy || c.close {
+			continue
+		}
+		if oldest == nil || c.last.Before(oldest.last) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	n.drop(oldest)
+	return true
+}
+
 func (n *Node) closed(ec evio.Conn, _ error) evio.Action {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -205,6 +245,9 @@
 		}
 		return nil, evio.None
 	}
+	if len(in) > 0 {
+		c.last = time.Now()
+	}
 	c.in = append(c.in, in...)
 	for !c.busy && !c.ending && len(c.in) > 0 {
 		r, size, err := httpwire.ParseRequest(c.in)
@@ -229,6 +272,7 @@
 		n.requests[n.nextReq] = c
 		req := core.Request{ID: n.nextReq, Method: r.Method, Path: r.Path, Body: r.Body}
 		if !strings.HasPrefix(r.Path, "/submissions") {
+			c.worker = c.worker || r.Path == "/checkin"
 			n.step(req, c)
 			continue
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,9 +27,11 @@
 	log     *slog.Logger
 }
 
-// NewLink starts a link. timeout bounds a dial and a write.
-func NewLink(addr string, timeout time.Duration, log *slog.Logger) *Link {
-	l := &Link{addr: addr, queue: make(chan *wire.PeerMessage, 256), timeout: timeout, log: log}
+// NewLink starts a link. timeout bounds a dial and a write, queue the messages
+// that wait: every connection to a controller may have a report under way, and
+// after an election all of them go to one peer at once.
+func NewLink(addr string, timeout time.Duration, queue int, log *slog.Logger) *Link {
+	l := &Link{addr: addr, queue: make(chan *wire.PeerMessage, queue), timeout: timeout, log: log}
 	go l.run()
 	return l
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	l := NewLink(ln.Addr().String(), 5*time.Second, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := NewLink(ln.Addr().String(), 5*time.Second, 64, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	body := bytes.Repeat([]byte("x"), 5000)
 	for i := uint64(1); i <= 20; i++ {
 		l.Send(&wire.PeerMessage{From: "a", Forward: &wire.Forward{ID: i, Body: body}})
