Confirm several batches of polls at a time, pass on one report at a time

With one controller up, the users' polls of a fleet of 1,500 (some 450 a second) were more than one transaction of conditions in a tenth of a report's time can confirm; up to four go out at a time now. A report that has to wait for a leader no longer walks and sorts all others that do.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -59,24 +59,27 @@
 	c.nextForward++
 	// The worker waits 4 s for an answer; it gets ours well before.
 	c.forwards[c.nextForward] = &forward{req: req, from: v, body: body, until: c.now + 2500*time.Millisecond}
-	c.flushForwards()
+	c.pass(c.nextForward)
 }
 
+// flushForwards passes on all reports that wait, to a leader that is known now.
 func (c *Core) flushForwards() {
-	if len(c.forwards) == 0 {
-		return
-	}
 	for _, id := range c.forwardIDs() {
-		f := c.forwards[id]
-		switch {
-		case c.lead != nil:
-			delete(c.forwards, id)
-			status, out := c.lead.handleReport(f.body)
-			c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: status, Body: out})
-		case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
-			f.sentTo = c.elect.leader
-			c.send(f.sentTo, &wire.PeerMessage{Forward: &wire.Forward{ID: id, Body: f.body}})
-		}
+		c.pass(id)
+	}
+}
+
+// pass hands a report to the leader, unless it has it already.
+func (c *Core) pass(id uint64) {
+	f := c.forwards[id]
+	switch {
+	case c.lead != nil:
+		delete(c.forwards, id)
+		status, out := c.lead.handleReport(f.body)
+		c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: status, Body: out})
+	case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
+		f.sentTo = c.elect.leader
+		c.send(f.sentTo, &wire.PeerMessage{Forward: &wire.Forward{ID: id, Body: f.body}})
 	}
 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -472,9 +472,9 @@
 // of the state service's requests.
 func (c *Core) pumpLookups() {
 	u := &c.users
+	confirm := c.now >= u.confirmAt
 	for len(u.order) > 0 && u.lookupBusy < 4 {
 		var batch, rest []string
-		confirm := c.now >= u.confirmAt
 		txn := &wire.Txn{}
 		limit := 4 * c.cfg.Deployment.State.TxnOps
 		unknown := ""
