Decide in bounded passes whose cost grows with machines and jobs, not with tasks

Now a machine tells in one sum what stops can empty at the most, what fits on no machine is not tried again in the pass, what is kept for a job is listed with it, and renting looks on where the task before went. A pass ends when it has looked at as many machines as a tick has time for and goes on there in the next; passes take at most a half of the processor. A test holds the counted looks to the product of machines and jobs.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,6 +178,15 @@
 	return c.out
 }
 
+// Visits counts the looks at machines that this core's decisions took while it
+// has led: what they cost, independent of any clock.
+func (c *Core) Visits() int {
+	if c.lead == nil {
+		return 0
+	}
+	return c.lead.visits
+}
+
 func (c *Core) onTick() {
 	c.tickElection()
 	c.tickTypes()
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -312,7 +312,7 @@
 	free topology.Resources
 	// soft is what work of each priority holds that higher priorities may
 	// stop: it counts as room for work that is only expected.
-	soft [4]topology.Resources
+	soft [ranks]topology.Resources
 	used bool
 	want bool // to be rented
 }
@@ -356,11 +356,7 @@
 			continue
 		}
 		add(m.name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
-		s := spaces[len(spaces)-1]
-		for _, p := range m.placed {
-			rank := priorityRank[p.j.Priority]
-			s.soft[rank] = s.soft[rank].Add(size(&p.j.Job))
-		}
+		spaces[len(spaces)-1].soft = m.soft
 	}
 	for _, r := range f.rents {
 		t := l.c.types[r.req.Type]
@@ -381,6 +377,7 @@
 		}
 		room := l.zoneRoom(c.j)
 		added := map[string]int{}
+		var last *space
 		for k := c.held; k < len(c.pending) && k < 500; k++ {
 			if !underLimit(l.c.team(c.j.Team), sum[c.j.Team], size(&c.j.Job), 1) {
 				break
@@ -391,10 +388,11 @@
 				}
 				return room == nil || added[z] < room(z)
 			}
-			s := l.pack(&spaces, c.j, zone, false)
+			s := l.pack(&spaces, c.j, zone, false, last)
 			if s == nil {
 				break
 			}
+			last = s
 			added[s.key.zone]++
 			sum[c.j.Team] = sum[c.j.Team].Add(size(&c.j.Job))
 		}
@@ -408,8 +406,9 @@
 			continue
 		}
 		n := l.expected(a, o)
+		var last *space
 		for k := 0; k < n; k++ {
-			if l.pack(&spaces, a.last, nil, true) == nil {
+			if last = l.pack(&spaces, a.last, nil, true, last); last == nil {
 				break
 			}
 		}
@@ -630,15 +629,20 @@
 }
 
 // pack finds a space for a task, or adds the cheapest machine that the cloud
-// may still grant.
-func (l *leader) pack(spaces *[]*space, j *job, zone func(string) bool, expected bool) *space {
-	need, rank := size(&j.Job), priorityRank[j.Priority]
+// may still grant. last is the space of the job's task before: it was the
+// tightest, so it still is where it has room for one more.
+func (l *leader) pack(spaces *[]*space, j *job, zone func(string) bool, expected bool, last *space) *space {
+	need, rank := size(&j.Job), j.rank
 	var best *space
-	for _, s := range *spaces {
-		if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) || zone != nil && !zone(s.key.zone) {
-			continue
-		}
-		if best == nil || s.free.Less(best.free) {
+	if last != nil && last.room(rank, expected).Holds(need) && (zone == nil || zone(last.key.zone)) {
+		best = last
+	} else {
+		l.visits += len(*spaces)
+		for _, s := range *spaces {
+			if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) ||
+				best != nil && !s.free.Less(best.free) || zone != nil && !zone(s.key.zone) {
+				continue
+			}
 			best = s
 		}
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -25,6 +25,7 @@
 	order    []*job // by submission
 	machines map[string]*machine
 	byName   []*machine               // replaced, never changed in place
+	leaves   []*machine               // those that may take tasks in this pass
 	returned map[string]time.Duration // machines the cloud has taken back for certain
 
 	watchFrom uint64
@@ -37,7 +38,8 @@
 	txnRetry time.Duration
 	dirty    bool
 
-	within    map[*job]bool // jobs within their team's guarantee
+	visits    int  // machines looked at by the passes so far
+	resume    *job // where the last pass was cut short
 	schedule  bool
 	schedNext time.Duration
 
@@ -49,6 +51,8 @@
 // job is an unfinished job.
 type job struct {
 	wire.Job
+	rank      int  // of the priority
+	within    bool // fits into its team's guarantee
 	at        int64
 	order     uint64 // version of the first record seen: submission order
 	version   uint64 // of the open record
@@ -70,6 +74,7 @@
 	preempted int              // how often it made way, as a gang
 	failOn    map[string]bool  // machines on which it failed
 	moveTo    map[int]*machine // where moving replicas have their room
+	held      []*machine       // kept for it, see preempt
 }
 
 // chunk is one placement record: a run of a job's tasks.
@@ -122,6 +127,9 @@
 	Session uint64 `json:"s"`
 }
 
+// ranks is the number of priorities.
+const ranks = 4
+
 var priorityRank = map[string]int{
 	wire.PriorityCritical: 3, wire.PriorityUrgent: 2, wire.PriorityNormal: 1, wire.PriorityIdle: 0,
 }
@@ -288,7 +296,7 @@
 			return // an old event of a job that is over
 		}
 		n := (rec.Job.Tasks + l.chunkTasks() - 1) / l.chunkTasks()
-		j = &job{Job: rec.Job, at: rec.At, order: version, version: version, next: 1,
+		j = &job{Job: rec.Job, rank: priorityRank[rec.Job.Priority], at: rec.At, order: version, version: version, next: 1,
 			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
 		l.jobs[id] = j
 		at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order > j.order })
@@ -330,18 +338,28 @@
 	t := &j.tasks[i]
 	t.m = m
 	m.add(ref{j, i, taskName(j.ID, i)})
-	m.used = m.used.Add(size(&j.Job))
+	m.count(j, 1)
 	j.placed++
 }
 
+// count adds a job's tasks to a machine's sums, or takes them out.
+func (m *machine) count(j *job, n int) {
+	r := times(size(&j.Job), n)
+	m.used = m.used.Add(r)
+	m.soft[j.rank] = m.soft[j.rank].Add(r)
+	if j.CheckpointS > 0 {
+		m.saves[j.rank] = m.saves[j.rank].Add(r)
+	}
+}
+
 // release ends the counting of a task. Only gone.go decides to call it.
 func (l *leader) release(j *job, i int) {
 	t := &j.tasks[i]
 	m := t.m
 	m.remove(j, i)
-	m.used = m.used.Sub(size(&j.Job))
+	m.count(j, -1)
 	if len(m.placed) == 0 {
-		m.used = topology.Resources{}
+		m.used, m.soft, m.saves = topology.Resources{}, [ranks]topology.Resources{}, [ranks]topology.Resources{}
 		m.idleSince = l.c.now
 	}
 	j.placed--
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -44,6 +44,9 @@
 	// the way no longer has this machine.
 	placed    []ref
 	used      topology.Resources
+	soft      [ranks]topology.Resources // what each priority uses
+	saves     [ranks]topology.Resources // what of it is work that saves
+	going     topology.Resources        // what is on its way out, at the last pass
 	idleSince time.Duration
 	images    []image // believed to be cached, latest use first
 
@@ -86,6 +89,7 @@
 // dropMachine forgets a machine.
 func (l *leader) dropMachine(m *machine) {
 	delete(l.machines, m.name)
+	m.reserved = nil
 	l.byName = slices.DeleteFunc(slices.Clone(l.byName), func(o *machine) bool { return o == m })
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -27,7 +28,7 @@
 	if !j.loaded || j.cancelled || j.final || j.ended || j.stale || j.done == len(j.tasks) {
 		return nil
 	}
-	if j.Shape == wire.ShapeGang && j.placed > 0 {
+	if j.placed == len(j.tasks) || j.Shape == wire.ShapeGang && j.placed > 0 {
 		return nil
 	}
 	var out []int
@@ -42,23 +43,22 @@
 // candidates lists the jobs with work to place: within a guarantee first, then
 // by priority, deadline slack and submission.
 func (l *leader) candidates() []*candidate {
-	in := l.guaranteed()
-	l.within = in
+	l.guarantee()
 	var out []*candidate
 	for _, j := range l.order {
 		p := j.pendingTasks()
 		if len(p) == 0 {
 			continue
 		}
-		out = append(out, &candidate{j: j, guaranteed: in[j], slack: l.slack(j), work: l.work(j, len(p)), pending: p})
+		out = append(out, &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p})
 	}
 	sort.SliceStable(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		if x.guaranteed != y.guaranteed {
 			return x.guaranteed
 		}
-		if p, q := priorityRank[x.j.Priority], priorityRank[y.j.Priority]; p != q {
-			return p > q
+		if x.j.rank != y.j.rank {
+			return x.j.rank > y.j.rank
 		}
 		if x.slack != y.slack {
 			return x.slack < y.slack
@@ -134,42 +134,96 @@
 // place starts what fits.
 func (l *leader) place() {
 	var leaves []*topology.Machine
+	l.leaves = l.leaves[:0]
 	for _, m := range l.byName {
 		total, ok := l.total(m)
 		if !ok || !l.usable(m) {
 			continue
 		}
-		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used)})
+		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used), Key: len(l.leaves)})
+		l.leaves = append(l.leaves, m)
 	}
 	tree := topology.New(leaves)
 	usage := l.usage()
 	cands := l.candidates()
 	full := map[shape]bool{} // found not to fit in this pass, in which room only shrinks
 	firm := map[shape]bool{} // found nobody to stop for
-	for _, c := range cands {
+	bare := map[needs]bool{} // no machine at all has room for a task of it
+	before := l.visits
+	for _, c := range l.resumed(cands) {
 		j := c.j
 		if l.c.now < j.retryAt {
 			continue
 		}
+		if l.visits-before > l.passVisits() {
+			l.resume, l.schedule = j, true
+			break
+		}
 		key := shapeOf(c)
 		plain := len(j.failOn) == 0 && !j.Spread
 		if wait := l.c.slowFetch(j.Class); !math.IsInf(wait, 1) {
 			// First where it can start in time, making room there if need be.
-			l.fill(tree, c, usage, true)
-			if len(c.pending) > 0 {
+			if !bare[key.needs] {
+				l.fill(tree, c, usage, true)
+			}
+			if len(c.pending) > 0 && !firm[key] {
 				l.preempt(c, usage, true)
 			}
 		}
-		if len(c.pending) > c.held && (!plain || !full[key]) {
+		if len(c.pending) > c.held && !full[key] && !bare[key.needs] {
 			l.fill(tree, c, usage, false)
-			full[key] = plain && len(c.pending) > c.held && l.heldFor(j) == 0
+			if len(c.pending) > c.held && l.heldFor(j) == 0 {
+				full[key] = plain
+				// Whether a spread job finds room depends on where its other
+				// tasks are; that none has room, on the machines alone.
+				bare[key.needs] = !l.anyRoom(tree, j)
+			}
 		}
-		if len(c.pending) > c.held && (!plain || !firm[key]) {
-			l.preempt(c, usage, false)
-			firm[key] = plain && c.held == 0
+		if len(c.pending) > c.held && !firm[key] {
+			nobody := l.preempt(c, usage, false)
+			firm[key] = c.held == 0 && (plain || nobody)
 		}
 	}
 	l.plan(cands, usage)
+	l.schedNext = max(l.schedNext, l.c.now+2*l.timeFor(l.visits-before))
+}
+
+// visitTime is about what a look at a machine takes on a whole processor.
+const visitTime = 100 * time.Nanosecond
+
+// timeFor is about how long looks at machines take on this controller.
+func (l *leader) timeFor(visits int) time.Duration {
+	cpu := l.c.cfg.Deployment.Limits.CPU
+	if cpu <= 0 || cpu > 1 {
+		cpu = 1
+	}
+	return time.Duration(float64(visits) * float64(visitTime) / cpu)
+}
+
+// passVisits bounds a pass: reports are not answered meanwhile. What a pass
+// does not come to is first in the next one.
+func (l *leader) passVisits() int {
+	return max(len(l.leaves), int(l.c.report()/20/l.timeFor(1)))
+}
+
+// resumed puts the candidates that the last pass did not come to first.
+func (l *leader) resumed(cands []*candidate) []*candidate {
+	from := l.resume
+	l.resume = nil
+	at := slices.IndexFunc(cands, func(c *candidate) bool { return c.j == from })
+	if at <= 0 {
+		return cands
+	}
+	return append(slices.Clone(cands[at:]), cands[:at]...)
+}
+
+// anyRoom tells whether any machine that a job may use has room for a task.
+func (l *leader) anyRoom(tree *topology.Tree, j *job) bool {
+	l.visits += len(l.leaves)
+	return tree.Any(size(&j.Job), func(t *topology.Machine) bool {
+		m := l.leaves[t.Key]
+		return eligible(&j.Job, m.typ, m.zone, m.spot)
+	})
 }
 
 // fill places what of a job fits, a gang as a whole. quick leaves out machines
@@ -191,10 +245,7 @@
 // shape is what decides whether a job's tasks find room, apart from spread and
 // failures: many jobs of a class share it.
 type shape struct {
-	size       topology.Resources
-	types      string
-	zone       string
-	spot       bool
+	needs
 	oneZone    bool
 	gang       int // tasks that start together
 	rank       int
@@ -202,10 +253,18 @@
 	team       string
 }
 
+// needs is what a task of a job asks of a machine.
+type needs struct {
+	size  topology.Resources
+	types string
+	zone  string
+	spot  bool
+}
+
 func shapeOf(c *candidate) shape {
 	j := c.j
-	s := shape{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot,
-		rank: priorityRank[j.Priority], guaranteed: c.guaranteed, team: j.Team}
+	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
+		rank: j.rank, guaranteed: c.guaranteed, team: j.Team}
 	if j.Shape == wire.ShapeGang {
 		s.gang, s.oneZone = len(c.pending), j.OneZone
 	} else if j.OneZone {
@@ -228,7 +287,7 @@
 		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
-			m := l.machines[t.Name]
+			m := l.leaves[t.Key]
 			return eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m) && !(quick && l.slow(j, m, wait)) &&
 				(m.reserved == nil || m.reserved == j || l.c.now >= m.reservedUntil)
 		},
@@ -236,7 +295,7 @@
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
 				return -1
 			}
-			m := l.machines[t.Name]
+			m := l.leaves[t.Key]
 			rank := 0
 			if len(m.failed) > 0 {
 				rank = 3
@@ -253,13 +312,14 @@
 	if j.OneZone {
 		req.Required = topology.LevelZone
 	}
+	l.visits += len(l.leaves)
 	where := tree.Place(req)
 	if where == nil {
 		return false
 	}
 	attempt := j.next
 	for k, i := range tasks {
-		m := l.machines[where[k].Name]
+		m := l.leaves[where[k].Key]
 		t := &j.tasks[i]
 		if j.Shape != wire.ShapeGang {
 			attempt = j.next
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,13 +28,16 @@
 //
 // quick makes room only where the image is or comes in time, and only at the
 // cost of lower priorities: without it there may well be room elsewhere.
-func (l *leader) preempt(c *candidate, usage map[string]topology.Resources, quick bool) {
+//
+// It tells whether there is nobody to stop on any machine, wherever the job's
+// other tasks are.
+func (l *leader) preempt(c *candidate, usage map[string]topology.Resources, quick bool) (nobody bool) {
 	j := c.j
 	if c.held = l.heldFor(j); c.held > 0 {
-		return
+		return false
 	}
-	if priorityRank[j.Priority] == 0 && !c.guaranteed {
-		return
+	if j.rank == 0 && !c.guaranteed {
+		return true
 	}
 	_, offered := l.offer(nil, &j.Job, nil)
 	c.cornered = !offered
@@ -43,12 +47,15 @@
 	}
 	for want > 0 && !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), want) {
 		if j.Shape == wire.ShapeGang {
-			return
+			return false
 		}
 		want--
 	}
 	if want == 0 {
-		return
+		return false
+	}
+	if !l.anySeat(c) {
+		return true
 	}
 	seats := func(zone string) []seat { return l.seats(c, want, zone, quick) }
 	var best []seat
@@ -62,7 +69,7 @@
 		best = seats("")
 	}
 	if len(best) == 0 || j.Shape == wire.ShapeGang && len(best) < want {
-		return
+		return false
 	}
 	c.held = len(best)
 	wait := 0.0
@@ -84,13 +91,18 @@
 			}
 		}
 	}
+	j.held = nil
 	for _, s := range best {
 		s.m.reserved, s.m.seats = j, 0
+		if !slices.Contains(j.held, s.m) {
+			j.held = append(j.held, s.m)
+		}
 	}
 	for _, s := range best {
 		s.m.seats++
 		s.m.reservedUntil = l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
 	}
+	return false
 }
 
 // preemptGrace is the time that preempted work gets to save. A stop without it
@@ -132,7 +144,7 @@
 	if j.Shape == wire.ShapeGang {
 		n = len(j.tasks) // all of it goes
 	}
-	rank := float64(1 + priorityRank[j.Priority])
+	rank := float64(1 + j.rank)
 	return (l.stopLoss(j, t) + 1) * share * float64(n) * rank * rank * float64(1+j.preempted)
 }
 
@@ -147,7 +159,7 @@
 // heldFor counts the tasks for which room is being made.
 func (l *leader) heldFor(j *job) int {
 	n := 0
-	for _, m := range l.byName {
+	for _, m := range j.held {
 		if m.reserved == j && l.c.now < m.reservedUntil {
 			n += m.seats
 		}
@@ -155,15 +167,42 @@
 	return n
 }
 
-// zones lists the zones in which there are machines.
+// zones lists the zones in which there are machines to use.
 func (l *leader) zones() []string {
 	in := map[string]bool{}
-	for _, m := range l.byName {
+	for _, m := range l.leaves {
 		in[m.zone] = true
 	}
 	return sortedKeys(in)
 }
 
+// anySeat tells whether any machine that a job may use would have room for a
+// task if all that it may have stopped were gone.
+func (l *leader) anySeat(c *candidate) bool {
+	l.visits += len(l.leaves)
+	for _, m := range l.leaves {
+		if eligible(&c.j.Job, m.typ, m.zone, m.spot) && l.emptied(c, m).Holds(size(&c.j.Job)) {
+			return true
+		}
+	}
+	return false
+}
+
+// emptied is the most room that stops for a job can make on a machine. It costs
+// nothing to find, so that the tasks of a machine are gone through only where
+// that can be of use.
+func (l *leader) emptied(c *candidate, m *machine) topology.Resources {
+	r, _ := l.total(m)
+	r = r.Sub(m.used).Add(m.going)
+	for _, s := range m.soft[:c.j.rank] {
+		r = r.Add(s)
+	}
+	if c.guaranteed {
+		r = r.Add(m.saves[c.j.rank]) // see mayPreempt
+	}
+	return r
+}
+
 // seats finds room for up to want tasks, in one zone or anywhere, at the least
 // loss: free room first.
 func (l *leader) seats(c *candidate, want int, zone string, quick bool) []seat {
@@ -171,18 +210,16 @@
 	wait := l.c.slowFetch(j.Class)
 	room := l.zoneRoom(j)
 	var all []seat
-	for _, m := range l.byName {
-		if zone != "" && m.zone != zone || !l.mayTake(j, m) || m.reserved != nil && l.c.now < m.reservedUntil ||
-			quick && l.slow(j, m, wait) {
+	l.visits += len(l.leaves)
+	for _, m := range l.leaves {
+		if zone != "" && m.zone != zone || !l.emptied(c, m).Holds(size(&j.Job)) || !l.mayTake(j, m) ||
+			m.reserved != nil && l.c.now < m.reservedUntil || quick && l.slow(j, m, wait) {
 			continue
 		}
 		if room != nil && room(m.zone) < 1 {
 			continue
 		}
-		cap, ok := l.total(m)
-		if !ok || !cap.Holds(size(&j.Job)) {
-			continue
-		}
+		cap, _ := l.total(m)
 		all = append(all, l.seatsOn(c, m, cap.Sub(m.used), want, quick)...)
 	}
 	// The seats of one machine build on each other: a later one never costs
@@ -289,8 +326,8 @@
 	if v.Shape == wire.ShapeGang && !c.cornered && !worthGang(c, v) {
 		return false
 	}
-	if v, own := priorityRank[v.Priority], priorityRank[c.j.Priority]; v != own {
-		return v < own
+	if v.rank != c.j.rank {
+		return v.rank < c.j.rank
 	}
-	return c.guaranteed && v.Team != c.j.Team && !l.within[v] && v.CheckpointS > 0
+	return c.guaranteed && v.Team != c.j.Team && !v.within && v.CheckpointS > 0
 }
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -31,13 +31,18 @@
 	return false
 }
 
-// usage adds up, by team, every task that is not certainly gone.
+// usage adds up, by team, every task that is not certainly gone, and notes on
+// each machine what is on its way out.
 func (l *leader) usage() map[string]topology.Resources {
 	u := map[string]topology.Resources{}
 	for _, m := range l.byName {
+		m.going = topology.Resources{}
 		for _, p := range m.placed {
 			j := p.j
 			u[j.Team] = u[j.Team].Add(size(&j.Job))
+			if p.task().stop != nil {
+				m.going = m.going.Add(size(&j.Job))
+			}
 		}
 	}
 	return u
@@ -53,18 +58,18 @@
 		(t.GPUsMax == 0 || used.GPUs+task.GPUs*f <= t.GPUsMax+1e-6)
 }
 
-// guaranteed tells which jobs fit into their team's guarantee along with the
+// guarantee notes which jobs fit into their team's guarantee along with the
 // team's earlier unfinished jobs. A resource for which no team has a
 // guarantee is not guaranteed to anybody and does not count.
-func (l *leader) guaranteed() map[*job]bool {
+func (l *leader) guarantee() {
 	cpus, gpus := false, false
 	for _, t := range l.c.cfg.Deployment.Teams {
 		cpus = cpus || t.CPUs > 0
 		gpus = gpus || t.GPUs > 0
 	}
 	sum := map[string]topology.Resources{}
-	in := map[*job]bool{}
 	for _, j := range l.order {
+		j.within = false
 		if j.cancelled {
 			continue
 		}
@@ -75,7 +80,6 @@
 		n := float64(len(j.tasks) - j.done)
 		s := sum[j.Team].Add(topology.Resources{CPUs: j.CPUs * n, GPUs: j.GPUs * n})
 		sum[j.Team] = s
-		in[j] = (!cpus || s.CPUs <= t.CPUs+1e-6) && (!gpus || s.GPUs <= t.GPUs+1e-6)
+		j.within = (!cpus || s.CPUs <= t.CPUs+1e-6) && (!gpus || s.GPUs <= t.GPUs+1e-6)
 	}
-	return in
 }
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -71,6 +71,7 @@
 	Zone  string
 	Price float64
 	Free  Resources
+	Key   int // the caller's own mark
 }
 
 // Tree holds the machines that may take tasks.
@@ -85,6 +86,16 @@
 	return t
 }
 
+// Any tells whether a machine has room for a task.
+func (t *Tree) Any(task Resources, allowed func(*Machine) bool) bool {
+	for _, m := range t.machines {
+		if m.Free.Holds(task) && allowed(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Request asks for room for tasks that start together.
 type Request struct {
 	// Task is the largest task's size; all count as this.
@@ -129,7 +140,7 @@
 	byName := map[string]*domain{}
 	var best *domain
 	for _, m := range t.machines {
-		if r.Allowed != nil && !r.Allowed(m) {
+		if !m.Free.Holds(r.Task) || r.Allowed != nil && !r.Allowed(m) {
 			continue
 		}
 		fit := m.Free.Fit(r.Task, r.Count)
--- a/internal/sim/size_test.go
+++ b/internal/sim/size_test.go
@@ -140,19 +140,114 @@
 	}
 }
 
-func BenchmarkGrown(b *testing.B) {
-	for _, machines := range []int{50, 300} {
-		b.Run(fmt.Sprint(machines), func(b *testing.B) {
-			for range b.N {
-				s, err := ParseScenario(grown(machines, 1, 200))
-				if err != nil {
-					b.Fatal(err)
-				}
-				_, faults := s.Run(nil)
-				for _, f := range faults {
-					b.Error(f)
-				}
+// wave writes a scenario of the wave at the start of a large fleet: hundreds of
+// small services spread over zones, and everything rented at once. At scale 1
+// it is some 1,000 machines at the most.
+func wave(scale float64, until int, troubles ...string) string {
+	r := rand.New(rand.NewPCG(1, 11))
+	var b strings.Builder
+	n := func(k float64) int { return int(k * scale) }
+	fmt.Fprintf(&b, "seed 1\nuntil %d\nworkers report=4 lease=22 cancel=42\n", until)
+	for _, team := range []string{"t", "u"} {
+		fmt.Fprintf(&b, "team %s gpus=%d gpus_max=%d\n", team, n(1200), n(4000))
+	}
+	fmt.Fprintf(&b, "type small cpus=16 mem=32 price=1 spot_price=0.3 boot=40 fetch=1 cap=%d spot=%d\n", n(145), n(56))
+	fmt.Fprintf(&b, "type big cpus=64 gpus=8 mem=512 price=25 spot_price=7 boot=30 fetch=2.3 cap=%d spot=%d\n", n(79), n(56))
+	b.WriteString("wait gate within=1\nwait chat within=30\nwait wide within=100\n")
+	k := 0
+	submit := func(at float64, format string, a ...any) {
+		k++
+		fmt.Fprintf(&b, "at %.2f submit job-%06d team=%s %s\n", at, k, []string{"t", "u"}[r.IntN(2)], fmt.Sprintf(format, a...))
+	}
+	first := func() float64 { return 1 + 3*r.Float64() }
+	gate := func(at float64) {
+		submit(at, "shape=service class=gate priority=critical tasks=%d cpus=1 mem=1.8 image=g%d image_gb=1.8 apart", []int{3, 4, 9}[r.IntN(3)], r.IntN(16))
+	}
+	sweep := func(at float64) {
+		submit(at, "class=sweep tasks=%d cpus=5 gpus=1 mem=35 run=80 checkpoint=10 save=4 image=s%d image_gb=42 spot", 5+r.IntN(20), r.IntN(10))
+	}
+	for range n(650) {
+		gate(first())
+	}
+	for range n(60) {
+		submit(first(), "shape=service class=chat priority=critical tasks=%d cpus=22 gpus=4 mem=150 image=c%d image_gb=68 apart", 1+r.IntN(3), r.IntN(6))
+	}
+	for range n(33) {
+		sweep(first())
+	}
+	for range n(10) {
+		submit(first(), "shape=gang class=wide priority=urgent tasks=2 cpus=57 gpus=8 mem=410 run=250 checkpoint=15 save=2 image=w%d image_gb=118 together types=big", r.IntN(6))
+	}
+	for at := 5; at < until-10; at++ {
+		if r.Float64() < 0.68*scale {
+			gate(float64(at))
+		}
+		if r.Float64() < 0.25*scale {
+			sweep(float64(at))
+		}
+	}
+	for _, t := range troubles {
+		b.WriteString(t + "\n")
+	}
+	return b.String()
+}
+
+// TestWaveCost plays the wave at several sizes. The decisions may look at the
+// machines in proportion to machines and jobs, not more: a pass for every job
+// over every task of every machine once took more than the tick at 1,500.
+func TestWaveCost(t *testing.T) {
+	cost := func(machines int) float64 {
+		s, err := ParseScenario(wave(float64(machines)/1000, 60))
+		if err != nil {
+			t.Fatal(err)
+		}
+		w, faults := s.Run(testLog())
+		for _, f := range faults {
+			t.Error(f)
+		}
+		lead := w.leader()
+		if lead == nil || lead.core.Visits() == 0 {
+			t.Fatal("nobody leads")
+		}
+		want, run := 0, 0
+		for _, id := range w.users.names() {
+			if j := w.jobs[id]; j.Class == "gate" {
+				want, run = want+j.Tasks, run+w.running(id)
 			}
-		})
+		}
+		if run*20 < want*19 {
+			t.Errorf("%d machines: %d of %d replicas run", machines, run, want)
+		}
+		return float64(lead.core.Visits()) / float64(len(w.cloud.machines)*len(w.users.jobs))
+	}
+	if small, large := cost(300), cost(1500); large > 2*small {
+		t.Errorf("%.0f looks at machines for each machine and job at 1,500, %.0f at 300", large, small)
+	}
+}
+
+func bench(b *testing.B, text string) {
+	for range b.N {
+		s, err := ParseScenario(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, faults := s.Run(nil)
+		for _, f := range faults {
+			b.Error(f)
+		}
+	}
+}
+
+// BenchmarkGrown plays 200 s of fleets of several sizes.
+func BenchmarkGrown(b *testing.B) {
+	for _, machines := range []int{50, 300, 800, 1500} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) { bench(b, grown(machines, 1, 200)) })
+	}
+}
+
+// BenchmarkWave plays the first 90 s of a large fleet.
+func BenchmarkWave(b *testing.B) {
+	for _, machines := range []int{300, 1000, 1500} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) { bench(b, wave(float64(machines)/1000, 90)) })
 	}
 }
