--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -301,6 +301,40 @@
 	panic("no such machine: " + what)
 }
 
+// strike has a trouble befall a machine.
+func (w *World) strike(what string, m *machine, d time.Duration) {
+	switch what {
+	case "kill": // gone without notice
+		w.cloud.remove(m.name)
+	case "take": // the cloud takes it back after a notice
+		m.warning = w.now + d
+		m.changed = true
+		w.after(d, func() { w.cloud.remove(m.name) })
+	case "hang":
+		m.hangUntil = w.now + d
+	case "faulty":
+		m.faulty = true
+	case "deaf": // its reports arrive, answers and commands don't reach it
+		w.cuts = append(w.cuts, &cut{"nodes", m.name, w.now + d, false})
+	}
+}
+
+// machinesOf names the machines of a trouble: one, or with "some" a share of
+// those that are up.
+func (w *World) machinesOf(l line) []*machine {
+	if l.arg(0) != "some" {
+		return []*machine{w.machineOf(l.arg(0))}
+	}
+	var up []*machine
+	for _, name := range w.cloud.names() {
+		if m := w.cloud.machines[name]; !m.gone && m.upAt <= w.now {
+			up = append(up, m)
+		}
+	}
+	w.rng.Shuffle(len(up), func(a, b int) { up[a], up[b] = up[b], up[a] })
+	return up[:int(l.num("share", 0.1)*float64(len(up)))]
+}
+
 func (w *World) act(l line) {
 	if l.has("busy") && w.busiest() == nil {
 		return // no machine is up to suffer it
@@ -330,17 +364,10 @@
 		}
 	case "refuse": // the state service refuses one controller
 		w.store.refuse[w.endpoint(l.arg(0))] = w.now + d
-	case "kill": // a machine is gone without notice
-		w.cloud.remove(w.machineOf(l.arg(0)).name)
-	case "take": // the cloud takes a machine back after a notice
-		m := w.machineOf(l.arg(0))
-		m.warning = w.now + d
-		m.changed = true
-		w.after(d, func() { w.cloud.remove(m.name) })
-	case "hang":
-		w.machineOf(l.arg(0)).hangUntil = w.now + d
-	case "faulty":
-		w.machineOf(l.arg(0)).faulty = true
+	case "kill", "take", "hang", "faulty", "deaf":
+		for _, m := range w.machinesOf(l) {
+			w.strike(l.word, m, d)
+		}
 	case "noboot":
 		w.cloud.noBoot = w.now + d
 	case "copies": // late copies of a machine's reports
