--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -32,7 +32,6 @@
 	repSession, repSeq uint64 // newest report
 	token              uint64 // highest token the worker has reported
 	heard              time.Duration
-	via                string        // the controller that its last report came by
 	heardFrom          time.Duration // reports have come regularly since then
 	answered           time.Duration // last answer of this term to a report
 	kept               time.Duration // last extension of its lease by a controller out of reach
@@ -159,9 +158,8 @@
 // clocks, and a margin for our own late timers.
 func (l *leader) leaseBound() time.Duration { return l.c.lease() + l.c.lease()/20 }
 
-// handleReport takes a worker's report, which came by a controller, and returns
-// the answer.
-func (l *leader) handleReport(body []byte, via string) (int, []byte) {
+// handleReport takes a worker's report and returns the answer.
+func (l *leader) handleReport(body []byte) (int, []byte) {
 	r, ok := decodeReport(body)
 	if !ok {
 		return 400, []byte(`{"error":"not a report"}`)
@@ -188,7 +186,7 @@
 	if l.c.now-m.heard > 3*l.c.report() {
 		m.heardFrom = l.c.now
 	}
-	m.heard, m.via = l.c.now, via
+	m.heard = l.c.now
 	if r.Newer(m.session, m.seq) {
 		l.apply(m, r)
 	}
@@ -433,21 +431,18 @@
 	now := l.c.now
 	silent, heard := 0, 0
 	type count struct{ silent, quiet, heard int }
-	in, by := map[string]count{}, map[string]count{} // zone, controller
+	in := map[string]count{}
 	for _, m := range l.byName {
 		if m.heard == 0 && len(m.placed) == 0 {
 			continue
 		}
-		n, v := in[m.zone], by[m.via]
+		n := in[m.zone]
 		heard++
 		n.heard++
-		v.heard++
 		since := now - max(m.heard, m.contact, l.loadedAt)
 		if since > l.c.report()+l.c.report()/2 {
 			n.quiet++
-			v.quiet++
 		}
-		by[m.via] = v
 		if since > 3*l.c.report() {
 			silent++
 			// One that a new leader has not heard yet may hear a deposed one.
@@ -469,9 +464,8 @@
 	// one because its report had been due a little earlier than the others':
 	// when it seems dead all of the zone has missed a report. With reports as
 	// far apart as the workers' change of controllers takes, a third of a cut
-	// zone was returned before the zone counted as cut. The same holds for
-	// those that reported by a controller which is now out of reach.
-	hushed := func(n count) bool { return n.quiet > 2 && n.quiet*2 > n.heard }
+	// zone was returned before the zone counted as cut.
+	hushed := func(zone string) bool { n := in[zone]; return n.quiet > 2 && n.quiet*2 > n.heard }
 	// Many silent machines are more likely our own cut than their death.
 	mass := silent > 2 && silent*2 > heard
 	for _, m := range l.byName {
@@ -489,13 +483,10 @@
 		if mass {
 			limit *= 2
 		}
-		// Others of its zone and its controller are heard, it does not answer
-		// us either and has had the time to find another controller: it is
-		// dead, or hangs or is cut off by itself, however many do so at once.
-		// Its return frees its tasks sooner than its lease. As long as only a
-		// sixth of the fleet could pass for dead, the tasks of a wave of
-		// hanging machines waited for their leases.
-		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > workerSwitch+2*l.c.report() && !mass && !hushed(in[m.zone]) && !hushed(by[m.via])
+		// Few machines are silent and this one does not answer us either,
+		// though it has had the time to find another controller: it is dead
+		// or cut off. Its return frees its tasks sooner than its lease.
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6) && !hushed(m.zone)
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
