Give up a dead machine after its worker's change of controllers, not two reports more

Cause: with reports 3 to 4 s apart a machine that died was given up after 11 to 13 s, of which 8 s were reports. What else could keep a live worker silent, a controller out of reach, shows in the others that report by it. So the time is 8 s or two reports now, as it was where reports are 1.5 s apart; it is asked for its state once a report is missed, and has half a report's time to answer. Probes take half of the sockets for direct commands at the most.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,6 +39,7 @@
 	dirty    bool
 
 	visits    int  // machines looked at by the passes so far
+	probing   int  // probes under way
 	resume    *job // where the last pass was cut short
 	schedule  bool
 	schedNext time.Duration
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -32,6 +32,7 @@
 	repSession, repSeq uint64 // newest report
 	token              uint64 // highest token the worker has reported
 	heard              time.Duration
+	via                string        // the controller that its last report came by
 	heardFrom          time.Duration // reports have come regularly since then
 	answered           time.Duration // last answer of this term to a report
 	kept               time.Duration // last extension of its lease by a controller out of reach
@@ -158,8 +159,9 @@
 // clocks, and a margin for our own late timers.
 func (l *leader) leaseBound() time.Duration { return l.c.lease() + l.c.lease()/20 }
 
-// handleReport takes a worker's report and returns the answer.
-func (l *leader) handleReport(body []byte) (int, []byte) {
+// handleReport takes a worker's report, which came by a controller, and returns
+// the answer.
+func (l *leader) handleReport(body []byte, via string) (int, []byte) {
 	r, ok := decodeReport(body)
 	if !ok {
 		return 400, []byte(`{"error":"not a report"}`)
@@ -186,7 +188,7 @@
 	if l.c.now-m.heard > 3*l.c.report() {
 		m.heardFrom = l.c.now
 	}
-	m.heard = l.c.now
+	m.heard, m.via = l.c.now, via
 	if r.Newer(m.session, m.seq) {
 		l.apply(m, r)
 	}
@@ -395,12 +397,16 @@
 // probe asks a silent worker for its state and shows it this term: it may
 // still report to a deposed leader that is cut off from us.
 func (l *leader) probe(m *machine) {
-	if m.addr == "" || m.probeBusy || l.c.now < m.probeAt || m.returning {
+	// Each probe of a machine that hangs holds a socket: of those for direct
+	// commands no more than half go to probes, however many are silent.
+	if m.addr == "" || m.probeBusy || l.c.now < m.probeAt || m.returning || l.probing >= max(1, l.c.cfg.Deployment.Limits.MaxConnections/16) {
 		return
 	}
+	l.probing++
 	m.probeBusy = true
 	m.probeAt = l.c.now + 2*l.c.report()
-	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.c.report()}, func(r Result) {
+	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout()}, func(r Result) {
+		l.probing--
 		rep, ok := decodeReport(r.Body)
 		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
 			m.probeBusy = false
@@ -422,27 +428,43 @@
 	})
 }
 
+// overdueReport is after how long without a report one must have been missed:
+// they come a quarter early or late.
+func (l *leader) overdueReport() time.Duration { return l.c.report() + l.c.report()*3/8 }
+
+// probeTimeout is how long a worker that is asked for its state may take: an
+// answer takes milliseconds, or that of a lost packet sent again.
+func (l *leader) probeTimeout() time.Duration { return max(l.c.report()/2, time.Second) }
+
 // workerSwitch is how long a worker takes to leave a controller that does not
 // answer: the protocol's 4 s for the answer and 1 s before the next one.
 const workerSwitch = 5 * time.Second
 
+// deadAfter is after how long a silent machine that does not answer passes for
+// dead, if others of its zone and controller are heard: a worker had the time
+// to change controllers with a margin, and missed a report.
+func (l *leader) deadAfter() time.Duration { return max(workerSwitch*8/5, 2*l.c.report()) }
+
 // tickMachines looks for machines that fell silent or deaf.
 func (l *leader) tickMachines() {
 	now := l.c.now
 	silent, heard := 0, 0
 	type count struct{ silent, quiet, heard int }
-	in := map[string]count{}
+	in, by := map[string]count{}, map[string]count{} // zone, controller
 	for _, m := range l.byName {
 		if m.heard == 0 && len(m.placed) == 0 {
 			continue
 		}
-		n := in[m.zone]
+		n, v := in[m.zone], by[m.via]
 		heard++
 		n.heard++
+		v.heard++
 		since := now - max(m.heard, m.contact, l.loadedAt)
-		if since > l.c.report()+l.c.report()/2 {
+		if since > l.overdueReport() {
 			n.quiet++
+			v.quiet++
 		}
+		by[m.via] = v
 		if since > 3*l.c.report() {
 			silent++
 			// One that a new leader has not heard yet may hear a deposed one.
@@ -464,8 +486,9 @@
 	// one because its report had been due a little earlier than the others':
 	// when it seems dead all of the zone has missed a report. With reports as
 	// far apart as the workers' change of controllers takes, a third of a cut
-	// zone was returned before the zone counted as cut.
-	hushed := func(zone string) bool { n := in[zone]; return n.quiet > 2 && n.quiet*2 > n.heard }
+	// zone was returned before the zone counted as cut. The same holds for
+	// those that reported by a controller which is now out of reach.
+	hushed := func(n count) bool { return n.quiet > 2 && n.quiet*2 > n.heard }
 	// Many silent machines are more likely our own cut than their death.
 	mass := silent > 2 && silent*2 > heard
 	for _, m := range l.byName {
@@ -473,7 +496,7 @@
 		if m.returning {
 			continue
 		}
-		if m.heard == 0 || now-m.heard > 2*l.c.report() {
+		if m.heard == 0 || now-m.heard > l.overdueReport() {
 			if m.heard != 0 || len(m.placed) > 0 || m.listedAs == wire.MachineRunning {
 				l.probe(m)
 			}
@@ -486,7 +509,7 @@
 		// Few machines are silent and this one does not answer us either,
 		// though it has had the time to find another controller: it is dead
 		// or cut off. Its return frees its tasks sooner than its lease.
-		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > workerSwitch+2*l.c.report() && silent <= max(1, heard/6) && !hushed(m.zone)
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > l.deadAfter() && silent <= max(1, heard/6) && !hushed(in[m.zone]) && !hushed(by[m.via])
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -27,7 +27,7 @@
 	}
 	if c.lead != nil {
 		v.answered = c.now
-		status, out := c.lead.handleReport(body)
+		status, out := c.lead.handleReport(body, c.cfg.Name)
 		c.out.Answers = append(c.out.Answers, Answer{ID: req, Status: status, Body: out})
 		return
 	}
@@ -75,7 +75,7 @@
 	switch {
 	case c.lead != nil:
 		delete(c.forwards, id)
-		status, out := c.lead.handleReport(f.body)
+		status, out := c.lead.handleReport(f.body, c.cfg.Name)
 		c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: status, Body: out})
 	case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
 		f.sentTo = c.elect.leader
@@ -119,7 +119,7 @@
 	case m.Forward != nil:
 		r := &wire.Reply{ID: m.Forward.ID, Status: 503, Body: []byte("{}")}
 		if c.lead != nil {
-			r.Status, r.Body = c.lead.handleReport(m.Forward.Body)
+			r.Status, r.Body = c.lead.handleReport(m.Forward.Body, m.From)
 		}
 		c.send(m.From, &wire.PeerMessage{Reply: r})
 	case m.Reply != nil:
