Take a silent machine for dead only if another of its zone answers us

Now a machine of the same zone has to have answered or reported to the leader itself after the failed probe; one is asked where none does by itself.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,7 +39,8 @@
 	dirty    bool
 
 	visits    int  // machines looked at by the passes so far
-	probing   int  // probes under way
+	probing   int                      // probes under way
+	reached   map[string]time.Duration // when a machine of a zone last answered or reported to us directly
 	resume    *job // where the last pass was cut short
 	schedule  bool
 	schedNext time.Duration
@@ -140,6 +141,7 @@
 		c: c, term: term, termVersion: termVersion, grant: grant,
 		jobs:     map[string]*job{},
 		machines: map[string]*machine{},
+		reached:  map[string]time.Duration{},
 		returned: map[string]time.Duration{},
 		arrivals: map[string]*arrivals{},
 		estimate: map[string]*estimate{},
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -67,7 +67,7 @@
 	doPending   map[string]int // starts sent to /do whose outcome is unknown
 	probeBusy   bool
 	probeAt     time.Duration
-	probeFailed time.Duration   // when a probe last got no answer
+	probeFailed time.Duration   // when the last probe without an answer was sent
 	failed      map[string]bool // jobs that failed since a task last started well
 
 	// A machine whose tasks are stopped for a job is kept for it.
@@ -189,6 +189,9 @@
 		m.heardFrom = l.c.now
 	}
 	m.heard, m.via = l.c.now, via
+	if via == l.c.cfg.Name {
+		l.reached[r.Zone] = l.c.now
+	}
 	if r.Newer(m.session, m.seq) {
 		l.apply(m, r)
 	}
@@ -389,6 +392,7 @@
 		return
 	}
 	m.contact = l.c.now
+	l.reached[rep.Zone] = l.c.now
 	if rep.Newer(m.session, m.seq) {
 		l.apply(m, rep)
 	}
@@ -404,16 +408,19 @@
 	}
 	l.probing++
 	m.probeBusy = true
+	asked := l.c.now
 	m.probeAt = l.c.now + 2*l.c.report()
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout()}, func(r Result) {
 		l.probing--
 		rep, ok := decodeReport(r.Body)
 		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
 			m.probeBusy = false
-			if r.Status == 0 {
-				m.probeFailed = l.c.now
-			}
-			if !l.gone && r.Status == 200 {
+			switch {
+			case l.gone:
+			case r.Status == 0:
+				m.probeFailed = asked
+				l.control(m.zone)
+			case r.Status == 200:
 				l.directReport(m, r.Body)
 			}
 			return
@@ -428,6 +435,21 @@
 	})
 }
 
+// control asks a machine that is heard for its state when another of its zone
+// does not answer: only if that one answers is the silent machine at fault, and
+// not the way from here to its zone.
+func (l *leader) control(zone string) {
+	var best *machine
+	for _, m := range l.byName {
+		if m.zone == zone && !m.probeBusy && l.c.now >= m.probeAt && !m.returning && m.addr != "" && (best == nil || m.heard > best.heard) {
+			best = m
+		}
+	}
+	if best != nil && l.c.now-best.heard < l.overdueReport() && l.c.now-l.reached[zone] > l.probeTimeout()/2 {
+		l.probe(best)
+	}
+}
+
 // overdueReport is after how long without a report one must have been missed:
 // they come a quarter early or late.
 func (l *leader) overdueReport() time.Duration { return l.c.report() + l.c.report()*3/8 }
@@ -507,9 +529,11 @@
 			limit *= 2
 		}
 		// Few machines are silent and this one does not answer us either,
-		// though it has had the time to find another controller: it is dead
-		// or cut off. Its return frees its tasks sooner than its lease.
-		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && silence > l.deadAfter() && silent <= max(1, heard/6) && !hushed(in[m.zone]) && !hushed(by[m.via])
+		// though others of its zone do and it has had the time to find another
+		// controller: it is dead or cut off. Its return frees its tasks sooner
+		// than its lease. A leader that was cut off from the workers once
+		// returned those that took longest to find another controller.
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && l.reached[m.zone] > m.probeFailed && silence > l.deadAfter() && silent <= max(1, heard/6) && !hushed(in[m.zone]) && !hushed(by[m.via])
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
