--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -38,10 +38,10 @@
 	txnRetry time.Duration
 	dirty    bool
 
-	visits    int  // machines looked at by the passes so far
+	visits    int                      // machines looked at by the passes so far
 	probing   int                      // probes under way
 	reached   map[string]time.Duration // when a machine of a zone last answered or reported to us directly
-	resume    *job // where the last pass was cut short
+	resume    *job                     // where the last pass was cut short
 	schedule  bool
 	schedNext time.Duration
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -450,6 +450,21 @@
 	}
 }
 
+// reaches tells whether the way to a silent machine is open: another of its
+// zone has answered since it was asked in vain. Where it is the zone's only one,
+// a machine of any zone counts, unless the zone's controllers are gone too.
+func (l *leader) reaches(m *machine, inZone int) bool {
+	if inZone > 1 {
+		return l.reached[m.zone] > m.probeFailed
+	}
+	for _, at := range l.reached {
+		if at > m.probeFailed {
+			return !l.c.zoneLost(m.zone)
+		}
+	}
+	return false
+}
+
 // overdueReport is after how long without a report one must have been missed:
 // they come a quarter early or late.
 func (l *leader) overdueReport() time.Duration { return l.c.report() + l.c.report()*3/8 }
@@ -533,7 +548,7 @@
 		// controller: it is dead or cut off. Its return frees its tasks sooner
 		// than its lease. A leader that was cut off from the workers once
 		// returned those that took longest to find another controller.
-		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && l.reached[m.zone] > m.probeFailed && silence > l.deadAfter() && silent <= max(1, heard/6) && !hushed(in[m.zone]) && !hushed(by[m.via])
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && l.reaches(m, in[m.zone].heard) && silence > l.deadAfter() && silent <= max(1, heard/6) && !hushed(in[m.zone]) && !hushed(by[m.via])
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
