Bound what a controller remembers, its digests and its calls by the settings

Known jobs, waiting requests and calls to the state service are bounded by the memory and the sockets of the settings instead of constants; what is known of open jobs makes way one by one, never all at once, after which every poll would be a read. Counts of jobs go out in messages of a thousand, and a frame between controllers is at most 1 MiB.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -149,7 +149,9 @@
 				}
 			}
 			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
-				c.counts = make(map[string]wire.JobCount, len(d.Jobs))
+				if !d.More || c.counts == nil {
+					c.counts = make(map[string]wire.JobCount, len(d.Jobs))
+				}
 				for _, j := range d.Jobs {
 					c.counts[j.ID] = j
 				}
@@ -172,6 +174,19 @@
 			d.HasJobs, d.Jobs = true, c.lead.digest()
 		}
 	}
+	// A message stays small however many jobs there are.
+	for len(d.Jobs) > digestJobs {
+		c.sendDigestPart(d, d.Jobs[:digestJobs])
+		d.Jobs, d.More = d.Jobs[digestJobs:], true
+	}
+	c.sendDigestPart(d, d.Jobs)
+}
+
+// digestJobs is how many jobs' counts go into one message.
+const digestJobs = 1000
+
+func (c *Core) sendDigestPart(d wire.Digest, jobs []wire.JobCount) {
+	d.Jobs = jobs
 	for _, p := range c.cfg.Peers {
 		one, s := d, c.peers[p.Name]
 		one.EchoBoot, one.Echo = s.boot, int64(s.clock)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -48,6 +48,7 @@
 // state service has confirmed that it still holds.
 type users struct {
 	open       map[string]*known
+	openOrder  []string // as they became known; some may be gone
 	final      map[string]finalRecord
 	finalOrder []string
 
@@ -95,10 +96,28 @@
 	final  *finalRecord
 }
 
-const (
-	maxFinal   = 20000
-	maxWaiting = 2000
-)
+// maxKnown is how many jobs of a kind are remembered, open or final: a hundred
+// for each megabyte, about a fiftieth of the memory.
+func (c *Core) maxKnown() int { return int(100 * c.cfg.Deployment.Limits.RAMMB) }
+
+// maxWaiting is how many requests may wait: each comes on a connection.
+func (c *Core) maxWaiting() int { return c.cfg.Deployment.Limits.MaxConnections }
+
+// know remembers an open job; the ones known for longest make way. Forgetting
+// is safe: a job that is asked for is read again.
+func (c *Core) know(id string, k *known) {
+	u := &c.users
+	if u.open[id] == nil {
+		u.openOrder = append(u.openOrder, id)
+	}
+	u.open[id] = k
+	for len(u.openOrder) > c.maxKnown() {
+		if old := u.openOrder[0]; old != id {
+			delete(u.open, old)
+		}
+		u.openOrder = u.openOrder[1:]
+	}
+}
 
 func (u *users) init() {
 	u.open = map[string]*known{}
@@ -321,7 +340,7 @@
 // refuse answers at once, with when to come back, what cannot be taken now.
 func (c *Core) refuse(req uint64, waiting int) bool {
 	bad := c.users.storeBadSince
-	if waiting >= maxWaiting || bad != 0 && c.now-bad > c.storeTimeout()/4 {
+	if waiting >= c.maxWaiting() || bad != 0 && c.now-bad > c.storeTimeout()/4 {
 		c.answer(req, 503, errorBody("not now"), 1)
 		return true
 	}
@@ -372,7 +391,7 @@
 			json.Unmarshal(r.Body, &tr)
 			for _, s := range batch {
 				id := s.rec.Job.ID
-				u.open[id] = &known{version: tr.Revision, rec: s.rec}
+				c.know(id, &known{version: tr.Revision, rec: s.rec})
 				c.answer(s.req, 201, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
 			}
 		case 409:
@@ -455,7 +474,7 @@
 		return
 	}
 	bad := u.storeBadSince
-	if len(u.order) >= maxWaiting || bad != 0 && c.now-bad > c.storeTimeout()/4 {
+	if len(u.order) >= c.maxWaiting() || bad != 0 && c.now-bad > c.storeTimeout()/4 {
 		f(found{failed: true})
 		return
 	}
@@ -566,7 +585,7 @@
 			k := &known{version: it.Version}
 			if json.Unmarshal(it.Value, &k.rec) == nil {
 				if old := u.open[id]; old == nil || old.version < k.version {
-					u.open[id] = k
+					c.know(id, k)
 				}
 				end(found{open: k})
 				return
@@ -600,7 +619,7 @@
 	delete(u.open, id)
 	if _, ok := u.final[id]; !ok {
 		u.finalOrder = append(u.finalOrder, id)
-		if len(u.finalOrder) > maxFinal {
+		if len(u.finalOrder) > c.maxKnown() {
 			delete(u.final, u.finalOrder[0])
 			u.finalOrder = u.finalOrder[1:]
 		}
@@ -650,7 +669,7 @@
 				case 200:
 					var tr wire.TxnResult
 					json.Unmarshal(r.Body, &tr)
-					c.users.open[id] = &known{version: tr.Revision, rec: rec}
+					c.know(id, &known{version: tr.Revision, rec: rec})
 					if !rec.told() {
 						if c.lead != nil {
 							c.lead.noteOpen(id, tr.Revision, rec)
@@ -717,7 +736,7 @@
 			id := it.Key[len(prefixOpen):]
 			k := &known{version: it.Version}
 			if _, over := u.final[id]; !over && u.open[id] == nil && json.Unmarshal(it.Value, &k.rec) == nil {
-				u.open[id] = k
+				c.know(id, k)
 			}
 		}
 		if p.More {
@@ -778,10 +797,6 @@
 	for len(u.cancelled) > 0 && c.now-u.cancelled[0].at > config.Seconds(c.cfg.Deployment.Workers.CancelS) {
 		u.cancelled = u.cancelled[1:]
 	}
-	if len(u.open) > maxFinal {
-		// Forgetting is safe: a job that is asked for is read again.
-		u.open = map[string]*known{}
-	}
 }
 
 func sortUint64(s []uint64) { sort.Slice(s, func(i, j int) bool { return s[i] < s[j] }) }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,8 +15,8 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// maxFrame bounds a message; a digest of many thousand jobs stays below it.
-const maxFrame = 8 << 20
+// maxFrame bounds a message: a report of at most 64 KiB, or a part of a digest.
+const maxFrame = 1 << 20
 
 // Link sends messages to one peer. Messages are dropped while the peer cannot
 // be reached: every sender repeats what still matters.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,8 +18,13 @@
 	watches httpwire.Client
 	reqs    *budget.Bucket
 	writes  *budget.Bucket
+	slots   chan struct{} // a token for each call under way that is not urgent
 }
 
+// share is the part of the sockets that calls which are not urgent may take: a
+// state service that does not answer holds each until its deadline.
+const share = 48
+
 // New makes a client under the settings' limits. A tenth is left unused, for
 // what other controllers send at the same time.
 func New(s *config.Settings) *Client {
@@ -29,6 +34,7 @@
 		watches: httpwire.Client{Addr: s.External.State, MaxIdle: 1},
 		reqs:    budget.New(0.9*d.RPS, 0.5*d.RPS),
 		writes:  budget.New(0.9*d.WriteRPS, 0.9*d.WriteRPS),
+		slots:   make(chan struct{}, max(4, s.Deployment.Limits.MaxConnections/share)),
 	}
 }
 
@@ -38,6 +44,16 @@
 	if k.Watch {
 		return result(k, &c.watches, deadline)
 	}
+	if !k.Urgent {
+		wait := time.NewTimer(k.Timeout)
+		defer wait.Stop()
+		select {
+		case c.slots <- struct{}{}:
+			defer func() { <-c.slots }()
+		case <-wait.C:
+			return core.Result{ID: k.ID, NotSent: true, Status: 429}
+		}
+	}
 	for {
 		left := time.Until(deadline)
 		wait, ok := c.reqs.Take(1, k.Urgent, left)
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -36,6 +36,8 @@
 	Apart   bool
 	HasJobs bool
 	Jobs    []JobCount
+	// More tells that Jobs goes on from the digest before.
+	More bool
 	// Boot tells one run of the sender's process from another. Clock is the
 	// sender's steady clock at this digest, in nanoseconds; EchoBoot and Echo
 	// are those of the newest digest that the sender has from the receiver.
