Hold the stand-ins to the published limits of state service and cloud

Requests, changes, pages, transactions, the changes that are kept, rentals and returns are bounded as the protocol says; the stand-ins' controllers keep to the clients' own pace and are turned away with 429 beyond it.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -17,7 +17,7 @@
 
 // New makes a full bucket of rate tokens a second and the given burst.
 func New(rate, burst float64) *Bucket {
-	return &Bucket{rate: rate, burst: burst, have: burst, last: time.Now()}
+	return &Bucket{rate: rate, burst: burst, have: burst}
 }
 
 // Take takes n tokens and returns how long the caller must wait before it may
@@ -25,10 +25,11 @@
 // and pays nothing: what is never used must not hold up the others. Urgent
 // takers never wait, but what they take is missing for the others.
 func (b *Bucket) Take(n float64, urgent bool, limit time.Duration) (time.Duration, bool) {
-	return b.takeAt(time.Now(), n, urgent, limit)
+	return b.TakeAt(time.Now(), n, urgent, limit)
 }
 
-func (b *Bucket) takeAt(now time.Time, n float64, urgent bool, limit time.Duration) (time.Duration, bool) {
+// TakeAt is Take at a time of the caller's own clock.
+func (b *Bucket) TakeAt(now time.Time, n float64, urgent bool, limit time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.have = min(b.burst, b.have+now.Sub(b.last).Seconds()*b.rate)
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -19,13 +19,18 @@
 
 // New makes a client under the settings' limits.
 func New(s *config.Settings) *Client {
-	rps := s.Deployment.Cloud.RPS
 	return &Client{
 		http: httpwire.Client{Addr: s.External.Cloud, MaxIdle: 4},
-		reqs: budget.New(0.8*rps, rps),
+		reqs: NewPace(s),
 	}
 }
 
+// NewPace makes the budget of a controller's calls to the cloud.
+func NewPace(s *config.Settings) *budget.Bucket {
+	rps := s.Deployment.Cloud.RPS
+	return budget.New(0.8*rps, rps)
+}
+
 // Do executes a call and blocks until it ends.
 func (c *Client) Do(k core.Call) core.Result {
 	deadline := time.Now().Add(k.Timeout)
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -3,15 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/budget"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// cloud stands in for the cloud that rents machines.
-type cloud struct {
+// cloudService stands in for the cloud that rents machines.
+type cloudService struct {
 	w        *World
 	types    []wire.MachineType
 	capacity map[string]int // by type, zone, kind
@@ -20,16 +23,18 @@
 	granted  map[string][]string
 	next     int
 	outage   time.Duration
+	reqs     *budget.Bucket
 	noBoot   time.Duration // until then new machines never come up
 }
 
-func newCloud(w *World) *cloud {
-	return &cloud{w: w, capacity: map[string]int{}, machines: map[string]*machine{}, byAddr: map[string]*machine{}, granted: map[string][]string{}}
+func newCloud(w *World) *cloudService {
+	return &cloudService{w: w, capacity: map[string]int{}, machines: map[string]*machine{}, byAddr: map[string]*machine{}, granted: map[string][]string{},
+		reqs: budget.New(w.cfg.Deployment.Cloud.RPS, 2*w.cfg.Deployment.Cloud.RPS)}
 }
 
 func offer(typ, zone string, spot bool) string { return fmt.Sprint(typ, "/", zone, "/", spot) }
 
-func (c *cloud) names() []string {
+func (c *cloudService) names() []string {
 	names := make([]string, 0, len(c.machines))
 	for n := range c.machines {
 		names = append(names, n)
@@ -38,7 +43,7 @@
 	return names
 }
 
-func (c *cloud) handle(method, path string, body []byte, reply func(int, []byte)) {
+func (c *cloudService) handle(method, path string, body []byte, reply func(int, []byte)) {
 	send := func(status int, v any) {
 		b, _ := json.Marshal(v)
 		c.w.after(100*time.Millisecond, func() { reply(status, b) })
@@ -47,12 +52,19 @@
 		send(503, map[string]string{"error": "trouble"})
 		return
 	}
+	if _, ok := c.reqs.TakeAt(c.w.clock(), 1, false, 0); !ok {
+		send(429, struct{}{})
+		return
+	}
 	switch {
 	case path == "/machine_types":
 		send(200, wire.MachineTypes{Types: c.types})
 	case path == "/machines/return":
 		var r wire.MachineNames
 		json.Unmarshal(body, &r)
+		if len(r.Machines) > 100 {
+			c.w.check.broken("limits", "a return of %d machines", len(r.Machines))
+		}
 		for _, n := range r.Machines {
 			c.remove(n)
 		}
@@ -60,12 +72,27 @@
 	case method == "POST":
 		var r wire.RentRequest
 		json.Unmarshal(body, &r)
+		if r.Count > 50 {
+			c.w.check.broken("limits", "a rental of %d machines", r.Count)
+		}
 		c.rent(&r, send)
 	case strings.HasPrefix(path, "/machines"):
 		lag := seconds(c.w.cfg.Deployment.Cloud.ListLagS)
 		then := c.w.now - lag
 		list := wire.MachineList{Machines: []wire.Machine{}}
+		u, _ := url.Parse(path)
+		limit, _ := strconv.Atoi(u.Query().Get("limit"))
+		if limit < 1 || limit > 500 {
+			c.w.check.broken("limits", "a list of %d machines", limit)
+		}
 		for _, n := range c.names() {
+			if n <= u.Query().Get("since") {
+				continue
+			}
+			if len(list.Machines) >= limit {
+				list.More = true
+				break
+			}
 			m := c.machines[n]
 			if m.rentedAt > then || m.gone && m.goneAt <= then {
 				continue
@@ -83,7 +110,7 @@
 	}
 }
 
-func (c *cloud) rent(r *wire.RentRequest, send func(int, any)) {
+func (c *cloudService) rent(r *wire.RentRequest, send func(int, any)) {
 	if names, ok := c.granted[r.Request]; ok {
 		send(200, wire.MachineNames{Machines: names})
 		return
@@ -109,7 +136,7 @@
 }
 
 // remove takes a machine away, with all that is on it.
-func (c *cloud) remove(name string) {
+func (c *cloudService) remove(name string) {
 	m := c.machines[name]
 	if m == nil || m.gone {
 		return
@@ -122,7 +149,7 @@
 	m.tasks = map[string]*task{}
 }
 
-func (c *cloud) typ(name string) *wire.MachineType {
+func (c *cloudService) typ(name string) *wire.MachineType {
 	for i := range c.types {
 		if c.types[i].Name == name {
 			return &c.types[i]
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/budget"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -30,8 +31,8 @@
 	rev uint64
 }
 
-// store stands in for the state service.
-type store struct {
+// stateService stands in for the state service.
+type stateService struct {
 	w        *World
 	rev      uint64
 	keys     map[string]*entry
@@ -42,16 +43,20 @@
 	watchers []*watcher
 	outage   time.Duration
 	refuse   map[string]time.Duration // by node
+	reqs     *budget.Bucket
+	writes   *budget.Bucket
+	busy     int // requests turned away for the rates
 }
 
-func newStore(w *World) *store {
-	s := &store{w: w, rev: 100, keys: map[string]*entry{}, leases: map[uint64]time.Duration{}, ttl: map[uint64]time.Duration{},
-		refuse: map[string]time.Duration{}}
+func newStore(w *World) *stateService {
+	s := &stateService{w: w, rev: 100, keys: map[string]*entry{}, leases: map[uint64]time.Duration{}, ttl: map[uint64]time.Duration{},
+		refuse: map[string]time.Duration{}, reqs: budget.New(w.cfg.Deployment.State.RPS, w.cfg.Deployment.State.RPS),
+		writes: budget.New(w.cfg.Deployment.State.WriteRPS, w.cfg.Deployment.State.WriteRPS)}
 	w.after(50*time.Millisecond, s.expire)
 	return s
 }
 
-func (s *store) expire() {
+func (s *stateService) expire() {
 	s.w.after(50*time.Millisecond, s.expire)
 	if s.w.now < s.outage {
 		return
@@ -63,7 +68,7 @@
 	}
 }
 
-func (s *store) end(id uint64) {
+func (s *stateService) end(id uint64) {
 	delete(s.leases, id)
 	var drop []string
 	for k, e := range s.keys {
@@ -82,7 +87,7 @@
 	}
 }
 
-func (s *store) beginOutage(d time.Duration) {
+func (s *stateService) beginOutage(d time.Duration) {
 	s.outage = s.w.now + d
 	s.w.after(d, func() {
 		for id := range s.leases {
@@ -92,7 +97,7 @@
 	})
 }
 
-func (s *store) handle(from, method, path string, body []byte, reply func(int, []byte)) {
+func (s *stateService) handle(from, method, path string, body []byte, reply func(int, []byte)) {
 	send := func(status int, v any) {
 		b, _ := json.Marshal(v)
 		reply(status, b)
@@ -101,14 +106,20 @@
 		send(503, struct{}{})
 		return
 	}
+	if _, ok := s.reqs.TakeAt(s.w.clock(), 1, false, 0); !ok {
+		s.busy++
+		send(429, struct{}{})
+		return
+	}
 	u, _ := url.Parse(path)
 	q := u.Query()
 	switch {
 	case method == "GET" && u.Path == "/store":
 		limit, _ := strconv.Atoi(q.Get("limit"))
-		if limit == 0 {
+		if limit == 0 || limit > 1000 {
 			limit = 1000
 		}
+		size := 0
 		p := wire.Page{Items: []wire.Item{}, Revision: s.rev}
 		var keys []string
 		for k := range s.keys {
@@ -118,7 +129,7 @@
 		}
 		sort.Strings(keys)
 		for _, k := range keys {
-			if len(p.Items) >= limit {
+			if size += len(k) + len(s.keys[k].value); len(p.Items) >= limit || size > 512<<10 {
 				p.More = true
 				break
 			}
@@ -134,6 +145,10 @@
 		}
 	case method == "GET" && u.Path == "/changes":
 		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		if len(s.log) > 0 && len(s.log) >= maxLog && since < s.log[0].rev {
+			send(410, struct{}{})
+			return
+		}
 		hold, _ := strconv.Atoi(q.Get("holdMs"))
 		wt := &watcher{under: q.Get("under"), since: since, reply: reply}
 		if !s.offer(wt) {
@@ -151,6 +166,14 @@
 			send(400, struct{}{})
 			return
 		}
+		if len(body) > 64<<10 {
+			s.w.check.broken("limits", "a transaction of %d bytes", len(body))
+		}
+		if _, ok := s.writes.TakeAt(s.w.clock(), float64(len(t.Writes)), false, 0); !ok {
+			s.busy++
+			send(429, struct{}{})
+			return
+		}
 		s.commit(&t, send)
 	case method == "POST" && u.Path == "/grants":
 		var g wire.GrantRequest
@@ -172,7 +195,7 @@
 	}
 }
 
-func (s *store) commit(t *wire.Txn, send func(int, any)) {
+func (s *stateService) commit(t *wire.Txn, send func(int, any)) {
 	d := s.w.cfg.Deployment.State
 	if len(t.Writes) > d.TxnOps || len(t.If) > 4*d.TxnOps {
 		s.w.check.broken("limits", "a transaction of %d writes and %d conditions", len(t.Writes), len(t.If))
@@ -220,7 +243,7 @@
 	send(200, wire.TxnResult{Revision: s.rev})
 }
 
-func (s *store) offer(wt *watcher) bool {
+func (s *stateService) offer(wt *watcher) bool {
 	var ch wire.Changes
 	for _, c := range s.log {
 		if c.rev > wt.since && strings.HasPrefix(c.key, wt.under) {
@@ -237,7 +260,13 @@
 	return true
 }
 
-func (s *store) notify() {
+// maxLog is how many changes the service keeps.
+const maxLog = 10000
+
+func (s *stateService) notify() {
+	if over := len(s.log) - maxLog; over > 0 {
+		s.log = s.log[over:]
+	}
 	var keep []*watcher
 	for _, wt := range s.watchers {
 		if !wt.over && !s.offer(wt) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -12,8 +12,11 @@
 	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/budget"
+	"github.com/brookwalk/brookwalk/internal/cloud"
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core"
+	"github.com/brookwalk/brookwalk/internal/store"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -55,8 +58,8 @@
 	cfg     *config.Settings
 	log     *slog.Logger
 	nodes   []*node
-	store   *store
-	cloud   *cloud
+	store   *stateService
+	cloud   *cloudService
 	users   *users
 	check   *checker
 	cuts    []*cut
@@ -161,6 +164,8 @@
 	born  time.Duration
 	reqs  map[uint64]func(status int, body []byte)
 	next  uint64
+	pace  *store.Pace
+	cloud *budget.Bucket
 }
 
 func (n *node) settings() *config.Settings {
@@ -180,6 +185,7 @@
 	n.life++
 	n.born = n.w.now
 	n.reqs = map[uint64]func(int, []byte){}
+	n.pace, n.cloud = store.NewPace(n.w.cfg), cloud.NewPace(n.w.cfg)
 	n.core = core.New(n.settings(), nil, uint64(n.index+1)<<32+uint64(n.life), n.w.log.With("node", n.name))
 	n.tick(n.life)
 }
@@ -207,7 +213,7 @@
 	now := n.w.now - n.born + time.Millisecond
 	// A drifting steady clock, within what the protocol allows.
 	now += now * time.Duration(n.index) / 4000
-	out := n.core.Step(now, time.UnixMilli(1e12).Add(n.w.now), in)
+	out := n.core.Step(now, n.w.clock(), in)
 	if n.w.mutate != nil {
 		n.w.mutate(n, &out)
 	}
@@ -274,9 +280,16 @@
 	}
 	switch k.Dest {
 	case core.DestStore:
-		w.deliver(n.name, "state", func() { w.store.handle(n.name, k.Method, k.Path, k.Body, reply("state")) })
+		n.callStore(k, w.now+k.Timeout, reply("state"), finish)
 	case core.DestCloud:
-		w.deliver(n.name, "cloud", func() { w.cloud.handle(k.Method, k.Path, k.Body, reply("cloud")) })
+		wait, ok := n.cloud.TakeAt(w.clock(), 1, k.Urgent, k.Timeout/2)
+		if !ok {
+			w.after(0, func() { finish(core.Result{Status: 429, NotSent: true}) })
+			return
+		}
+		w.after(wait, func() {
+			w.deliver(n.name, "cloud", func() { w.cloud.handle(k.Method, k.Path, k.Body, reply("cloud")) })
+		})
 	case core.DestWorker:
 		m := w.cloud.byAddr[k.Addr]
 		if m == nil {
@@ -286,6 +299,36 @@
 	}
 }
 
+// callStore carries a call to the state service out as the client does: at the
+// pace of the budgets, and again where the service turns it away.
+func (n *node) callStore(k core.Call, deadline time.Duration, reply func(int, []byte), finish func(core.Result)) {
+	w := n.w
+	send := func() { w.store.handle(n.name, k.Method, k.Path, k.Body, reply) }
+	if k.Watch {
+		w.deliver(n.name, "state", send)
+		return
+	}
+	wait, ok := n.pace.Take(w.clock(), &k, deadline-w.now)
+	if !ok {
+		w.after(0, func() { finish(core.Result{Status: 429, NotSent: true}) })
+		return
+	}
+	w.after(wait, func() {
+		w.deliver(n.name, "state", func() {
+			w.store.handle(n.name, k.Method, k.Path, k.Body, func(status int, body []byte) {
+				if status == 429 && deadline-w.now >= store.Last {
+					w.after(store.Retry, func() { n.callStore(k, deadline, reply, finish) })
+					return
+				}
+				reply(status, body)
+			})
+		})
+	})
+}
+
+// clock is the time of the stand-ins, for budgets.
+func (w *World) clock() time.Time { return time.UnixMilli(1e12).Add(w.now) }
+
 // leader is the node that holds the leader key, or nil.
 func (w *World) leader() *node {
 	e := w.store.keys["leader"]
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,8 +16,7 @@
 type Client struct {
 	http    httpwire.Client
 	watches httpwire.Client
-	reqs    *budget.Bucket
-	writes  *budget.Bucket
+	pace    *Pace
 	slots   chan struct{} // a token for each call under way that is not urgent
 }
 
@@ -25,15 +24,41 @@
 // state service that does not answer holds each until its deadline.
 const share = 48
 
-// New makes a client under the settings' limits. A tenth is left unused, for
-// what other controllers send at the same time.
-func New(s *config.Settings) *Client {
+// Pace keeps calls under the service's published rates.
+type Pace struct{ reqs, writes *budget.Bucket }
+
+// NewPace makes a pace. A tenth of the rates is left unused, for what other
+// controllers send at the same time.
+func NewPace(s *config.Settings) *Pace {
 	d := s.Deployment.State
+	return &Pace{reqs: budget.New(0.9*d.RPS, 0.5*d.RPS), writes: budget.New(0.9*d.WriteRPS, 0.9*d.WriteRPS)}
+}
+
+// Take returns how long a call has to wait; it is not to be made if that is
+// longer than left.
+func (p *Pace) Take(now time.Time, k *core.Call, left time.Duration) (time.Duration, bool) {
+	wait, ok := p.reqs.TakeAt(now, 1, k.Urgent, left)
+	if ok && k.Writes > 0 {
+		var w time.Duration
+		w, ok = p.writes.TakeAt(now, float64(k.Writes), k.Urgent, left)
+		wait = max(wait, w)
+	}
+	return wait, ok
+}
+
+// A call that the service turned away for its rate is made again after Retry,
+// if Last is left until its deadline.
+const (
+	Retry = 60 * time.Millisecond
+	Last  = 100 * time.Millisecond
+)
+
+// New makes a client under the settings' limits.
+func New(s *config.Settings) *Client {
 	return &Client{
 		http:    httpwire.Client{Addr: s.External.State, MaxIdle: 8},
 		watches: httpwire.Client{Addr: s.External.State, MaxIdle: 1},
-		reqs:    budget.New(0.9*d.RPS, 0.5*d.RPS),
-		writes:  budget.New(0.9*d.WriteRPS, 0.9*d.WriteRPS),
+		pace:    NewPace(s),
 		slots:   make(chan struct{}, max(4, s.Deployment.Limits.MaxConnections/share)),
 	}
 }
@@ -55,22 +80,16 @@
 		}
 	}
 	for {
-		left := time.Until(deadline)
-		wait, ok := c.reqs.Take(1, k.Urgent, left)
-		if ok && k.Writes > 0 {
-			var w time.Duration
-			w, ok = c.writes.Take(float64(k.Writes), k.Urgent, left)
-			wait = max(wait, w)
-		}
+		wait, ok := c.pace.Take(time.Now(), &k, time.Until(deadline))
 		if !ok {
 			return core.Result{ID: k.ID, NotSent: true, Status: 429}
 		}
 		time.Sleep(wait)
 		r := result(k, &c.http, deadline)
-		if r.Status != 429 || time.Until(deadline) < 100*time.Millisecond {
+		if r.Status != 429 || time.Until(deadline) < Last {
 			return r
 		}
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(Retry)
 	}
 }
 
