--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -262,12 +262,7 @@
 		l.giveBack(m, "will be taken")
 		return
 	}
-	// A machine that is wanted again has to boot: longer than that takes, with
-	// a margin, waiting for work costs more than renting anew.
 	idle := 3 * l.c.lease()
-	if t := l.c.types[m.typ]; t != nil && t.BootS > 0 {
-		idle = min(idle, time.Duration(bootSlow*t.BootS*float64(time.Second)))
-	}
 	if s := l.c.op.IdleReturnS; s != nil {
 		idle = time.Duration(*s * float64(time.Second))
 	}
