--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -282,6 +282,10 @@
 
 const arrivalWindow = 120 * time.Second
 
+// maxArrival is how many tasks of one job count as arrivals: a huge job is one
+// event, not the rate of those to come.
+const maxArrival = 64
+
 // noteArrival counts a submission, by the time of its record: a new leader
 // learns from the open jobs what was lately submitted.
 func (l *leader) noteArrival(j *job) {
@@ -295,7 +299,7 @@
 		n = len(j.tasks)
 	}
 	at := l.c.now - time.Duration(max(0, l.c.wall-j.at))*time.Millisecond
-	for k := 0; k < n && k < 64; k++ {
+	for range min(n, maxArrival) {
 		a.at = append(a.at, at)
 	}
 	a.last = j
@@ -621,7 +625,7 @@
 	mean := float64(n) / arrivalWindow.Seconds() * lead
 	sure := min(max(o.Share, 0.5), 0.99)
 	k := int(math.Ceil(mean + math.Sqrt2*math.Erfinv(2*sure-1)*math.Sqrt(mean)))
-	k = min(max(k, 1), 16)
+	k = max(k, 1)
 	if w := l.c.op.WarmMachines; w != nil {
 		k = min(k, *w)
 	}
