Revert keeping rented machines for wide gangs: no gain

A kept machine is one that others do without while it boots, and a gang whose machines are kept makes no room elsewhere meanwhile.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -43,7 +43,6 @@
 // name until it is answered, so it never rents twice.
 type rent struct {
 	req   wire.RentRequest
-	owner []*job // gangs that the first of the machines are kept for
 	busy  bool
 	retry time.Duration
 }
@@ -320,7 +319,6 @@
 	soft [ranks]topology.Resources
 	used bool
 	want bool // to be rented
-	only *job // the gang that it is kept for
 }
 
 // room is what a task of a priority finds; expected work may count on what it
@@ -362,8 +360,7 @@
 			continue
 		}
 		add(m.name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
-		s := spaces[len(spaces)-1]
-		s.soft, s.only = m.soft, m.keptFor(l.c.now)
+		spaces[len(spaces)-1].soft = m.soft
 	}
 	for _, r := range f.rents {
 		t := l.c.types[r.req.Type]
@@ -372,9 +369,6 @@
 		}
 		for k := 0; k < r.req.Count; k++ {
 			add("", offerKey{r.req.Type, r.req.Zone, r.req.Spot}, topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB})
-			if k < len(r.owner) {
-				spaces[len(spaces)-1].only = r.owner[k]
-			}
 		}
 	}
 	sum := map[string]topology.Resources{}
@@ -387,20 +381,13 @@
 		}
 		room := l.zoneRoom(c.j)
 		added := map[string]int{}
-		c.held = max(c.held, l.heldFor(c.j))
-		for _, m := range c.j.held {
-			if m.keptFor(l.c.now) == c.j {
-				added[m.zone] += m.seats
-			}
-		}
 		var last *space
-		var rented []*space
 		for k := c.held; k < len(c.pending) && k < 500; k++ {
 			if !underLimit(l.c.team(c.j.Team), sum[c.j.Team], size(&c.j.Job), 1) {
 				break
 			}
 			zone := func(z string) bool {
-				if c.j.OneZone && k > 0 {
+				if c.j.OneZone && k > c.held {
 					return added[z] > 0
 				}
 				return room == nil || added[z] < room(z)
@@ -412,16 +399,6 @@
 			last = s
 			added[s.key.zone]++
 			sum[c.j.Team] = sum[c.j.Team].Add(size(&c.j.Job))
-			if s.want {
-				rented = append(rented, s)
-			}
-		}
-		if c.j.Shape == wire.ShapeGang && len(c.pending) > 1 {
-			// Its machines come up one by one: without this, small work takes
-			// the first before the last is there, and the gang waits on.
-			for _, s := range rented {
-				s.only = c.j
-			}
 		}
 	}
 	for _, o := range l.c.cfg.Deployment.Objectives {
@@ -443,7 +420,6 @@
 	l.consolidate(spaces, cands)
 	f.keep = map[string]bool{}
 	wants := map[offerKey]int{}
-	owners := map[offerKey][]*job{}
 	var keys []offerKey
 	for _, s := range spaces {
 		switch {
@@ -452,9 +428,6 @@
 				keys = append(keys, s.key)
 			}
 			wants[s.key]++
-			if s.only != nil {
-				owners[s.key] = append(owners[s.key], s.only)
-			}
 		case s.used && s.name != "":
 			f.keep[s.name] = true
 		}
@@ -468,7 +441,7 @@
 		}
 		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
 		f.rentSeq++
-		r := &rent{owner: owners[k], req: wire.RentRequest{
+		r := &rent{req: wire.RentRequest{
 			Request: "r-" + strconv.FormatUint(l.term, 10) + "-" + strconv.Itoa(f.rentSeq),
 			Type:    k.typ, Zone: k.zone, Spot: k.spot, Count: min(wants[k], 50),
 		}}
@@ -499,7 +472,7 @@
 			return
 		}
 		m := l.machines[s.name]
-		if m == nil || !l.usable(m) || s.only != nil {
+		if m == nil || !l.usable(m) {
 			continue
 		}
 		if !s.used && l.c.now-m.createdAt > minCharge && m.movable() {
@@ -671,13 +644,10 @@
 		l.visits += len(*spaces)
 		for _, s := range *spaces {
 			if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) ||
-				s.only != nil && (s.only != j || expected) || zone != nil && !zone(s.key.zone) {
+				best != nil && !s.free.Less(best.free) || zone != nil && !zone(s.key.zone) {
 				continue
 			}
-			// What is kept for it comes first, then the tightest.
-			if best == nil || (s.only == j) != (best.only == j) && s.only == j || (s.only == j) == (best.only == j) && s.free.Less(best.free) {
-				best = s
-			}
+			best = s
 		}
 	}
 	if best == nil {
@@ -796,7 +766,7 @@
 			var names wire.MachineNames
 			json.Unmarshal(res.Body, &names)
 			l.c.log.Info("rented", "type", k.typ, "zone", k.zone, "spot", k.spot, "asked", r.req.Count, "got", len(names.Machines))
-			for i, n := range names.Machines {
+			for _, n := range names.Machines {
 				if _, ok := l.returned[n]; ok {
 					continue
 				}
@@ -805,9 +775,6 @@
 					l.describe(m, "", k.typ, k.zone, k.spot)
 				}
 				m.createdAt = asked
-				if t := l.c.types[k.typ]; t != nil && i < len(r.owner) {
-					l.keep(m, r.owner[i], 1, asked+time.Duration(bootLate*t.BootS*float64(time.Second))+l.c.report())
-				}
 			}
 			if len(names.Machines) < r.req.Count {
 				f.refused[k] = l.c.now + l.refusedFor()
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -289,7 +289,7 @@
 		Allowed: func(t *topology.Machine) bool {
 			m := l.leaves[t.Key]
 			return eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m) && !(quick && l.slow(j, m, wait)) &&
-				(m.reserved == j || m.keptFor(l.c.now) == nil)
+				(m.reserved == nil || m.reserved == j || l.c.now >= m.reservedUntil)
 		},
 		Rank: func(t *topology.Machine) int {
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -92,30 +92,17 @@
 		}
 	}
 	j.held = nil
-	until := l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
 	for _, s := range best {
-		l.keep(s.m, j, 1, until)
-	}
-	return false
-}
-
-// keep has a machine kept for tasks of a job.
-func (l *leader) keep(m *machine, j *job, seats int, until time.Duration) {
-	if !slices.Contains(j.held, m) {
-		j.held = append(j.held, m)
-		m.seats = 0
+		s.m.reserved, s.m.seats = j, 0
+		if !slices.Contains(j.held, s.m) {
+			j.held = append(j.held, s.m)
+		}
 	}
-	m.reserved, m.reservedUntil = j, until
-	m.seats += seats
-}
-
-// keptFor names the job that a machine is kept for, if any.
-func (m *machine) keptFor(now time.Duration) *job {
-	j := m.reserved
-	if j == nil || now >= m.reservedUntil || j.cancelled || j.ended || j.placed == len(j.tasks) {
-		return nil
+	for _, s := range best {
+		s.m.seats++
+		s.m.reservedUntil = l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
 	}
-	return j
+	return false
 }
 
 // preemptGrace is the time that preempted work gets to save. A stop without it
@@ -173,7 +160,7 @@
 func (l *leader) heldFor(j *job) int {
 	n := 0
 	for _, m := range j.held {
-		if m.keptFor(l.c.now) == j {
+		if m.reserved == j && l.c.now < m.reservedUntil {
 			n += m.seats
 		}
 	}
@@ -226,7 +213,7 @@
 	l.visits += len(l.leaves)
 	for _, m := range l.leaves {
 		if zone != "" && m.zone != zone || !l.emptied(c, m).Holds(size(&j.Job)) || !l.mayTake(j, m) ||
-			m.keptFor(l.c.now) != nil || quick && l.slow(j, m, wait) {
+			m.reserved != nil && l.c.now < m.reservedUntil || quick && l.slow(j, m, wait) {
 			continue
 		}
 		if room != nil && room(m.zone) < 1 {
