One kind of slots for bounded calls; tests for sockets; what is held is not rented again

A later job of a shape for which nobody can be stopped did not see in that pass that room was being made for it already, and a machine was rented as well.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -379,6 +379,9 @@
 		if len(c.j.failOn) >= 3 {
 			continue
 		}
+		// Room that is being made for it is not rented as well, also where the
+		// pass did not come to it.
+		c.held = max(c.held, l.heldFor(c.j))
 		room := l.zoneRoom(c.j)
 		added := map[string]int{}
 		var last *space
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -100,13 +100,71 @@
 // fakeConn is a connection of which only the context matters.
 type fakeConn struct {
 	evio.Conn
-	ctx any
+	ctx   any
+	woken int
 }
 
+func (f *fakeConn) Wake() { f.woken++ }
+
 func (f *fakeConn) Context() any     { return f.ctx }
 func (f *fakeConn) SetContext(c any) { f.ctx = c }
 func (f *fakeConn) AddrIndex() int   { return 0 }
 
+// TestSockets fills a controller's sockets: an idle user makes way for whoever
+// comes, the one that is idle for longest first, a worker never does.
+func TestSockets(t *testing.T) {
+	cfg := &config.Settings{Name: "node-0", Deployment: config.Deployment{
+		Workers: config.Workers{ReportS: 1.5, LeaseS: 10, CancelS: 30},
+		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16},
+		Cloud:   config.Cloud{RPS: 8},
+		Limits:  config.Limits{CPU: 1, RAMMB: 200, MaxConnections: 12},
+	}}
+	n := New(cfg, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	open := func() (*fakeConn, bool) {
+		f := &fakeConn{}
+		_, _, action := n.opened(f)
+		return f, action != evio.Close
+	}
+	var users []*fakeConn
+	for i := 0; i < n.incoming()-1; i++ {
+		f, ok := open()
+		if !ok {
+			t.Fatalf("user %d of %d was turned away", i, n.incoming())
+		}
+		f.ctx.(*conn).last = time.Unix(int64(1000+i), 0)
+		users = append(users, f)
+	}
+	worker, _ := open()
+	n.data(worker, []byte("POST /checkin HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"))
+	worker.ctx.(*conn).busy = false
+	worker.ctx.(*conn).last = time.Unix(1, 0)
+	for i, u := range users {
+		if _, ok := open(); !ok || u.woken != 1 {
+			t.Fatalf("newcomer %d: taken %v, the oldest user closed %v", i, ok, u.woken == 1)
+		}
+		if _, action := n.data(u, nil); action != evio.Close {
+			t.Fatalf("user %d stays open", i)
+		}
+		n.closed(u, nil)
+		// The newcomers are busy workers from now on.
+		for c := range n.conns {
+			if c.last.Unix() > 1e6 {
+				c.worker = true
+			}
+		}
+	}
+	if worker.woken != 0 {
+		t.Error("a worker made way for a user")
+	}
+	if _, ok := open(); ok {
+		t.Error("a connection beyond the sockets was taken")
+	}
+	n.sweep(time.Now())
+	if worker.woken != 1 {
+		t.Error("a connection that its worker has given up stays open")
+	}
+}
+
 // TestRanks fills the users' queue: a further submission has to be refused at
 // once, with when to come back, while a report is still taken.
 func TestRanks(t *testing.T) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,7 +17,7 @@
 	http    httpwire.Client
 	watches httpwire.Client
 	pace    *Pace
-	slots   chan struct{} // a token for each call under way that is not urgent
+	slots   budget.Slots // of calls that are not urgent
 }
 
 // share is the part of the sockets that calls which are not urgent may take: a
@@ -59,7 +59,7 @@
 		http:    httpwire.Client{Addr: s.External.State, MaxIdle: 8},
 		watches: httpwire.Client{Addr: s.External.State, MaxIdle: 1},
 		pace:    NewPace(s),
-		slots:   make(chan struct{}, max(4, s.Deployment.Limits.MaxConnections/share)),
+		slots:   budget.NewSlots(max(4, s.Deployment.Limits.MaxConnections/share)),
 	}
 }
 
@@ -70,14 +70,10 @@
 		return result(k, &c.watches, deadline)
 	}
 	if !k.Urgent {
-		wait := time.NewTimer(k.Timeout)
-		defer wait.Stop()
-		select {
-		case c.slots <- struct{}{}:
-			defer func() { <-c.slots }()
-		case <-wait.C:
+		if !c.slots.Take(k.Timeout) {
 			return core.Result{ID: k.ID, NotSent: true, Status: 429}
 		}
+		defer c.slots.Free()
 	}
 	for {
 		wait, ok := c.pace.Take(time.Now(), &k, time.Until(deadline))
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/httpwire"
+	"github.com/brookwalk/brookwalk/internal/budget"
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core"
 )
@@ -18,7 +19,7 @@
 // Client keeps a connection to each worker that it has lately talked to, under
 // one bound for those in use and those that are idle.
 type Client struct {
-	slots chan struct{} // a token for each call under way
+	slots budget.Slots
 
 	mu    sync.Mutex
 	links map[string]*list.Element // of *link, by address
@@ -33,7 +34,7 @@
 
 // New makes a client that keeps its sockets to a share of the limit.
 func New(s *config.Settings) *Client {
-	return &Client{slots: make(chan struct{}, max(1, s.Deployment.Limits.MaxConnections/share)),
+	return &Client{slots: budget.NewSlots(max(1, s.Deployment.Limits.MaxConnections/share)),
 		links: map[string]*list.Element{}, order: list.New()}
 }
 
@@ -41,14 +42,10 @@
 // time was not sent.
 func (c *Client) Do(k core.Call) core.Result {
 	deadline := time.Now().Add(k.Timeout)
-	wait := time.NewTimer(k.Timeout)
-	defer wait.Stop()
-	select {
-	case c.slots <- struct{}{}:
-		defer func() { <-c.slots }()
-	case <-wait.C:
+	if !c.slots.Take(k.Timeout) {
 		return core.Result{ID: k.ID, NotSent: true}
 	}
+	defer c.slots.Free()
 	l := c.take(k.Addr)
 	defer c.put(l)
 	r, err := l.http.Do(k.Method, k.Path, k.Body, time.Until(deadline))
