Give up machines that hang like dead ones, after 8 s

What hangs for longer than a lease is lost either way, and what is given up early is placed early. With 8 s the bound of a sixth of the fleet, counted from 12 s of silence, hardly held any more; it is left out for half, of the fleet, the zone and the controller.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,9 +67,6 @@
 	Writes int
 	// Urgent calls go ahead of others when the budget is short.
 	Urgent bool
-	// Dial asks for a connection of its own: that a kept one takes the bytes
-	// does not show that the other side is there.
-	Dial bool
 	// Watch marks a call that stays open and needs its own connection.
 	Watch bool
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -68,7 +68,6 @@
 	probeBusy   bool
 	probeAt     time.Duration
 	probeFailed time.Duration   // when the last probe without an answer was sent
-	hangs       bool            // that one got a connection all the same
 	failed      map[string]bool // jobs that failed since a task last started well
 
 	// A machine whose tasks are stopped for a job is kept for it.
@@ -411,7 +410,7 @@
 	m.probeBusy = true
 	asked := l.c.now
 	m.probeAt = l.c.now + 2*l.c.report()
-	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout(), Dial: true}, func(r Result) {
+	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout()}, func(r Result) {
 		l.probing--
 		rep, ok := decodeReport(r.Body)
 		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
@@ -419,7 +418,7 @@
 			switch {
 			case l.gone:
 			case r.Status == 0:
-				m.probeFailed, m.hangs = asked, !r.NotSent
+				m.probeFailed = asked
 				l.control(m.zone)
 			case r.Status == 200:
 				l.directReport(m, r.Body)
@@ -478,19 +477,15 @@
 // answer: the protocol's 4 s for the answer and 1 s before the next one.
 const workerSwitch = 5 * time.Second
 
-// deadAfter is after how long a silent machine that takes no connection passes
-// for dead, if others of its zone and controller are heard: a worker had the
-// time to change controllers with a margin, and missed a report.
+// deadAfter is after how long a silent machine that does not answer passes for
+// dead, if others of its zone and controller are heard: a worker had the time
+// to change controllers with a margin, and missed a report.
 func (l *leader) deadAfter() time.Duration { return max(workerSwitch*8/5, 2*l.c.report()) }
 
-// hungAfter is the same for a machine that takes connections but does not
-// answer: it hangs, and may go on at any time.
-func (l *leader) hungAfter() time.Duration { return workerSwitch + 2*l.c.report() }
-
 // tickMachines looks for machines that fell silent or deaf.
 func (l *leader) tickMachines() {
 	now := l.c.now
-	silent, quiet, heard := 0, 0, 0
+	silent, heard := 0, 0
 	type count struct{ silent, quiet, heard int }
 	in, by := map[string]count{}, map[string]count{} // zone, controller
 	for _, m := range l.byName {
@@ -503,7 +498,6 @@
 		v.heard++
 		since := now - max(m.heard, m.contact, l.loadedAt)
 		if since > l.overdueReport() {
-			quiet++
 			n.quiet++
 			v.quiet++
 		}
@@ -550,18 +544,12 @@
 			limit *= 2
 		}
 		// This one does not answer us either, though others of its zone do and
-		// it has had the time to find another controller: it is dead, cut off or
-		// hangs. Its return frees its tasks sooner than its lease. A leader that
-		// was cut off from the workers once returned those that took longest to
-		// find another controller.
-		lost := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && l.reaches(m, in[m.zone].heard) &&
-			!mass && !hushed(in[m.zone]) && !hushed(by[m.via])
-		dead := lost && silence > l.deadAfter()
-		if m.hangs {
-			// Of many that hang at once most are back with their images before
-			// others could take their place: their leases decide.
-			dead = lost && silence > l.hungAfter() && quiet <= max(1, heard/6)
-		}
+		// it has had the time to find another controller: it is dead, hangs or
+		// is cut off. Its return frees its tasks sooner than its lease, however
+		// many fail at once. A leader that was cut off from the workers once
+		// returned those that took longest to find another controller.
+		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && l.reaches(m, in[m.zone].heard) &&
+			silence > l.deadAfter() && !mass && !hushed(in[m.zone]) && !hushed(by[m.via])
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -272,7 +272,7 @@
 			n.feed(r)
 		}
 	}
-	w.after(k.Timeout, func() { finish(core.Result{NotSent: k.Dial && !w.reachable(n.name, k.Addr)}) })
+	w.after(k.Timeout, func() { finish(core.Result{}) })
 	reply := func(from string) func(status int, body []byte) {
 		return func(status int, body []byte) {
 			w.deliver(from, n.name, func() { finish(core.Result{Status: status, Body: body}) })
@@ -299,21 +299,6 @@
 	}
 }
 
-// reachable tells whether a machine takes connections from a controller, also
-// while it hangs.
-func (w *World) reachable(from, addr string) bool {
-	m := w.cloud.byAddr[addr]
-	if m == nil || m.gone {
-		return false
-	}
-	for _, c := range w.cuts {
-		if c.until > w.now && (w.match(c.from, from) && w.match(c.to, m.name) || w.match(c.from, m.name) && w.match(c.to, from)) {
-			return false
-		}
-	}
-	return true
-}
-
 // callStore carries a call to the state service out as the client does: at the
 // pace of the budgets, and again where the service turns it away.
 func (n *node) callStore(k core.Call, deadline time.Duration, reply func(int, []byte), finish func(core.Result)) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -46,15 +46,11 @@
 		return core.Result{ID: k.ID, NotSent: true}
 	}
 	defer c.slots.Free()
-	h := &httpwire.Client{Addr: k.Addr}
-	if !k.Dial {
-		l := c.take(k.Addr)
-		defer c.put(l)
-		h = &l.http
-	}
-	r, err := h.Do(k.Method, k.Path, k.Body, time.Until(deadline))
+	l := c.take(k.Addr)
+	defer c.put(l)
+	r, err := l.http.Do(k.Method, k.Path, k.Body, time.Until(deadline))
 	if err != nil {
-		h.CloseIdle()
+		l.http.CloseIdle()
 		return core.Result{ID: k.ID, NotSent: errors.Is(err, httpwire.ErrNotSent)}
 	}
 	return core.Result{ID: k.ID, Status: r.Status, Body: r.Body}
