--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -288,8 +288,16 @@
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
 			m := l.leaves[t.Key]
-			return eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m) && !(quick && l.slow(j, m, wait)) &&
-				(m.reserved == nil || m.reserved == j || l.c.now >= m.reservedUntil)
+			if !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) {
+				return false
+			}
+			if m.reserved != nil && l.c.now < m.reservedUntil {
+				// Room that was made for it is taken though the image is slow
+				// there: left out, the job waited for three reports, until the
+				// machine was not kept for it any more.
+				return m.reserved == j
+			}
+			return !(quick && l.slow(j, m, wait))
 		},
 		Rank: func(t *topology.Machine) int {
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
