--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -50,7 +50,15 @@
 		if len(p) == 0 {
 			continue
 		}
-		out = append(out, &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p})
+		c := &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p}
+		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
+			// One task makes a job begin. Where more jobs wait than there is
+			// room for, all tasks of one ahead of the next kept every job of
+			// a class from beginning for six minutes.
+			out = append(out, &candidate{j: j, guaranteed: j.within, slack: c.slack, work: c.work - 1, pending: p[:1:1]})
+			c.pending = p[1:]
+		}
+		out = append(out, c)
 	}
 	sort.SliceStable(out, func(a, b int) bool {
 		x, y := out[a], out[b]
@@ -82,9 +90,14 @@
 	return *j.DeadlineS - float64(l.c.wall-j.at)/1000 - l.runEstimate(j)
 }
 
-// mustBegin is half the time within which the protocol has the largest jobs
+// beginWithin is half the time within which the protocol has the largest jobs
 // begin.
-const mustBegin = 120 * time.Second
+const beginWithin = 120 * time.Second
+
+// mustBegin tells whether a job has waited long without a beginning.
+func (l *leader) mustBegin(j *job) bool {
+	return j.done+j.placed == 0 && time.Duration(l.c.wall-j.at)*time.Millisecond > beginWithin
+}
 
 // work is what a job of a class that is to be finished within a time still has
 // to run, in seconds of a task. When not all can be done in time, the least
@@ -93,7 +106,7 @@
 func (l *leader) work(j *job, pending int) float64 {
 	for _, o := range l.c.cfg.Deployment.Objectives {
 		if o.Kind == "finished" && o.Class == j.Class {
-			if j.done+j.placed == 0 && time.Duration(l.c.wall-j.at)*time.Millisecond > mustBegin {
+			if l.mustBegin(j) {
 				return 0
 			}
 			return float64(pending) * l.runEstimate(j)
