Tell a user that a job is cancelled only when none of its tasks is left

The answer was given as soon as the wish was recorded, and rested on a leader that would live to stop the tasks or return their machines. Now the wish is recorded, the leader stops the tasks and records the end, and only then is the user told; a leader that cannot write gives its word, which holds while the term is its own. Ruled out: acknowledgements by every controller, since a controller that ends forgets them.

The checker's own test stopped tasks from being killed and expected ran_cancelled. Such a core now tells nobody, so the mutation also gives the answer early, which is the fault that the rule is about.

--- /dev/null
+++ b/internal/core/cancel.go
@@ -0,0 +1,346 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// This file alone decides when a user is told that a job is cancelled. The
+// answer is a promise that none of its tasks starts any more and that all of
+// them are gone within cancel_s, whatever fails meanwhile: the leader, the state
+// service, machines, or several of them. So it is given only when it has come
+// true already:
+//
+//   - the wish to cancel is recorded in the job's open record. From then on no
+//     placement can be recorded, since each is conditional on that record;
+//   - the leader stops the tasks, wherever they are reached, and counts each of
+//     them until it is certainly gone (gone.go);
+//   - the user is told when the job's end is recorded, or, where the state
+//     service fails the leader alone, when the leader says that no task is left
+//     and its term is confirmed to be still the latest.
+//
+// Until then the user is asked to come back, at once where tasks are out of
+// reach. Users were once told as soon as the wish was recorded: with the state
+// service gone a moment later, a new leader could not learn of the jobs, and
+// their tasks ran on for longer than cancel_s.
+
+// cancelling is a cancellation that is recorded while its user is not told.
+type cancelling struct {
+	version uint64        // of the open record with the wish
+	at      time.Duration // a user last asked
+	waiting []cancelWaiter
+	busy    bool // the confirmation is being recorded
+}
+
+// cancelWaiter is a request that waits for a job's tasks to be gone.
+type cancelWaiter struct {
+	req   uint64
+	until time.Duration
+}
+
+// cancelRetry is when a user is asked to come back with a cancellation, in
+// seconds.
+const cancelRetry = 2
+
+// cancelWait is how long a cancellation may take before its user is asked to
+// come back: a stop goes out at once, or else with the worker's next report.
+func (c *Core) cancelWait() time.Duration { return c.report() * 5 / 4 }
+
+// cancelTime is cancel_s.
+func (c *Core) cancelTime() time.Duration {
+	return config.Seconds(c.cfg.Deployment.Workers.CancelS)
+}
+
+func (c *Core) onCancel(req uint64, id string) {
+	if !validID(id) {
+		c.answer(req, 404, errorBody("no such job"), 0)
+		return
+	}
+	c.cancel(req, id, 0)
+}
+
+// cancel records the wish to cancel a job, and has the request wait until its
+// tasks are gone.
+func (c *Core) cancel(req uint64, id string, tries int) {
+	c.find(id, func(f found) {
+		switch {
+		case f.failed || tries > 4:
+			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+		case f.open == nil && f.final == nil:
+			c.answer(req, 404, errorBody("no such job"), 0)
+		case f.final != nil || f.open.rec.told():
+			c.answer(req, 200, c.statusOf(id, f), 0)
+		case f.open.rec.Cancelled:
+			c.awaitGone(req, id, f.open)
+		default:
+			rec := f.open.rec
+			rec.Cancelled, rec.AskedAt = true, c.wall
+			c.writeOpen(id, f.open.version, rec, nil, func(k *known, status int) {
+				switch {
+				case k != nil:
+					c.awaitGone(req, id, k)
+				case status == 409:
+					c.cancel(req, id, tries+1)
+				default:
+					c.answer(req, 503, errorBody("the state service does not answer"), 1)
+				}
+			})
+		}
+	})
+}
+
+// writeOpen changes a job's open record; f gets what is known then, or nil.
+func (c *Core) writeOpen(id string, version uint64, rec openRecord, also []wire.Cond, f func(k *known, status int)) {
+	txn := &wire.Txn{
+		If:     append([]wire.Cond{{Key: prefixOpen + id, Version: version}}, also...),
+		Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
+	}
+	c.commit(txn, true, func(r Result) {
+		var tr wire.TxnResult
+		if r.Status != 200 || json.Unmarshal(r.Body, &tr) != nil {
+			if r.Status == 409 {
+				delete(c.users.open, id)
+			}
+			f(nil, r.Status)
+			return
+		}
+		k := &known{version: tr.Revision, rec: rec}
+		c.know(id, k)
+		f(k, r.Status)
+	})
+}
+
+// awaitGone has a request wait for the end of a job that is to be cancelled.
+func (c *Core) awaitGone(req uint64, id string, k *known) {
+	u := &c.users
+	if rec, ok := u.final[id]; ok {
+		c.answer(req, 200, rec.status(id), 0)
+		return
+	}
+	x := u.cancels[id]
+	if x == nil {
+		x = &cancelling{}
+		u.cancels[id] = x
+	}
+	x.version, x.at = max(x.version, k.version), c.now
+	x.waiting = append(x.waiting, cancelWaiter{req, c.now + c.cancelWait()})
+	switch {
+	case c.lead != nil:
+		c.lead.noteOpen(id, k.version, k.rec)
+		if c.lead.heldUp(id) {
+			c.putOff(id)
+		}
+	case c.hearsLeader():
+		// The leader learns of it by its watch, or, should the state service
+		// fail it just now, from us.
+		c.sendDigest()
+	default:
+		c.putOff(id)
+	}
+}
+
+// putOff asks those who wait for a cancellation to come back.
+func (c *Core) putOff(id string) {
+	if x := c.users.cancels[id]; x != nil && !x.busy {
+		for _, w := range x.waiting {
+			c.answer(w.req, 503, errorBody("tasks are still being stopped"), cancelRetry)
+		}
+		x.waiting = nil
+	}
+}
+
+// noteEnd takes in that a job's end is recorded for good.
+func (c *Core) noteEnd(e wire.JobEnd) {
+	f := finalRecord{Status: e.Status, Tasks: e.Tasks}
+	c.remember(e.ID, f)
+	if x := c.users.cancels[e.ID]; x != nil {
+		delete(c.users.cancels, e.ID)
+		for _, w := range x.waiting {
+			c.answer(w.req, 200, f.status(e.ID), 0)
+		}
+	}
+}
+
+// onEnds takes in the leader's word on jobs.
+func (c *Core) onEnds(e *wire.Ends) {
+	for _, j := range e.Over {
+		c.noteEnd(j)
+	}
+	for _, id := range e.Held {
+		c.putOff(id)
+	}
+	for _, id := range e.Gone {
+		c.confirmGone(id, e.TermVersion)
+	}
+}
+
+// confirmGone records that a job's user is told, if the leader who says that no
+// task is left is still the latest one: a later one may have started some
+// before the wish was recorded.
+func (c *Core) confirmGone(id string, termVersion uint64) {
+	x, k := c.users.cancels[id], c.users.open[id]
+	if x == nil || x.busy || len(x.waiting) == 0 {
+		return
+	}
+	if k == nil || k.version != x.version {
+		c.putOff(id)
+		return
+	}
+	x.busy = true
+	rec := k.rec
+	rec.CancelledAt = c.wall
+	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: keyTerm, Version: termVersion}}, func(k *known, status int) {
+		x.busy = false
+		if c.users.cancels[id] != x {
+			return // over meanwhile
+		}
+		if k == nil {
+			c.putOff(id)
+			return
+		}
+		delete(c.users.cancels, id)
+		for _, w := range x.waiting {
+			c.answer(w.req, 200, wire.JobStatus{ID: id, Status: wire.StatusCancelled}, 0)
+		}
+	})
+}
+
+// tickCancels asks users to come back whose wait is over, and forgets
+// cancellations that nobody has asked about for cancel_s: their wish is on
+// record.
+func (c *Core) tickCancels() {
+	u := &c.users
+	for _, id := range sortedKeys(u.cancels) {
+		x := u.cancels[id]
+		for len(x.waiting) > 0 && c.now >= x.waiting[0].until && !x.busy {
+			c.answer(x.waiting[0].req, 503, errorBody("tasks are still being stopped"), cancelRetry)
+			x.waiting = x.waiting[1:]
+		}
+		if len(x.waiting) == 0 && c.now-x.at > c.cancelTime() {
+			delete(u.cancels, id)
+		}
+	}
+}
+
+// noteWish takes in what an open record says of a cancellation.
+func (l *leader) noteWish(j *job, rec openRecord) {
+	ago := func(at int64, skew float64) time.Duration {
+		return l.c.now - time.Duration(max(0, l.c.wall-at+int64(skew)))*time.Millisecond
+	}
+	if rec.Cancelled && !j.cancelled {
+		j.cancelled = true
+		j.askedAt = l.c.now
+		if rec.AskedAt != 0 {
+			j.askedAt = ago(rec.AskedAt, 0)
+		}
+		l.cancelled[j.ID] = j
+		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.told())
+		for i := range j.tasks {
+			if j.tasks[i].m != nil {
+				l.stopTask(j, i, 0, "cancelled")
+			}
+		}
+		l.dirty = true
+	}
+	if rec.told() && !j.told {
+		j.told = true
+		// Not from when this leader learns of it: each of several leaders in
+		// a row would take its time anew, and the task run on beyond it.
+		j.toldAt = l.c.now
+		if rec.CancelledAt != 0 {
+			j.toldAt = ago(rec.CancelledAt, l.c.cfg.Deployment.SkewMs)
+		}
+	}
+}
+
+// noteCancelled takes in the cancellations that another controller has
+// recorded, and tells it what has become of the jobs.
+func (l *leader) noteCancelled(from string, list []wire.Cancelled) {
+	e := wire.Ends{TermVersion: l.termVersion}
+	for _, x := range list {
+		j := l.jobs[x.ID]
+		if j != nil && !j.cancelled {
+			l.noteOpen(x.ID, max(x.Version, j.version), openRecord{Job: j.Job, At: j.at, Cancelled: true, AskedAt: l.c.wall})
+		}
+		switch f, over := l.c.users.final[x.ID]; {
+		case over:
+			e.Over = append(e.Over, wire.JobEnd{ID: x.ID, Status: f.Status, Tasks: f.Tasks})
+		case !l.ready:
+		case j == nil:
+			// Never heard of, or its end not remembered: in either case no task
+			// of it counts, and none can be placed on the record as it is now.
+			e.Gone = append(e.Gone, x.ID)
+		case l.goneLong(j):
+			e.Gone = append(e.Gone, x.ID)
+		case l.heldUp(x.ID):
+			e.Held = append(e.Held, x.ID)
+		}
+	}
+	if len(e.Over)+len(e.Gone)+len(e.Held) > 0 {
+		l.c.send(from, &wire.PeerMessage{Ends: &e})
+	}
+}
+
+// goneLong tells whether a cancelled job has been without a task for longer
+// than it takes to record its end, or cannot have it recorded.
+func (l *leader) goneLong(j *job) bool {
+	return j.goneAt != 0 && (l.c.now-j.goneAt > l.c.report()/5 || !l.c.storeOK())
+}
+
+// heldUp tells whether tasks of a job are on machines out of reach, so that
+// their end may take a while.
+func (l *leader) heldUp(id string) bool {
+	j := l.jobs[id]
+	if j == nil {
+		return false
+	}
+	for i := range j.tasks {
+		if m := j.tasks[i].m; m != nil && l.c.now-max(m.heard, m.contact) > l.overdueReport() {
+			return true
+		}
+	}
+	return false
+}
+
+// tickGone tells the other controllers of cancelled jobs that are without a
+// task and whose end the leader cannot record.
+func (l *leader) tickGone() {
+	var e wire.Ends
+	for _, id := range sortedKeys(l.cancelled) {
+		j := l.cancelled[id]
+		switch {
+		case !j.loaded || j.placed > 0:
+			j.goneAt = 0
+		case j.goneAt == 0:
+			j.goneAt = l.c.now
+		}
+		if l.goneLong(j) && !j.goneSaid {
+			j.goneSaid = true
+			e.Gone = append(e.Gone, id)
+		}
+	}
+	l.sendEnds(e)
+}
+
+func (l *leader) sendEnds(e wire.Ends) {
+	if len(e.Over)+len(e.Gone) == 0 {
+		return
+	}
+	e.TermVersion = l.termVersion
+	for _, p := range l.c.cfg.Peers {
+		l.c.send(p.Name, &wire.PeerMessage{Ends: &e})
+	}
+}
+
+// cancelLate tells whether a task of a cancelled job that is not confirmed gone
+// has to go with its machine. Where the user was told already, as controllers
+// of earlier versions do, what is left of cancel_s has to suffice for a change
+// of leaders and for the cloud's answer. Else a machine that runs other work is
+// given the time to come back, while the user still asks.
+func (l *leader) cancelLate(j *job) bool {
+	return j.told && l.c.now-j.toldAt > l.c.cancelTime()*3/5 ||
+		j.cancelled && l.c.now-j.askedAt > l.c.cancelTime()*6/5
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,7 +113,6 @@
 	visitors    map[string]*visitor // workers that report here
 	digestAt    time.Duration
 	countsAt    time.Duration
-	apartAt     time.Duration            // the leader last said that a zone is out of reach
 	counts      map[string]wire.JobCount // last digest of the leader
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -720,30 +720,6 @@
 	return ok && l.c.now-at < l.c.report()
 }
 
-// anyCutOff tells whether any zone is out of reach.
-func (l *leader) anyCutOff() bool {
-	for zone := range l.fleet.cutAt {
-		if l.cutOff(zone) {
-			return true
-		}
-	}
-	return false
-}
-
-// apart tells whether a task of a job is in a zone out of reach.
-func (l *leader) apart(id string) bool {
-	j := l.jobs[id]
-	if j == nil {
-		return false
-	}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.m != nil && l.cutOff(t.zone) {
-			return true
-		}
-	}
-	return false
-}
-
 // rent sends a rental request; a shortage closes the offer for a while.
 func (l *leader) rent(r *rent) {
 	f := &l.fleet
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -207,23 +206,6 @@
 	return &wire.Command{Verb: wire.VerbStop, Task: name, Attempt: t.attempt, GraceS: &grace}
 }
 
-func (l *leader) cancelTasks(j *job) {
-	for i := range j.tasks {
-		if j.tasks[i].m != nil {
-			l.stopTask(j, i, 0, "cancelled")
-		}
-	}
-	l.dirty = true
-}
-
-// cancelLate tells whether a task that is not confirmed gone this long after
-// its job's cancellation has to go with its machine. What is left has to suffice
-// for a change of leaders and for the cloud's answer.
-func (l *leader) cancelLate(since time.Duration) bool {
-	all := config.Seconds(l.c.cfg.Deployment.Workers.CancelS)
-	return since > all*3/5
-}
-
 // tickStops repeats stops that had no effect, ends saves that take too long,
 // and returns machines on which cancelled work cannot be confirmed gone.
 func (l *leader) tickStops() {
@@ -254,7 +236,7 @@
 				t.stop.grace = 0
 				l.fleet.urge[m.name] = true
 			}
-			if p.j.told && l.cancelLate(l.c.now-p.j.cancelAt) {
+			if l.cancelLate(p.j) {
 				l.giveBack(m, "cancelled work is not confirmed gone")
 			}
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -45,9 +45,10 @@
 	schedule  bool
 	schedNext time.Duration
 
-	fleet    fleet
-	arrivals map[string]*arrivals
-	estimate map[string]*estimate
+	cancelled map[string]*job // cancelled jobs whose end is not recorded
+	fleet     fleet
+	arrivals  map[string]*arrivals
+	estimate  map[string]*estimate
 }
 
 // job is an unfinished job.
@@ -59,8 +60,11 @@
 	order     uint64 // version of the first record seen: submission order
 	version   uint64 // of the open record
 	cancelled bool
-	told      bool // the user may have been told so
-	cancelAt  time.Duration
+	askedAt   time.Duration // its user asked to cancel it
+	goneAt    time.Duration // cancelled and without a task since then
+	goneSaid  bool          // the other controllers were told so
+	told      bool          // the user may have been told so
+	toldAt    time.Duration
 	stale     bool // the open record must be read again
 
 	tasks     []task
@@ -142,7 +146,7 @@
 		jobs:     map[string]*job{},
 		machines: map[string]*machine{},
 		reached:  map[string]time.Duration{},
-		returned: map[string]time.Duration{},
+		returned: map[string]time.Duration{}, cancelled: map[string]*job{},
 		arrivals: map[string]*arrivals{},
 		estimate: map[string]*estimate{},
 		fleet:    newFleet(),
@@ -311,31 +315,10 @@
 		return
 	}
 	j.version = version
-	if rec.Cancelled && !j.cancelled {
-		j.cancelled = true
-		l.c.log.Info("job cancelled", "job", id, "told", rec.told())
-		l.cancelTasks(j)
-	}
-	if rec.told() && !j.told {
-		j.told = true
-		// Not from when this leader learns of it: each of several leaders in
-		// a row would take its time anew, and the task run on beyond it.
-		j.cancelAt = l.c.now
-		if rec.CancelledAt != 0 {
-			skew := int64(l.c.cfg.Deployment.SkewMs)
-			j.cancelAt -= time.Duration(max(0, l.c.wall-rec.CancelledAt+skew)) * time.Millisecond
-		}
-	}
+	l.noteWish(j, rec)
 	l.schedule = true
 }
 
-// noteCancelled takes in a cancellation that another controller recorded.
-func (l *leader) noteCancelled(x wire.Cancelled) {
-	if j := l.jobs[x.ID]; j != nil && !j.told {
-		l.noteOpen(x.ID, max(x.Version, j.version), openRecord{Job: j.Job, At: j.at, Cancelled: true})
-	}
-}
-
 // bind makes a task count on a machine.
 func (l *leader) bind(j *job, i int, m *machine) {
 	t := &j.tasks[i]
@@ -410,6 +393,7 @@
 	l.tickMachines()
 	l.tickFleet()
 	l.tickStops()
+	l.tickGone()
 	if l.c.now >= l.schedNext+l.c.report()/3 {
 		l.schedule = true
 	}
@@ -441,6 +425,7 @@
 	txn := &wire.Txn{If: []wire.Cond{l.termCond()}}
 	bytes := 0
 	var after []func(version uint64)
+	var ends []wire.JobEnd
 	more := false
 	room := func(n int) bool { return len(txn.Writes)+n <= ops && bytes < 44<<10 }
 	for _, j := range l.order {
@@ -483,7 +468,8 @@
 			}
 			l.c.log.Info("job over", "job", j.ID, "status", f.Status)
 			j.ended = true
-			l.c.remember(j.ID, f)
+			l.c.noteEnd(wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
+			ends = append(ends, wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
 			l.forget(j)
 		})
 	}
@@ -551,6 +537,7 @@
 		for _, f := range after {
 			f(version)
 		}
+		l.sendEnds(wire.Ends{Over: ends})
 		l.schedule = true
 	})
 }
@@ -658,6 +645,7 @@
 // count on machines stay bound until they are certainly gone.
 func (l *leader) forget(j *job) {
 	delete(l.jobs, j.ID)
+	delete(l.cancelled, j.ID)
 	for i, o := range l.order {
 		if o == j {
 			l.order = append(l.order[:i:i], l.order[i+1:]...)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -130,23 +130,20 @@
 			}
 			c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: m.Reply.Status, Body: m.Reply.Body})
 		}
+	case m.Ends != nil:
+		c.onEnds(m.Ends)
 	case m.Digest != nil:
 		d := m.Digest
 		c.noteTestimony(p, d)
 		p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
 		if c.lead != nil {
-			for _, x := range d.Cancelled {
-				c.lead.noteCancelled(x)
-			}
+			c.lead.noteCancelled(m.From, d.Cancelled)
 		}
 		if d.Leader {
 			c.learn(d.Term, m.From)
 			if c.lead == nil && c.elect.leader == m.From {
 				c.elect.heard = c.now
 				c.noteEcho(d)
-				if d.Apart {
-					c.apartAt = c.now
-				}
 			}
 			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
 				if !d.More || c.counts == nil {
@@ -164,11 +161,11 @@
 
 func (c *Core) sendDigest() {
 	d := wire.Digest{Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.keep.list(c.now)}
-	for _, t := range c.users.cancelled {
-		d.Cancelled = append(d.Cancelled, t.Cancelled)
+	for _, id := range sortedKeys(c.users.cancels) {
+		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels[id].version})
 	}
 	if c.lead != nil {
-		d.Leader, d.Apart = true, c.lead.anyCutOff()
+		d.Leader = true
 		if c.now >= c.countsAt {
 			c.countsAt = c.now + c.ttl()
 			d.HasJobs, d.Jobs = true, c.lead.digest()
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -26,9 +25,8 @@
 	Job       wire.Job `json:"j"`
 	At        int64    `json:"at"` // ms, time of day of the submission
 	Cancelled bool     `json:"c,omitempty"`
-	// AskedAt is the time of day, in ms, at which the user asked to cancel
-	// while tasks were out of reach: they are stopped, but the user is told to
-	// come back, see Core.cancel.
+	// AskedAt is the time of day, in ms, at which the user asked to cancel: the
+	// tasks are stopped, but nobody is told before they are gone, see cancel.go.
 	AskedAt int64 `json:"ak,omitempty"`
 	// CancelledAt is the time of day, in ms, at which the user was about to be
 	// told: cancel_s runs from it, whoever leads.
@@ -57,20 +55,14 @@
 	lookups    map[string][]*lookup // by job
 	order      []string             // jobs with lookups, oldest first
 	lookupBusy int
-	confirmAt  time.Duration   // known jobs wait until then, to be confirmed together
-	cancelled  []toldCancelled // lately, oldest first
+	confirmAt  time.Duration // known jobs wait until then, to be confirmed together
+	cancels    map[string]*cancelling
 	preloaded  bool
 	preloadAt  time.Duration
 
 	storeBadSince time.Duration
 }
 
-// toldCancelled is a cancellation that a user was told here.
-type toldCancelled struct {
-	wire.Cancelled
-	at time.Duration
-}
-
 type known struct {
 	version uint64
 	rec     openRecord
@@ -123,6 +115,7 @@
 	u.open = map[string]*known{}
 	u.final = map[string]finalRecord{}
 	u.lookups = map[string][]*lookup{}
+	u.cancels = map[string]*cancelling{}
 }
 
 func validID(id string) bool {
@@ -584,8 +577,16 @@
 		if r.Status == 200 && json.Unmarshal(r.Body, &it) == nil {
 			k := &known{version: it.Version}
 			if json.Unmarshal(it.Value, &k.rec) == nil {
+				// What was learned while the answer was on its way is newer: a
+				// user may have been told of it here meanwhile.
+				if f, over := u.final[id]; over {
+					end(found{final: &f})
+					return
+				}
 				if old := u.open[id]; old == nil || old.version < k.version {
 					c.know(id, k)
+				} else {
+					k = old
 				}
 				end(found{open: k})
 				return
@@ -627,93 +628,6 @@
 	u.final[id] = f
 }
 
-func (c *Core) onCancel(req uint64, id string) {
-	if !validID(id) {
-		c.answer(req, 404, errorBody("no such job"), 0)
-		return
-	}
-	c.cancel(req, id, 0)
-}
-
-// cancel records a cancellation and tells the user. Within cancel_s of that all
-// tasks have to be gone, and a machine that cannot be reached has to be returned
-// for it with all that it runs. So while machines are out of reach the wish
-// alone is recorded, the tasks are stopped wherever they are reached, and the
-// user is asked to come back: until they are gone, or the wish has waited as
-// long as a cancelled task may.
-func (c *Core) cancel(req uint64, id string, tries int) {
-	c.find(id, func(f found) {
-		switch {
-		case f.failed || tries > 4:
-			c.answer(req, 503, errorBody("the state service does not answer"), 1)
-		case f.open == nil && f.final == nil:
-			c.answer(req, 404, errorBody("no such job"), 0)
-		case f.final != nil || f.open.rec.told():
-			c.answer(req, 200, c.statusOf(id, f), 0)
-		case f.open.rec.Cancelled && c.apart(id) && c.patient(f.open.rec.AskedAt):
-			c.answer(req, 503, errorBody("tasks are out of reach"), cancelRetry)
-		default:
-			rec := f.open.rec
-			if !rec.Cancelled && c.apart(id) {
-				rec.AskedAt = c.wall
-			} else {
-				rec.CancelledAt = c.wall
-			}
-			rec.Cancelled = true
-			txn := &wire.Txn{
-				If:     []wire.Cond{{Key: prefixOpen + id, Version: f.open.version}},
-				Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
-			}
-			c.commit(txn, true, func(r Result) {
-				switch r.Status {
-				case 200:
-					var tr wire.TxnResult
-					json.Unmarshal(r.Body, &tr)
-					c.know(id, &known{version: tr.Revision, rec: rec})
-					if !rec.told() {
-						if c.lead != nil {
-							c.lead.noteOpen(id, tr.Revision, rec)
-						}
-						c.answer(req, 503, errorBody("tasks are out of reach"), cancelRetry)
-						return
-					}
-					// The leader learns of it by its watch, or, should the
-					// state service fail it just now, from us.
-					c.users.cancelled = append(c.users.cancelled, toldCancelled{wire.Cancelled{ID: id, Version: tr.Revision}, c.now})
-					if c.lead != nil {
-						c.lead.noteOpen(id, tr.Revision, rec)
-					} else {
-						c.sendDigest()
-					}
-					c.answer(req, 200, wire.JobStatus{ID: id, Status: wire.StatusCancelled}, 0)
-				case 409:
-					delete(c.users.open, id)
-					c.cancel(req, id, tries+1)
-				default:
-					c.answer(req, 503, errorBody("the state service does not answer"), 1)
-				}
-			})
-		}
-	})
-}
-
-// cancelRetry is when a user is asked to come back with a cancellation, in
-// seconds.
-const cancelRetry = 3
-
-// patient tells whether a wish to cancel may wait some more.
-func (c *Core) patient(asked int64) bool {
-	return float64(c.wall-asked)/1000 < c.cfg.Deployment.Workers.CancelS*3/5
-}
-
-// apart tells whether tasks of a job may be on machines out of reach.
-func (c *Core) apart(id string) bool {
-	if c.lead != nil {
-		return c.lead.apart(id)
-	}
-	return c.apartAt != 0 && c.now-c.apartAt < c.ttl()
-}
-
 // tickPreload reads the open jobs once after the start, in pages: else the polls
 // of every user, right after all controllers have restarted, would each take a
 // read of their own, and the state service's budget with them.
@@ -794,9 +708,7 @@
 	}
 	u.order = order
 	c.pumpLookups()
-	for len(u.cancelled) > 0 && c.now-u.cancelled[0].at > config.Seconds(c.cfg.Deployment.Workers.CancelS) {
-		u.cancelled = u.cancelled[1:]
-	}
+	c.tickCancels()
 }
 
 func sortUint64(s []uint64) { sort.Slice(s, func(i, j int) bool { return s[i] < s[j] }) }
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -197,6 +197,8 @@
 			}
 		}
 	}
+	// Users are told before the tasks are gone, and no task is stopped. Without
+	// the first nobody is told, and nothing is promised.
 	noStops := func(n *node, out *core.Output) {
 		for i := range out.Calls {
 			out.Calls[i].Body = []byte(strings.ReplaceAll(string(out.Calls[i].Body), `"kill"`, `"none"`))
@@ -205,7 +207,11 @@
 			}
 		}
 		for i := range out.Answers {
-			out.Answers[i].Body = []byte(strings.ReplaceAll(string(out.Answers[i].Body), `"kill"`, `"none"`))
+			a := &out.Answers[i]
+			a.Body = []byte(strings.ReplaceAll(string(a.Body), `"kill"`, `"none"`))
+			if a.Status == 503 && strings.Contains(string(a.Body), "being stopped") {
+				a.Status, a.Body = 200, []byte(`{"nameId":"job-000003","status":"withdrawn"}`)
+			}
 		}
 	}
 	for _, tc := range []struct {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -8,6 +8,7 @@
 	Forward *Forward
 	Reply   *Reply
 	Digest  *Digest
+	Ends    *Ends
 }
 
 // Forward hands a worker's report to the leader as it came.
@@ -32,8 +33,6 @@
 	Leader      bool
 	HearsLeader bool
 	StoreOK     bool
-	// Apart is set by the leader while a zone is out of its reach.
-	Apart   bool
 	HasJobs bool
 	Jobs    []JobCount
 	// More tells that Jobs goes on from the digest before.
@@ -46,12 +45,33 @@
 	// Kept lists the workers whose leases the sender has lately extended while
 	// it could not reach the leader.
 	Kept []Kept
-	// Cancelled lists the jobs whose users this controller has lately told so:
-	// the leader must stop their tasks even if it cannot read the state
-	// service meanwhile.
+	// Cancelled lists the jobs whose cancellation this controller has recorded
+	// and not told yet: the leader must stop their tasks even if it cannot read
+	// the state service meanwhile, and answers with Ends.
 	Cancelled []Cancelled
 }
 
+// Ends is the leader's word on jobs that end or are to end.
+type Ends struct {
+	// Over lists jobs whose end is recorded for good.
+	Over []JobEnd
+	// Gone lists cancelled jobs none of whose tasks is left, though the leader
+	// has not recorded their end. It holds if the term key still has this
+	// version: no later leader can have started any of them.
+	Gone        []string
+	TermVersion uint64
+	// Held lists cancelled jobs whose tasks are out of reach: their users had
+	// better come back later.
+	Held []string
+}
+
+// JobEnd is the end of a job.
+type JobEnd struct {
+	ID     string
+	Status string
+	Tasks  int
+}
+
 // Kept is a worker's lease that was extended without the leader.
 type Kept struct {
 	Machine string
