--- a/wire/peer.go
+++ b/wire/peer.go
@@ -33,8 +33,8 @@
 	Leader      bool
 	HearsLeader bool
 	StoreOK     bool
-	HasJobs bool
-	Jobs    []JobCount
+	HasJobs     bool
+	Jobs        []JobCount
 	// More tells that Jobs goes on from the digest before.
 	More bool
 	// Boot tells one run of the sender's process from another. Clock is the
