Use no machine that reports to nobody; an isolated controller takes no users

A machine that no controller hears, while direct commands reach it, loses its lease every lease_s with all that it was given meanwhile. A controller that reaches neither the state service nor any other controller can answer no user; it passed as healthy, since it could not tell its own cut from an outage.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -58,6 +58,7 @@
 	drain     string        // why it takes no more tasks
 	evict     bool          // its tasks are stopped, to run elsewhere
 	lostTerm  bool          // its lease ran out while it was silent
+	lapsed    time.Duration // when a direct answer showed a session that no report had
 	expired   int           // leases lost while it answered
 	deafSince time.Duration
 	returning bool
@@ -148,9 +149,11 @@
 }
 
 // usable tells whether a machine may take tasks. It must have shown that it
-// hears this term: a late copy of a machine's report never does.
+// hears this term: a late copy of a machine's report never does. One that is
+// reached but loses its lease reports to nobody: whatever it is given ends with
+// the next lease.
 func (l *leader) usable(m *machine) bool {
-	return m.token >= l.term && m.drain == "" && !m.returning && !m.lostTerm && m.leaving == 0 &&
+	return m.token >= l.term && m.lapsed <= m.heard && m.drain == "" && !m.returning && !m.lostTerm && m.leaving == 0 &&
 		l.c.now-max(m.heard, m.contact) < 3*l.c.report()+l.c.report()/2 && m.deafSince == 0
 }
 
@@ -393,6 +396,9 @@
 	}
 	m.contact = l.c.now
 	l.reached[rep.Zone] = l.c.now
+	if m.session != 0 && rep.Session > m.session {
+		m.lapsed = l.c.now
+	}
 	if rep.Newer(m.session, m.seq) {
 		l.apply(m, rep)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -218,6 +218,15 @@
 	return false
 }
 
+// cutFromPeers tells whether all other controllers, once heard, fell silent.
+func (c *Core) cutFromPeers() bool {
+	ever := false
+	for _, p := range c.peers {
+		ever = ever || p.ever
+	}
+	return ever && !c.hearsPeer()
+}
+
 // hearsLeader tells whether this controller leads or hears the one that does.
 func (c *Core) hearsLeader() bool {
 	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.heard < c.ttl()
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -172,13 +172,15 @@
 }
 
 // onHealth answers 200 unless the state service has left this controller
-// alone: one that cannot reach it while others can should get no new users. A
-// general outage takes nobody out.
+// alone: one that cannot reach it while others can should get no new users, nor
+// one that hears no other controller either and is more likely cut off than the
+// service is down. A general outage takes nobody out.
 func (c *Core) onHealth(r Request) {
 	if !c.method(r, "GET") {
 		return
 	}
-	if bad := c.users.storeBadSince; bad != 0 && c.now-bad > c.ttl()/2 && c.peerStoreOK() {
+	bad := c.users.storeBadSince
+	if bad != 0 && c.now-bad > c.ttl()/2 && c.peerStoreOK() || bad != 0 && c.now-bad > c.ttl() && c.cutFromPeers() {
 		c.answer(r.ID, 503, errorBody("the state service does not answer"), 0)
 		return
 	}
