Place tasks so small that more fit than an integer holds

Fit turned free/size into an integer before comparing: with 1e-20 CPUs a task fitted 0 times on an empty machine, so that such a job was accepted and never placed.

--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -41,8 +41,10 @@
 	n := limit
 	one := func(have, want float64) {
 		if want > 0 {
-			if k := int((have + eps) / want); k < n {
-				n = k
+			// Compared before it is an integer: of a tiny size more fit than
+			// an integer holds.
+			if k := (have + eps) / want; k < float64(n) {
+				n = int(k)
 			}
 		}
 	}
--- a/internal/core/topology/topology_test.go
+++ b/internal/core/topology/topology_test.go
@@ -62,3 +62,22 @@
 		})
 	}
 }
+
+func TestFit(t *testing.T) {
+	for _, tc := range []struct {
+		free, task Resources
+		want       int
+	}{
+		{Resources{8, 2, 16}, Resources{1, 1, 1}, 2},
+		{Resources{8, 2, 16}, Resources{1, 0, 4}, 4},
+		{Resources{8, 2, 16}, Resources{}, 100},
+		{Resources{8, 2, 16}, Resources{CPUs: 1e-20}, 100},
+		{Resources{8, 2, 16}, Resources{CPUs: 5e-324, GPUs: 1}, 2},
+		{Resources{8, 2, 16}, Resources{CPUs: 1e9}, 0},
+		{Resources{-1, 2, 16}, Resources{CPUs: 1}, 0},
+	} {
+		if got := tc.free.Fit(tc.task, 100); got != tc.want {
+			t.Errorf("%v fits %v %d times, want %d", tc.task, tc.free, got, tc.want)
+		}
+	}
+}
