Refuse malformed, absurd and impossible submissions, with a table of every field

400 is new for: an amount above 1e9 (30 years, an exabyte, a million large machines), a field given twice or named in another case, bytes that are not UTF-8, an empty berth, a null or empty name in hulls. 422 is new for: an empty list of hulls, a gang or service of two or more tasks that are to be apart while they are to be together or have one zone only, a description larger than a value or transaction of the state service. Such a description went to the state service, where it fails the transaction of others with it; one above 48 KiB made the controller commit empty transactions without end.

--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -1,86 +1,190 @@
 package core
 
 import (
+	"errors"
 	"math"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
 
-// submission mirrors wire.Job with every required field a pointer, to tell a
-// missing field from a zero.
+// maxAmount is the largest amount that is not absurd: as seconds about thirty
+// years, as GB an exabyte, as CPUs a million large machines. A time.Duration
+// holds nine times as many seconds, and a float64 counts what 100,000 such
+// tasks take without an overflow.
+const maxAmount = 1e9
+
+// maxTasks is the protocol's bound for a job's tasks.
+const maxTasks = 100000
+
+// field is a field of a submission. The value is nil if it is missing or null.
+type field[T any] struct {
+	value *T
+	given bool
+}
+
+var errRepeated = errors.New("the field is given twice")
+
+// UnmarshalJSON takes the only value of a field. Of two, nobody can tell which
+// one is meant.
+func (f *field[T]) UnmarshalJSON(b []byte) error {
+	if f.given {
+		return errRepeated
+	}
+	f.given = true
+	return json.Unmarshal(b, &f.value)
+}
+
+// submission mirrors wire.Job with a missing field told from a zero.
 type submission struct {
-	ID          *string  `json:"nameId"`
-	Class       *string  `json:"jobclass"`
-	Team        *string  `json:"crew"`
-	Shape       *string  `json:"shape"`
-	Priority    *string  `json:"urgency"`
-	Tasks       *float64 `json:"shards"`
-	CPUs        *float64 `json:"cpus"`
-	GPUs        *float64 `json:"accelerators"`
-	MemGB       *float64 `json:"memGb"`
-	Image       *string  `json:"bundle"`
-	ImageGB     *float64 `json:"pullGb"`
-	Types       []string `json:"hulls"`
-	Zone        *string  `json:"berth"`
-	OneZone     *bool    `json:"together"`
-	Spread      *bool    `json:"apart"`
-	Spot        *bool    `json:"standby"`
-	EstimateS   *float64 `json:"guessS"`
-	CheckpointS *float64 `json:"markS"`
-	SaveS       *float64 `json:"stowS"`
-	DeadlineS   *float64 `json:"dueS"`
+	ID          field[string]    `json:"nameId"`
+	Class       field[string]    `json:"jobclass"`
+	Team        field[string]    `json:"crew"`
+	Shape       field[string]    `json:"shape"`
+	Priority    field[string]    `json:"urgency"`
+	Tasks       field[float64]   `json:"shards"`
+	CPUs        field[float64]   `json:"cpus"`
+	GPUs        field[float64]   `json:"accelerators"`
+	MemGB       field[float64]   `json:"memGb"`
+	Image       field[string]    `json:"bundle"`
+	ImageGB     field[float64]   `json:"pullGb"`
+	Types       field[[]*string] `json:"hulls"`
+	Zone        field[string]    `json:"berth"`
+	OneZone     field[bool]      `json:"together"`
+	Spread      field[bool]      `json:"apart"`
+	Spot        field[bool]      `json:"standby"`
+	EstimateS   field[float64]   `json:"guessS"`
+	CheckpointS field[float64]   `json:"markS"`
+	SaveS       field[float64]   `json:"stowS"`
+	DeadlineS   field[float64]   `json:"dueS"`
 }
 
+// parseSubmission returns the job that a body describes, or tells why it
+// describes none. Whether the job can run is not asked here: for that the
+// machine types have to be known.
 func parseSubmission(body []byte) (*wire.Job, string) {
+	if !utf8.Valid(body) {
+		return nil, "not JSON: not UTF-8"
+	}
 	var s submission
 	trimmed := strings.TrimLeft(string(body), " \t\r\n")
-	if !strings.HasPrefix(trimmed, "{") || json.Unmarshal(body, &s) != nil {
-		return nil, "not a JSON object with fields of the right kind"
-	}
-	for _, p := range []*string{s.ID, s.Class, s.Team, s.Shape, s.Priority, s.Image} {
-		if p == nil || *p == "" {
-			return nil, "a field is missing"
+	if !strings.HasPrefix(trimmed, "{") {
+		return nil, "not a JSON object"
+	}
+	// A name in another case is another name, and unknown.
+	rest, err := json.Parse(body, &s, json.DontMatchCaseInsensitiveStructFields)
+	if err != nil || len(rest) > 0 {
+		return nil, "not a JSON object with fields of the right kind, each given once"
+	}
+	var j wire.Job
+	for _, f := range []struct {
+		name string
+		from field[string]
+		to   *string
+	}{
+		{"nameId", s.ID, &j.ID}, {"jobclass", s.Class, &j.Class}, {"crew", s.Team, &j.Team},
+		{"shape", s.Shape, &j.Shape}, {"urgency", s.Priority, &j.Priority}, {"bundle", s.Image, &j.Image},
+	} {
+		if f.from.value == nil || *f.from.value == "" {
+			return nil, f.name + " is missing"
 		}
-	}
-	for _, p := range []*float64{s.Tasks, s.CPUs, s.GPUs, s.MemGB, s.ImageGB, s.EstimateS, s.CheckpointS, s.SaveS} {
-		if p == nil {
-			return nil, "a field is missing"
+		*f.to = *f.from.value
+	}
+	var tasks float64
+	for _, f := range []struct {
+		name string
+		from field[float64]
+		to   *float64
+	}{
+		{"shards", s.Tasks, &tasks}, {"cpus", s.CPUs, &j.CPUs}, {"accelerators", s.GPUs, &j.GPUs},
+		{"memGb", s.MemGB, &j.MemGB}, {"pullGb", s.ImageGB, &j.ImageGB}, {"guessS", s.EstimateS, &j.EstimateS},
+		{"markS", s.CheckpointS, &j.CheckpointS}, {"stowS", s.SaveS, &j.SaveS},
+	} {
+		if f.from.value == nil {
+			return nil, f.name + " is missing"
 		}
-		if *p < 0 || math.IsInf(*p, 0) || math.IsNaN(*p) {
-			return nil, "an amount is below 0"
+		if !sane(*f.from.value) {
+			return nil, f.name + " is out of range"
 		}
+		*f.to = *f.from.value
+	}
+	for _, f := range []struct {
+		name string
+		from field[bool]
+		to   *bool
+	}{
+		{"together", s.OneZone, &j.OneZone}, {"apart", s.Spread, &j.Spread}, {"standby", s.Spot, &j.Spot},
+	} {
+		if f.from.value == nil {
+			return nil, f.name + " is missing"
+		}
+		*f.to = *f.from.value
 	}
-	if s.OneZone == nil || s.Spread == nil || s.Spot == nil {
-		return nil, "a field is missing"
-	}
-	if !validID(*s.ID) {
+	if !validID(j.ID) {
 		return nil, "nameId is not a job id"
 	}
-	if n := *s.Tasks; n < 1 || n > 100000 || n != math.Trunc(n) {
+	if tasks < 1 || tasks > maxTasks || tasks != math.Trunc(tasks) {
 		return nil, "shards is out of range"
 	}
-	switch *s.Shape {
+	j.Tasks = int(tasks)
+	switch j.Shape {
 	case wire.ShapeArray, wire.ShapeGang, wire.ShapeService:
 	default:
 		return nil, "shape is unknown"
 	}
-	if _, ok := priorityRank[*s.Priority]; !ok {
+	if _, ok := priorityRank[j.Priority]; !ok {
 		return nil, "urgency is unknown"
 	}
-	if s.DeadlineS != nil && *s.DeadlineS < 0 {
-		return nil, "dueS is below 0"
+	if p := s.Types.value; p != nil {
+		// Null allows any type, an empty list none, see possible.
+		j.Types = make([]string, 0, len(*p))
+		for _, t := range *p {
+			if t == nil || *t == "" {
+				return nil, "hulls holds something else than names"
+			}
+			j.Types = append(j.Types, *t)
+		}
+	}
+	if p := s.Zone.value; p != nil {
+		if *p == "" {
+			return nil, "berth is not a name"
+		}
+		j.Zone = *p
+	}
+	if p := s.DeadlineS.value; p != nil {
+		if !sane(*p) {
+			return nil, "dueS is out of range"
+		}
+		j.DeadlineS = p
+	}
+	return &j, ""
+}
+
+// sane tells whether an amount is finite, neither negative nor absurd.
+func sane(v float64) bool { return v >= 0 && v <= maxAmount }
+
+func validID(id string) bool {
+	digits := strings.TrimPrefix(id, "job-")
+	if len(digits) == len(id) || len(digits) < 1 || len(digits) > 40 {
+		return false
 	}
-	j := &wire.Job{ID: *s.ID, Class: *s.Class, Team: *s.Team, Shape: *s.Shape, Priority: *s.Priority,
-		Tasks: int(*s.Tasks), CPUs: *s.CPUs, GPUs: *s.GPUs, MemGB: *s.MemGB, Image: *s.Image, ImageGB: *s.ImageGB,
-		Types: s.Types, OneZone: *s.OneZone, Spread: *s.Spread, Spot: *s.Spot, EstimateS: *s.EstimateS,
-		CheckpointS: *s.CheckpointS, SaveS: *s.SaveS, DeadlineS: s.DeadlineS}
-	if s.Zone != nil {
-		j.Zone = *s.Zone
+	for _, d := range digits {
+		if d < '0' || d > '9' {
+			return false
+		}
 	}
-	return j, ""
+	return true
+}
+
+// maxRecord is the largest record of a job, in bytes, that the state service
+// takes: a value, in a transaction of 64 KiB at most. What a cancellation adds
+// to it later has to fit as well.
+func (c *Core) maxRecord() int {
+	const txn, cancellation = 48 << 10, 200
+	return min(int(c.cfg.Deployment.State.ValueKB*1024), txn) - cancellation
 }
 
 // possible tells why a job can never run, or nothing.
@@ -89,16 +193,21 @@
 	if team == nil {
 		return "unknown team"
 	}
-	fits := false
+	if j.Types != nil && len(j.Types) == 0 {
+		return "no machine type is allowed"
+	}
+	zones := map[string]bool{} // that rent a machine which a task fits
 	for _, t := range c.types {
 		if !allowed(j.Types, t.Name) || !(topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(j)) {
 			continue
 		}
 		for _, z := range t.Zones {
-			fits = fits || j.Zone == "" || j.Zone == z
+			if j.Zone == "" || j.Zone == z {
+				zones[z] = true
+			}
 		}
 	}
-	if !fits {
+	if len(zones) == 0 {
 		return "a task fits no allowed machine type"
 	}
 	n := 1.0
@@ -108,18 +217,13 @@
 	if team.CPUsMax > 0 && j.CPUs*n > team.CPUsMax+1e-6 || team.GPUsMax > 0 && j.GPUs*n > team.GPUsMax+1e-6 {
 		return "more than the team's limit"
 	}
-	return ""
-}
-
-func validID(id string) bool {
-	digits := strings.TrimPrefix(id, "job-")
-	if len(digits) == len(id) || len(digits) < 1 || len(digits) > 40 {
-		return false
+	// Tasks that run at the same time, two or more, need a second zone if at
+	// most half of them may be in one. An array may run in parts.
+	if j.Spread && n > 1 && (j.OneZone || len(zones) < 2) {
+		return "tasks that are to be apart have only one zone"
 	}
-	for _, d := range digits {
-		if d < '0' || d > '9' {
-			return false
-		}
+	if len(encode(openRecord{Job: *j})) > c.maxRecord() {
+		return "the description is larger than the state service takes"
 	}
-	return true
+	return ""
 }
