--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,6 +230,14 @@
 // workers' lease: several tries must fit before a lease runs out.
 func (c *Core) storeTimeout() time.Duration { return c.lease() / 5 }
 
+// commitTimeout bounds a transaction. Its answer takes milliseconds, or the few
+// hundred that the service takes now and then; one that does not come may never
+// come. Every transaction here is conditional on what it changes, so it can be
+// sent again: whichever copy is carried out first, the other one does nothing.
+// Waiting for storeTimeout, a leader placed nothing for seconds after each
+// transaction that got no answer, and users' questions were answered too late.
+func (c *Core) commitTimeout() time.Duration { return c.report() / 3 }
+
 func (c *Core) lease() time.Duration  { return config.Seconds(c.cfg.Deployment.Workers.LeaseS) }
 func (c *Core) report() time.Duration { return config.Seconds(c.cfg.Deployment.Workers.ReportS) }
 
@@ -244,7 +252,7 @@
 	if t.Writes == nil {
 		t.Writes = []wire.Write{}
 	}
-	c.call(Call{Dest: DestStore, Method: "POST", Path: "/commit", Body: encode(t), Timeout: c.storeTimeout(),
+	c.call(Call{Dest: DestStore, Method: "POST", Path: "/commit", Body: encode(t), Timeout: c.commitTimeout(),
 		Writes: len(t.Writes), Urgent: urgent}, func(r Result) {
 		c.noteStore(r)
 		f(r)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -260,6 +260,9 @@
 		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + id, Value: s.body})
 	}
 	u.submits = rest
+	if len(batch) == 0 {
+		return
+	}
 	u.submitBusy = true
 	c.commit(txn, false, func(r Result) {
 		u.submitBusy = false
@@ -286,9 +289,14 @@
 					u.submits = append(u.submits, s)
 				}
 			}
+		case 0:
+			// Carried out or not, or still to be: sent again, a record that
+			// was made after all is found. With the next tick: a connection
+			// that is reset gives no answer at once.
+			u.submits = append(batch, u.submits...)
+			return
 		default:
-			// Unknown or refused: the user comes again, and a record that
-			// was made after all is then found.
+			// Refused: the user comes again.
 			for _, s := range batch {
 				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
 			}
@@ -356,9 +364,7 @@
 		f(found{failed: true})
 		return
 	}
-	if len(u.lookups[id]) == 0 {
-		u.order = append(u.order, id)
-	}
+	u.wait(id, nil)
 	u.lookups[id] = append(u.lookups[id], &lookup{f: f, until: c.now + 1500*time.Millisecond})
 	c.pumpLookups()
 }
@@ -421,6 +427,8 @@
 			}
 			for _, id := range batch {
 				switch {
+				case r.Status == 0:
+					u.wait(id, waiting[id])
 				case r.Status != 200 && r.Status != 409:
 					resolve(waiting[id], found{failed: true})
 				case failed[id] || u.open[id] == nil:
@@ -436,6 +444,14 @@
 	}
 }
 
+// wait has lookups of a job wait (again) for their turn, ahead of later ones.
+func (u *users) wait(id string, ls []*lookup) {
+	if len(u.lookups[id]) == 0 {
+		u.order = append(u.order, id)
+	}
+	u.lookups[id] = append(ls, u.lookups[id]...)
+}
+
 func (u *users) take(id string) []*lookup {
 	l := u.lookups[id]
 	delete(u.lookups, id)
@@ -574,6 +590,7 @@
 		}
 	}
 	u.submits = keep
+	c.pumpSubmits()
 	var order []string
 	for _, id := range u.order {
 		var ls []*lookup
