--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -171,6 +171,9 @@
 	}
 	for _, l := range s.acts {
 		w.after(l.at, func() { w.act(l) })
+		if d, ok := l.trouble(seconds(s.cfg.Deployment.Workers.LeaseS)); ok {
+			w.calm = max(w.calm, l.at+d)
+		}
 	}
 	return w
 }
@@ -316,23 +319,54 @@
 		m.faulty = true
 	case "deaf": // its reports arrive, answers and commands don't reach it
 		w.cuts = append(w.cuts, &cut{"nodes", m.name, w.now + d, false})
+	case "mute": // it reaches no controller, direct commands reach it
+		m.muteUntil = w.now + d
 	}
 }
 
-// machinesOf names the machines of a trouble: one, or with "some" a share of
-// those that are up.
+// machinesOf names the machines of a trouble: one, or of all that are up
+// ("some") or of those in a zone ("zone:Z") a count or a share: a tenth of all
+// and the whole of a zone unless said.
 func (w *World) machinesOf(l line) []*machine {
-	if l.arg(0) != "some" {
+	zone, inZone := strings.CutPrefix(l.arg(0), "zone:")
+	if l.arg(0) != "some" && !inZone {
 		return []*machine{w.machineOf(l.arg(0))}
 	}
 	var up []*machine
 	for _, name := range w.cloud.names() {
-		if m := w.cloud.machines[name]; !m.gone && m.upAt <= w.now {
+		if m := w.cloud.machines[name]; !m.gone && m.upAt <= w.now && (!inZone || m.zone == zone) {
 			up = append(up, m)
 		}
 	}
 	w.rng.Shuffle(len(up), func(a, b int) { up[a], up[b] = up[b], up[a] })
-	return up[:int(l.num("share", 0.1)*float64(len(up)))]
+	share := 0.1
+	if inZone {
+		share = 1
+	}
+	n := int(l.num("share", share) * float64(len(up)))
+	if l.opt["count"] != "" {
+		n = min(len(up), int(l.num("count", 0)))
+	}
+	return up[:n]
+}
+
+// trouble tells how long after it began the trouble of a line may be felt;
+// false for what is none.
+func (l *line) trouble(lease time.Duration) (time.Duration, bool) {
+	d := seconds(l.num("for", 10))
+	switch l.word {
+	case "submit", "cancel":
+		return 0, false
+	case "late_writes":
+		d += 12 * time.Second
+	case "late_reports":
+		d += 2*time.Second + lease + lease/2
+	case "copies":
+		d += seconds(l.num("delay", 15))
+	case "cancel_now":
+		d = seconds(l.num("hang", 0))
+	}
+	return d, true
 }
 
 func (w *World) act(l line) {
@@ -364,7 +398,23 @@
 		}
 	case "refuse": // the state service refuses one controller
 		w.store.refuse[w.endpoint(l.arg(0))] = w.now + d
-	case "kill", "take", "hang", "faulty", "deaf":
+	case "late_writes": // transactions without an answer, carried out late
+		w.store.late = late{l.num("share", 0.1), w.now + d}
+	case "late_reports": // copies of reports that come again
+		w.lateReports = late{l.num("share", 0.1), w.now + d}
+	case "isolate": // a controller loses state service and peers, both ways
+		for _, n := range w.nodesOf(l.arg(0)) {
+			for _, other := range []string{"state", "nodes"} {
+				w.cuts = append(w.cuts, &cut{n.name, other, w.now + d, false}, &cut{other, n.name, w.now + d, false})
+			}
+		}
+	case "cancel_now":
+		w.users.cancelNow(int(l.num("count", 1)), seconds(l.num("hang", 0)))
+	case "cancel_at_end":
+		w.endCancels = late{l.num("share", 0.5), w.now + d}
+	case "odd_requests":
+		w.users.odd(w.now + d)
+	case "kill", "take", "hang", "faulty", "deaf", "mute":
 		for _, m := range w.machinesOf(l) {
 			w.strike(l.word, m, d)
 		}
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -208,18 +208,54 @@
 			out.Answers[i].Body = []byte(strings.ReplaceAll(string(out.Answers[i].Body), `"kill"`, `"none"`))
 		}
 	}
+	// Commands for one job never come to its tasks.
+	noStarts := func(n *node, out *core.Output) {
+		for i := range out.Calls {
+			out.Calls[i].Body = []byte(strings.ReplaceAll(string(out.Calls[i].Body), `"run","shard":"job-000004/`, `"none","shard":"job-000004/`))
+		}
+		for i := range out.Answers {
+			out.Answers[i].Body = []byte(strings.ReplaceAll(string(out.Answers[i].Body), `"run","shard":"job-000004/`, `"none","shard":"job-000004/`))
+		}
+	}
+	// A task of a cancelled job is started once more.
+	restart := func(n *node, _ *core.Output) {
+		for _, name := range n.w.cloud.names() {
+			m := n.w.cloud.machines[name]
+			if m.typ == "big" && n.w.now > 53*time.Second && n.w.now < 54*time.Second {
+				m.execute([]wire.Command{{Verb: wire.VerbStart, Task: "job-000003/0", Attempt: 77}})
+			}
+		}
+	}
+	refusal := func(from, to int) func(*node, *core.Output) {
+		return func(_ *node, out *core.Output) {
+			for i := range out.Answers {
+				if out.Answers[i].Status == from {
+					out.Answers[i].Status = to
+				}
+			}
+		}
+	}
 	for _, tc := range []struct {
 		rule   string
 		mutate func(*node, *core.Output)
+		extra  string
 	}{
-		{"ran_twice", double},
-		{"not_done", answers("job-000002", 200, `"status":"running"`, `"status":"done"`)},
-		{"forgotten", answers("job-000001", 404, "", "")},
-		{"went_back", answers("job-000002", 200, `"status":"running"`, `"status":"withdrawn"`)},
-		{"ran_cancelled", noStops},
+		{"ran_twice", double, ""},
+		{"not_done", answers("job-000002", 200, `"status":"running"`, `"status":"done"`), ""},
+		{"forgotten", answers("job-000001", 404, "", ""), ""},
+		{"went_back", answers("job-000002", 200, `"status":"running"`, `"status":"withdrawn"`), ""},
+		{"ran_cancelled", noStops, ""},
+		{"started_cancelled", restart, ""},
+		{"unanswered", answers("job-000002", 503, "", ""), ""},
+		{"left_waiting", noStarts, "until 220\nat 1 submit job-000004 team=t cpus=0.5"},
+		{"left_waiting", noStarts, "at 1 submit job-000004 shape=gang team=t tasks=2 cpus=0.5 together"},
+		{"accepted_impossible", refusal(400, 201), "at 10 odd_requests for=60"},
+		{"accepted_impossible", refusal(422, 201), "at 10 odd_requests for=60"},
+		{"wrong_answer", refusal(422, 400), "at 10 odd_requests for=60"},
+		{"forgotten", refusal(200, 201), "at 10 odd_requests for=60"},
 	} {
 		t.Run(tc.rule, func(t *testing.T) {
-			s, err := ParseScenario(scenario)
+			s, err := ParseScenario(scenario + tc.extra)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -46,6 +46,7 @@
 	reqs     *budget.Bucket
 	writes   *budget.Bucket
 	busy     int // requests turned away for the rates
+	late     late
 }
 
 func newStore(w *World) *stateService {
@@ -174,6 +175,10 @@
 			send(429, struct{}{})
 			return
 		}
+		if s.late.strikes(s.w) {
+			s.w.after(2*time.Second+time.Duration(s.w.rng.Int64N(int64(10*time.Second))), func() { s.commitLate(&t) })
+			return
+		}
 		s.commit(&t, send)
 	case method == "POST" && u.Path == "/grants":
 		var g wire.GrantRequest
@@ -195,6 +200,16 @@
 	}
 }
 
+// commitLate carries out a transaction that nobody waits for any more, after
+// newer ones. One that falls into an outage waits for its end.
+func (s *stateService) commitLate(t *wire.Txn) {
+	if s.w.now < s.outage {
+		s.w.after(s.outage-s.w.now+time.Millisecond, func() { s.commitLate(t) })
+		return
+	}
+	s.commit(t, func(int, any) {})
+}
+
 func (s *stateService) commit(t *wire.Txn, send func(int, any)) {
 	d := s.w.cfg.Deployment.State
 	if len(t.Writes) > d.TxnOps || len(t.If) > 4*d.TxnOps {
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -12,6 +14,7 @@
 type users struct {
 	w    *World
 	jobs map[string]*userJob
+	odds int // jobs submitted to be refused
 }
 
 // userJob is what a job's user has been told.
@@ -25,6 +28,7 @@
 	cancelled time.Duration // was told so
 	last      wire.JobStatus
 	answered  time.Duration
+	finalAt   time.Duration // was told the final state
 }
 
 func newUsers(w *World) *users { return &users{w: w, jobs: map[string]*userJob{}} }
@@ -122,9 +126,13 @@
 		return
 	}
 	j.last = s
-	if j.final != "" && s.Status != j.final && asked >= j.answered {
+	contrary := s.Status == wire.StatusDone || s.Status == wire.StatusCancelled
+	if j.final != "" && s.Status != j.final && (contrary || asked >= min(j.answered, j.finalAt)) {
 		u.w.check.broken("went_back", "%s: %s after %s", j.id, s.Status, j.final)
 	}
+	if j.final == "" {
+		j.finalAt = u.w.now
+	}
 	switch s.Status {
 	case wire.StatusDone:
 		u.w.check.toldDone(j)
@@ -140,16 +148,156 @@
 	}
 }
 
-func (u *users) cancel(id string) {
-	j := u.jobs[id]
+// cancel asks to call a job off, again and again for up to 60 s as a
+// submission is.
+func (u *users) cancel(id string) { u.tryCancel(u.jobs[id], u.w.now+60*time.Second) }
+
+func (u *users) tryCancel(j *userJob, until time.Duration) {
 	if j.asked == 0 {
 		j.asked = u.w.now
 	}
-	u.pick().request("user", "POST", "/submissions/"+id+"/cancel", nil, 5*time.Second, func(status int, body []byte) {
-		if status == 200 {
-			u.tell(j, body)
+	u.pick().ask("user", "POST", "/submissions/"+j.id+"/cancel", nil, 5*time.Second, func(a core.Answer) {
+		if a.Status == 200 {
+			u.tell(j, a.Body)
 			return
 		}
-		u.w.after(time.Second, func() { u.cancel(id) })
+		if j.accepted && (a.Status == 400 || a.Status == 404 || a.Status == 422) {
+			u.w.check.broken("forgotten", "%s: its cancellation got %d", j.id, a.Status)
+		}
+		wait := max(time.Second, min(30*time.Second, time.Duration(a.RetryAfter)*time.Second))
+		if u.w.now+wait < until {
+			u.w.after(wait, func() { u.tryCancel(j, until) })
+		}
+	})
+}
+
+// cancelNow calls off jobs that run and have long to go, all within 0.2 s, and
+// has up to eight of their machines hang.
+func (u *users) cancelNow(count int, hang time.Duration) {
+	var long []string
+	on := map[string][]*machine{}
+	for _, name := range u.w.cloud.names() {
+		m := u.w.cloud.machines[name]
+		for _, t := range m.sorted() {
+			j := u.jobs[t.job.ID]
+			if t.state != wire.TaskRunning || j == nil || j.final != "" || j.asked != 0 || !j.accepted ||
+				t.job.Shape != wire.ShapeService && t.job.runS-t.progressNow(u.w.now) < 20 {
+				continue
+			}
+			if on[j.id] == nil {
+				long = append(long, j.id)
+			}
+			on[j.id] = append(on[j.id], m)
+		}
+	}
+	sort.Strings(long)
+	u.w.rng.Shuffle(len(long), func(a, b int) { long[a], long[b] = long[b], long[a] })
+	hung := map[*machine]bool{}
+	for _, id := range long[:min(count, len(long))] {
+		u.w.after(time.Duration(u.w.rng.Int64N(int64(200*time.Millisecond))), func() { u.cancel(id) })
+		for _, m := range on[id] {
+			if hang > 0 && len(hung) < 8 && !hung[m] {
+				hung[m] = true
+				m.hangUntil = u.w.now + hang
+			}
+		}
+	}
+}
+
+// ended has some jobs called off at the moment of their end.
+func (w *World) ended(t *jobTruth) {
+	j := w.users.jobs[t.ID]
+	if len(t.done) == t.Tasks && j != nil && j.accepted && j.asked == 0 && w.endCancels.strikes(w) {
+		w.users.cancel(t.ID)
+	}
+}
+
+// odd sends a request a second that controllers must not be misled by.
+func (u *users) odd(until time.Duration) {
+	if u.w.now >= until {
+		return
+	}
+	u.w.after(500*time.Millisecond+time.Duration(u.w.rng.Int64N(int64(time.Second))), func() { u.odd(until) })
+	some := func(fits func(*userJob) bool) *userJob {
+		var out []*userJob
+		for _, id := range u.names() {
+			if j := u.jobs[id]; j.accepted && fits(j) {
+				out = append(out, j)
+			}
+		}
+		if out == nil {
+			return nil
+		}
+		return out[u.w.rng.IntN(len(out))]
+	}
+	switch u.w.rng.IntN(4) {
+	case 0: // a repeated submission
+		if j := some(func(j *userJob) bool { return j.final == "" }); j != nil {
+			asked := u.w.now
+			u.pick().request("user", "POST", "/submissions", u.body(u.w.jobs[j.id]), 5*time.Second, func(status int, body []byte) {
+				switch status {
+				case 200:
+					j.answered = u.w.now
+					u.tellSince(j, body, asked)
+				case 201, 400, 404, 422:
+					u.w.check.broken("forgotten", "%s: a repeated submission got %d", j.id, status)
+				}
+			})
+		}
+	case 1: // a cancellation after the end
+		if j := some(func(j *userJob) bool { return j.final == wire.StatusDone }); j != nil {
+			u.pick().request("user", "POST", "/submissions/"+j.id+"/cancel", nil, 5*time.Second, func(status int, body []byte) {
+				switch status {
+				case 200:
+					u.tell(j, body)
+				case 400, 404, 422:
+					u.w.check.broken("forgotten", "%s: a cancellation after its end got %d", j.id, status)
+				}
+			})
+		}
+	case 2: // a job that fits no machine
+		t := u.oddJob()
+		t.CPUs = 1e6
+		u.tryOdd(t.ID, u.body(t), 422, u.w.now+60*time.Second)
+	case 3: // a job that lacks a field
+		t := u.oddJob()
+		var fields map[string]any
+		json.Unmarshal(u.body(t), &fields)
+		lacks := []string{"nameId", "jobclass", "crew", "shape", "urgency", "shards", "cpus", "accelerators", "memGb",
+			"together", "apart", "standby", "bundle", "pullGb", "guessS", "markS", "stowS"}
+		delete(fields, lacks[u.w.rng.IntN(len(lacks))])
+		b, _ := json.Marshal(fields)
+		u.tryOdd(t.ID, b, 400, u.w.now+60*time.Second)
+	}
+}
+
+// oddJob is a small job of a team that exists, under an id of its own.
+func (u *users) oddJob() *jobTruth {
+	u.odds++
+	t := &jobTruth{done: map[int]bool{}, progress: map[int]float64{}}
+	t.Job = wire.Job{ID: fmt.Sprintf("job-8%05d", u.odds), Class: "web", Team: u.w.cfg.Deployment.Teams[0].Name,
+		Shape: wire.ShapeArray, Priority: wire.PriorityNormal, Tasks: 1, CPUs: 1, MemGB: 1, Image: "img", ImageGB: 1, EstimateS: 10}
+	return t
+}
+
+// tryOdd submits a job that must be refused with the status.
+func (u *users) tryOdd(id string, body []byte, want int, until time.Duration) {
+	u.pick().request("user", "POST", "/submissions", body, 5*time.Second, func(status int, _ []byte) {
+		switch status {
+		case want:
+			u.pick().request("user", "GET", "/submissions/"+id, nil, 2*time.Second, func(status int, _ []byte) {
+				if status == 200 {
+					u.w.check.broken("invented", "%s is known, though it was refused", id)
+				}
+			})
+		case 200, 201:
+			u.w.check.broken("accepted_impossible", "%s: %s", id, body)
+		case 400, 422:
+			u.w.check.broken("wrong_answer", "%s got %d, not %d: %s", id, status, want, body)
+		default:
+			if u.w.now+time.Second < until {
+				u.w.after(time.Second, func() { u.tryOdd(id, body, want, until) })
+			}
+		}
 	})
 }
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -34,6 +34,7 @@
 	copyUntil      time.Duration
 	copyDelay      time.Duration
 	hangUntil      time.Duration
+	muteUntil      time.Duration // until then it opens no connection to a controller
 	hangInbox      []func()
 }
 
@@ -46,6 +47,7 @@
 	cause    string
 	saved    bool
 	on       bool
+	ordered  time.Duration // the command to start it was carried out
 	ready    time.Duration // image there
 	waitFrom time.Duration
 	runFrom  time.Duration
@@ -174,6 +176,7 @@
 			}
 			t.job.done[t.index] = true
 			m.end(t, wire.CauseDone)
+			w.ended(t.job)
 		}
 	case wire.TaskSaving:
 		if now >= t.saveEnd {
@@ -261,14 +264,20 @@
 	m.lastReport = w.now
 	sent, session := w.now, m.session
 	body, _ := json.Marshal(m.message())
-	if w.now < m.copyUntil {
+	if w.now < m.copyUntil && w.now >= m.muteUntil {
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
 		w.after(m.copyDelay, func() {
 			n.request(m.name, "POST", "/checkin", body, 4*time.Second, func(int, []byte) {})
 		})
 	}
-	n := w.nodes[m.node]
-	n.request(m.name, "POST", "/checkin", body, 4*time.Second, func(status int, answer []byte) {
+	if w.now >= m.muteUntil && w.lateReports.strikes(w) {
+		lease := seconds(w.cfg.Deployment.Workers.LeaseS)
+		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(lease+lease/2))), func() {
+			n := w.nodes[w.rng.IntN(len(w.nodes))]
+			n.request(m.name, "POST", "/checkin", body, 4*time.Second, func(int, []byte) {})
+		})
+	}
+	answer := func(status int, answer []byte) {
 		if m.gone {
 			return
 		}
@@ -298,7 +307,14 @@
 		m.see(o.Token)
 		m.answered = max(m.answered, sent)
 		m.execute(o.Commands)
-	})
+	}
+	if w.now < m.muteUntil {
+		// The connection doesn't open. What a controller opens to the
+		// worker goes on, so this is no cut.
+		w.after(4*time.Second, func() { answer(0, nil) })
+		return
+	}
+	w.nodes[m.node].request(m.name, "POST", "/checkin", body, 4*time.Second, answer)
 }
 
 func (m *machine) see(token uint64) {
@@ -370,7 +386,7 @@
 	w.started++
 	m.changed = true
 	i := strings.IndexByte(c.Task, '/')
-	t := &task{name: c.Task, attempt: c.Attempt, state: wire.TaskExited}
+	t := &task{name: c.Task, attempt: c.Attempt, state: wire.TaskExited, ordered: w.now}
 	if i > 0 {
 		t.job = w.jobs[c.Task[:i]]
 		t.index, _ = strconv.Atoi(c.Task[i+1:])
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -48,6 +48,15 @@
 	hold     bool
 }
 
+// late is a trouble that befalls a share of events until its time is over.
+type late struct {
+	share float64
+	until time.Duration
+}
+
+// strikes tells by chance whether the trouble befalls an event of now.
+func (l late) strikes(w *World) bool { return w.now < l.until && w.rng.Float64() < l.share }
+
 // World is one simulated deployment.
 type World struct {
 	now   time.Duration
@@ -67,6 +76,10 @@
 	started int
 	expired int // tasks that a worker dropped for want of an answer
 
+	calm        time.Duration // when the last trouble is over
+	lateReports late          // copies of reports that come again
+	endCancels  late          // jobs called off at the moment of their end
+
 	// mutate, if set, changes what a core asks for: it stands for a broken
 	// core in the checker's own test.
 	mutate func(n *node, out *core.Output)
@@ -162,7 +175,7 @@
 	alive bool
 	life  int
 	born  time.Duration
-	reqs  map[uint64]func(status int, body []byte)
+	reqs  map[uint64]func(core.Answer)
 	next  uint64
 	pace  *store.Pace
 	cloud *budget.Bucket
@@ -184,7 +197,7 @@
 	n.alive = true
 	n.life++
 	n.born = n.w.now
-	n.reqs = map[uint64]func(int, []byte){}
+	n.reqs = map[uint64]func(core.Answer){}
 	n.pace, n.cloud = store.NewPace(n.w.cfg), cloud.NewPace(n.w.cfg)
 	n.core = core.New(n.settings(), nil, uint64(n.index+1)<<32+uint64(n.life), n.w.log.With("node", n.name))
 	n.tick(n.life)
@@ -220,7 +233,7 @@
 	for _, a := range out.Answers {
 		if f := n.reqs[a.ID]; f != nil {
 			delete(n.reqs, a.ID)
-			f(a.Status, a.Body)
+			f(a)
 		}
 	}
 	for _, s := range out.Sends {
@@ -241,23 +254,28 @@
 // request delivers an HTTP request to the node; done gets the answer, or
 // status 0 after the timeout.
 func (n *node) request(from, method, path string, body []byte, timeout time.Duration, done func(status int, body []byte)) {
+	n.ask(from, method, path, body, timeout, func(a core.Answer) { done(a.Status, a.Body) })
+}
+
+// ask is request for those who heed more of the answer than status and body.
+func (n *node) ask(from, method, path string, body []byte, timeout time.Duration, done func(core.Answer)) {
 	over := false
-	finish := func(status int, body []byte) {
+	finish := func(a core.Answer) {
 		if !over {
 			over = true
-			done(status, body)
+			done(a)
 		}
 	}
-	n.w.after(timeout, func() { finish(0, nil) })
+	n.w.after(timeout, func() { finish(core.Answer{}) })
 	n.w.deliver(from, n.name, func() {
 		if !n.alive {
 			// Refused; the caller notices soon.
-			n.w.deliver(n.name, from, func() { finish(0, nil) })
+			n.w.deliver(n.name, from, func() { finish(core.Answer{}) })
 			return
 		}
 		n.next++
-		n.reqs[n.next] = func(status int, body []byte) {
-			n.w.deliver(n.name, from, func() { finish(status, body) })
+		n.reqs[n.next] = func(a core.Answer) {
+			n.w.deliver(n.name, from, func() { finish(a) })
 		}
 		n.feed(core.Request{ID: n.next, Method: method, Path: path, Body: body})
 	})
