--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -114,6 +114,90 @@
 	return b.String()
 }
 
+// meetings writes a scenario in which troubles of all kinds overlap, with three
+// or five controllers, jobs of all shapes and cancellations among them.
+func meetings(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 11))
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d\ncontrollers %d\n%s", seed, []int{3, 5}[r.IntN(2)], soakSetup)
+	for i := 1; i <= 36; i++ {
+		at := r.IntN(200)
+		id := fmt.Sprintf("job-%06d", i)
+		team := []string{"t", "u"}[r.IntN(2)]
+		img := fmt.Sprintf("image=i%d image_gb=%d", r.IntN(4), []int{0, 2, 10}[r.IntN(3)])
+		switch r.IntN(6) {
+		case 0:
+			fmt.Fprintf(&b, "at %d submit %s shape=service class=web team=%s priority=critical tasks=%d cpus=1 %s apart\n", at, id, team, 1+r.IntN(5), img)
+		case 1:
+			fmt.Fprintf(&b, "at %d submit %s team=%s priority=idle tasks=%d cpus=4 gpus=1 mem=16 run=%d checkpoint=5 save=3 %s spot\n", at, id, team, 1+r.IntN(12), 10+r.IntN(40), img)
+		case 2:
+			fmt.Fprintf(&b, "at %d submit %s shape=gang team=%s priority=urgent tasks=%d cpus=6 gpus=2 mem=16 run=%d checkpoint=5 save=2 %s together\n", at, id, team, 1+r.IntN(3), 10+r.IntN(60), img)
+		case 3:
+			fmt.Fprintf(&b, "at %d submit %s team=%s tasks=%d cpus=2 run=%d %s together\n", at, id, team, 1+r.IntN(6), 5+r.IntN(90), img)
+		case 4: // two or three tasks whose ends lie far apart for want of room
+			fmt.Fprintf(&b, "at %d submit %s team=%s tasks=%d cpus=8 run=%d %s zone=%s\n", at, id, team, 2+r.IntN(2), 20+r.IntN(60), img, []string{"east", "west"}[r.IntN(2)])
+		case 5:
+			fmt.Fprintf(&b, "at %d submit %s shape=gang team=%s tasks=%d cpus=3 run=%d %s apart\n", at, id, team, 2+r.IntN(4), 10+r.IntN(60), img)
+		}
+		if r.IntN(5) == 0 {
+			fmt.Fprintf(&b, "at %d cancel %s\n", at+5+r.IntN(60), id)
+		}
+	}
+	pick := func(of ...string) string { return of[r.IntN(len(of))] }
+	for range 10 {
+		at := 20 + 200*r.Float64()
+		d := 1 + r.IntN(45)
+		who := pick("leader", "leader", "follower", "node-0", "node-1", "node-2")
+		machines := pick("busy", "some share=0.3", "some count=2", "zone:east", "zone:north")
+		mode := pick("hold", "", "oneway", "hold oneway")
+		act := func(format string, a ...any) { fmt.Fprintf(&b, "at %.2f %s\n", at, fmt.Sprintf(format, a...)) }
+		switch r.IntN(18) {
+		case 0, 1:
+			act("crash %s for=%g", pick("all", who), []float64{0.2, 3, 10}[r.IntN(3)])
+		case 2:
+			for range 10 { // leaders change again and again
+				at += 5 + 6*r.Float64()
+				act("crash leader for=%g", []float64{0.3, 4, 12}[r.IntN(3)])
+			}
+		case 3, 4:
+			act("cut %s %s for=%d %s", who, pick("state", "workers", "nodes", "cloud", "zone:east", "busy"), d, mode)
+		case 5:
+			act("cut zone:%s zone:%s for=%d %s", pick("east", "north"), pick("west", "north"), d, mode)
+		case 6:
+			act("outage %s for=%d", pick("state", "state", "cloud"), d)
+		case 7:
+			act("refuse leader for=%d", d)
+			if r.IntN(2) == 0 {
+				act("cancel_now count=%d", 1+r.IntN(4))
+				at++
+				act("outage state for=%d", d)
+			}
+		case 8:
+			act("%s busy for=%d", pick("take", "hang", "kill"), d)
+		case 9:
+			act("late_writes share=%g for=%d", []float64{0.1, 0.3, 0.6}[r.IntN(3)], d)
+		case 10, 11:
+			act("late_reports share=%g for=%d", []float64{0.1, 0.5, 1}[r.IntN(3)], d)
+		case 12:
+			act("deaf %s for=%d", machines, d)
+		case 13:
+			act("mute %s for=%d", machines, d)
+		case 14:
+			act("isolate %s for=%d", who, d)
+			at += float64(d) * r.Float64()
+			act("cancel_now count=%d", 1+r.IntN(4))
+		case 15:
+			act("cancel_now count=%d hang=%d", 1+r.IntN(6), []int{0, 5, 9, 20}[r.IntN(4)])
+		case 16:
+			act("cancel_at_end share=%g for=%d", []float64{0.3, 1}[r.IntN(2)], 2*d)
+		case 17:
+			act("odd_requests for=%d", 2*d)
+		}
+	}
+	b.WriteString("until 480\n")
+	return b.String()
+}
+
 // TestSoak plays random days: no rule may break, and all that can be done is
 // done once the troubles are over.
 func TestSoak(t *testing.T) {
@@ -127,34 +211,50 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			text := soak(seed)
-			s, err := ParseScenario(text)
-			if err != nil {
-				t.Fatal(err)
-			}
-			w, faults := s.Run(nil)
-			for _, f := range faults {
-				t.Error(f)
-			}
-			for _, id := range w.users.names() {
-				j := w.users.jobs[id]
-				if !j.accepted && j.refused == 0 {
-					t.Errorf("%s was never answered", id)
-				}
-				if j.accepted && j.final == "" && w.jobs[id].Shape != wire.ShapeService {
-					t.Errorf("%s is still %s", id, j.last.Status)
-				}
-				if j.accepted && j.final == "" && w.jobs[id].Shape == wire.ShapeService && w.running(id) != w.jobs[id].Tasks {
-					t.Errorf("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks)
-				}
-			}
-			if t.Failed() {
-				t.Log(text)
-			}
+			playDay(t, soak(seed))
 		})
 	}
 }
 
+// TestMeetings plays random days on which troubles meet.
+func TestMeetings(t *testing.T) {
+	for seed := uint64(1); seed <= uint64(soakDays(25)); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playDay(t, meetings(seed))
+		})
+	}
+}
+
+// playDay plays a random day: no rule may break, and all that can be done is
+// done once the troubles are over.
+func playDay(t *testing.T, text string) {
+	s, err := ParseScenario(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, faults := s.Run(nil)
+	for _, f := range faults {
+		t.Error(f)
+	}
+	for _, id := range w.users.names() {
+		j := w.users.jobs[id]
+		if !j.accepted && j.refused == 0 {
+			t.Errorf("%s was never answered", id)
+		}
+		service := w.jobs[id].Shape == wire.ShapeService
+		if j.accepted && j.final == "" && !service {
+			t.Errorf("%s is still %s", id, j.last.Status)
+		}
+		if j.accepted && j.final == "" && service && w.running(id) != w.jobs[id].Tasks {
+			t.Errorf("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks)
+		}
+	}
+	if t.Failed() {
+		t.Log(text)
+	}
+}
+
 // TestCheckerCatches shows that the checker sees a broken core: each mutation
 // makes the cores do one forbidden thing, and its rule must be reported.
 func TestCheckerCatches(t *testing.T) {
