--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -47,6 +47,7 @@
 	writes   *budget.Bucket
 	busy     int // requests turned away for the rates
 	late     late
+	down     time.Duration // how long it has been out in all
 }
 
 func newStore(w *World) *stateService {
@@ -60,6 +61,7 @@
 func (s *stateService) expire() {
 	s.w.after(50*time.Millisecond, s.expire)
 	if s.w.now < s.outage {
+		s.down += 50 * time.Millisecond
 		return
 	}
 	for id := uint64(1); id <= s.next; id++ {
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -29,6 +29,8 @@
 	last      wire.JobStatus
 	answered  time.Duration
 	finalAt   time.Duration // was told the final state
+	down      time.Duration // how long the state service had been out before
+	hopeless  bool          // it was out for nearly all of the minute of trying
 }
 
 func newUsers(w *World) *users { return &users{w: w, jobs: map[string]*userJob{}} }
@@ -60,6 +62,7 @@
 	u.w.jobs[t.ID] = t
 	j := &userJob{id: t.ID}
 	u.jobs[t.ID] = j
+	j.down = u.w.store.down
 	u.trySubmit(j, t, u.w.now+60*time.Second)
 }
 
@@ -90,6 +93,8 @@
 		default:
 			if u.w.now < until {
 				u.w.after(time.Second, func() { u.trySubmit(j, t, until) })
+			} else {
+				j.hopeless = u.w.store.down-j.down > 50*time.Second
 			}
 		}
 	})
