--- /dev/null
+++ b/internal/core/cancel_test.go
@@ -0,0 +1,62 @@
+package core
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// TestGoneIsConfirmed has a leader say that no task of a cancelled job is left.
+// The user is told so only while the term is still that leader's: a later one
+// may have started tasks that the first knows nothing of.
+func TestGoneIsConfirmed(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		deposed bool
+		status  int
+	}{
+		{"the latest leader", false, 200},
+		{"a deposed leader", true, 503},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newHarness(t, someTypes)
+			b.c.cfg.Peers = append(b.c.cfg.Peers, config.Peer{Name: "n1", Zone: "b"})
+			b.c.peers["n1"] = &peerState{}
+			b.write(keyTerm, "", []byte("5"))
+			termVersion := b.store[keyTerm].Version
+			b.write(keyLeader, "", []byte(`{"name":"n1","term":5}`))
+			b.run(0)
+			if a := b.ask("POST", "/submissions", body()); a.Status != 201 {
+				t.Fatalf("submission: %d %s", a.Status, a.Body)
+			}
+			id := "job-000412"
+			lead := func() {
+				b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 5, Leader: true, HearsLeader: true, StoreOK: true}})
+			}
+			lead()
+			b.nextReq++
+			b.step(Request{ID: b.nextReq, Method: "POST", Path: "/submissions/" + id + "/cancel"})
+			if a, ok := b.answers[b.nextReq]; ok {
+				t.Fatalf("told before any word of its tasks: %d %s", a.Status, a.Body)
+			}
+			if tc.deposed {
+				b.write(keyTerm, "", []byte("6"))
+			}
+			b.step(&wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: termVersion}})
+			a := b.answers[b.nextReq]
+			if a.Status != tc.status {
+				t.Errorf("answered %d %s, want %d", a.Status, a.Body, tc.status)
+			}
+			if a.Status == 503 && a.RetryAfter == 0 {
+				t.Error("asked to come back without saying when")
+			}
+			told := strings.Contains(string(b.store[prefixOpen+id].Value), `"ca":`+strconv.FormatInt(b.c.wall, 10))
+			if told != (tc.status == 200) {
+				t.Errorf("on record as told: %v", told)
+			}
+		})
+	}
+}
