--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -29,6 +29,7 @@
 type Scenario struct {
 	cfg    *config.Settings
 	seed   uint64
+	seeds  int // how many days are played, each with the next seed
 	until  time.Duration
 	setup  []line
 	acts   []line
@@ -77,7 +78,7 @@
 			err = fmt.Errorf("scenario: %v", r)
 		}
 	}()
-	s = &Scenario{cfg: defaults(), seed: 1}
+	s = &Scenario{cfg: defaults(), seed: 1, seeds: 1}
 	for no, raw := range strings.Split(text, "\n") {
 		raw, _, _ = strings.Cut(raw, "#")
 		f := strings.Fields(raw)
@@ -110,6 +111,11 @@
 			if err != nil {
 				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
 			}
+		case l.word == "seeds":
+			s.seeds, err = strconv.Atoi(l.arg(0))
+			if err != nil {
+				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
+			}
 		case l.word == "controllers":
 			s.cfg.Deployment.Size, err = strconv.Atoi(l.arg(0))
 			if err != nil {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -35,9 +35,11 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				_, faults := s.Run(testLog())
-				for _, fault := range faults {
-					t.Error(fault)
+				for first := s.seed; s.seed < first+uint64(s.seeds); s.seed++ {
+					_, faults := s.Run(testLog())
+					for _, fault := range faults {
+						t.Errorf("seed %d: %s", s.seed, fault)
+					}
 				}
 			})
 		}
