--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -21,6 +21,7 @@
 	types    string
 	store    map[string]wire.Item
 	revision uint64
+	down     bool // the state service answers 503
 	nextReq  uint64
 	answers  map[uint64]Answer
 }
@@ -56,6 +57,8 @@
 	for _, k := range out.Calls {
 		r := Result{ID: k.ID, Status: 404, Body: []byte(`{}`)}
 		switch {
+		case k.Dest == DestStore && b.down:
+			r.Status = 503
 		case k.Dest == DestCloud && k.Path == "/machine_types" && b.types != "":
 			r.Status, r.Body = 200, []byte(b.types)
 		case k.Dest == DestStore && k.Path == "/commit":
