--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,6 +84,29 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are the limits from some later moment on, which comes without
+	// notice. What it leaves out stays as it is.
+	Next *State `toml:"next"`
+}
+
+// Bound returns the limits that hold now and later: the smaller ones.
+func (s State) Bound() State {
+	b := s
+	b.Next = nil
+	if n := s.Next; n != nil {
+		lower := func(v *float64, next float64) {
+			if next > 0 && next < *v {
+				*v = next
+			}
+		}
+		lower(&b.RPS, n.RPS)
+		lower(&b.WriteRPS, n.WriteRPS)
+		lower(&b.ValueKB, n.ValueKB)
+		if n.TxnOps > 0 && n.TxnOps < b.TxnOps {
+			b.TxnOps = n.TxnOps
+		}
+	}
+	return b
 }
 
 // Cloud holds the limits of the cloud.
@@ -173,6 +196,23 @@
 	positive("deployment.state.write_rps", d.State.WriteRPS)
 	positive("deployment.state.value_kb", d.State.ValueKB)
 	positive("deployment.state.txn_ops", float64(d.State.TxnOps))
+	if n := d.State.Next; n != nil {
+		for _, f := range []struct {
+			name string
+			v    float64
+		}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}, {"txn_ops", float64(n.TxnOps)}} {
+			if !(f.v >= 0) { // 0: left out
+				bad("deployment.state.next.%s: must be greater than 0, is %v", f.name, f.v)
+			}
+		}
+		if n.Next != nil {
+			bad("deployment.state.next.next: unexpected")
+		}
+	}
+	// An end of a job takes two changes.
+	if d.State.TxnOps > 0 && d.State.Bound().TxnOps < 2 {
+		bad("deployment.state.txn_ops: must be at least 2")
+	}
 	positive("deployment.cloud.rps", d.Cloud.RPS)
 	if d.Cloud.ListLagS < 0 {
 		bad("deployment.cloud.list_lag_s: below 0")
--- /dev/null
+++ b/internal/core/awaited.go
@@ -0,0 +1,175 @@
+package core
+
+import (
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// A submission that names other jobs is accepted by one transaction on the
+// condition that those which are not over are as they were read: so of a
+// cancellation and a dependent that is accepted meanwhile, one sees the other.
+// It marks them as needed, which keeps a cancellation from being answered on the
+// word of a leader that cannot read new dependents. Only what is not over goes
+// on record, for an end never reverts; of a list that is longer than a
+// transaction's conditions the rest has been read before, and the leader looks
+// again.
+
+// prepared is what a submission adds to a transaction.
+type prepared struct {
+	conds  []wire.Cond
+	writes []wire.Write
+	marks  map[string]openRecord // awaited jobs, as they are written
+	bytes  int
+}
+
+func (s *submit) final() finalRecord {
+	return finalRecord{Status: wire.StatusCancelled, Tasks: s.rec.Job.Tasks}
+}
+
+// prepare makes the conditions and changes of a submission; not ok if what is
+// known of the jobs that it awaits has to be looked at again.
+func (c *Core) prepare(s *submit) (p prepared, ok bool) {
+	id := s.rec.Job.ID
+	p.conds = []wire.Cond{{Key: prefixOpen + id}, {Key: prefixFinal + id}}
+	p.marks = map[string]openRecord{}
+	if s.withdrawn {
+		p.write(prefixFinal+id, encode(s.final()))
+		return p, true
+	}
+	for _, a := range s.rec.Job.Awaits {
+		k := c.users.open[a]
+		if _, over := c.users.final[a]; over || k == nil || k.rec.Cancelled {
+			return p, false
+		}
+		if len(p.conds) < 4*c.limits().TxnOps {
+			p.conds = append(p.conds, wire.Cond{Key: prefixOpen + a, Version: k.version})
+		}
+		if !k.rec.Needed {
+			rec := k.rec
+			rec.Needed = true
+			p.marks[a] = rec
+			p.write(prefixOpen+a, encode(rec))
+		}
+	}
+	p.write(prefixOpen+id, encode(s.rec))
+	return p, len(p.writes) <= c.limits().TxnOps
+}
+
+func (p *prepared) write(key string, v []byte) {
+	p.writes = append(p.writes, wire.Write{Put: key, Value: v})
+	p.bytes += len(v) + 200
+}
+
+// checkAwaited finds out about the jobs that a submission awaits, and has it
+// recorded if they allow it.
+func (c *Core) checkAwaited(s *submit) {
+	u := &c.users
+	if c.now >= s.until {
+		c.answer(s.req, 503, errorBody("not now"), 1)
+		return
+	}
+	var ask []string
+	for _, a := range s.awaits {
+		if _, over := u.final[a]; !over && u.open[a] == nil {
+			ask = append(ask, a)
+		}
+	}
+	if len(ask) == 0 {
+		c.takeAwaited(s)
+		return
+	}
+	left, failed, unknown := len(ask), false, ""
+	for _, a := range ask {
+		c.find(a, func(f found) {
+			switch {
+			case f.failed:
+				failed = true
+			case f.open == nil && f.final == nil:
+				unknown = a
+			}
+			if left--; left > 0 {
+				return
+			}
+			switch {
+			case unknown != "":
+				c.answer(s.req, 422, errorBody("it awaits "+unknown+", which was never accepted"), 0)
+			case failed:
+				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+			default:
+				c.takeAwaited(s)
+			}
+		})
+	}
+}
+
+// takeAwaited has a submission recorded, all of whose awaited jobs are known.
+func (c *Core) takeAwaited(s *submit) {
+	u := &c.users
+	s.rec.Job.Awaits, s.withdrawn = nil, false
+	var unmarked []string
+	for _, a := range s.awaits {
+		if f, over := u.final[a]; over {
+			s.withdrawn = s.withdrawn || f.Status != wire.StatusDone
+			continue
+		}
+		k := u.open[a]
+		switch {
+		case k == nil: // forgotten again
+			c.answer(s.req, 503, errorBody("not now"), 1)
+			return
+		case k.rec.Job.Shape == wire.ShapeService:
+			c.answer(s.req, 422, errorBody("it awaits "+a+", a service"), 0)
+			return
+		case k.rec.Cancelled:
+			s.withdrawn = true
+		default:
+			s.rec.Job.Awaits = append(s.rec.Job.Awaits, a)
+			if !k.rec.Needed {
+				unmarked = append(unmarked, a)
+			}
+		}
+	}
+	switch {
+	case s.withdrawn:
+	case !c.recordable(s.rec):
+		c.answer(s.req, 422, errorBody("it awaits more jobs than the state service can hold"), 0)
+		return
+	case len(unmarked) >= c.limits().TxnOps:
+		// More than go into one transaction beside the job itself.
+		c.markNeeded(s, unmarked[:c.limits().TxnOps])
+		return
+	}
+	u.submits = append(u.submits, s)
+	c.pumpSubmits()
+}
+
+// markNeeded marks some of the jobs that a submission awaits.
+func (c *Core) markNeeded(s *submit, ids []string) {
+	txn := &wire.Txn{}
+	marks := map[string]openRecord{}
+	for _, id := range ids {
+		k := c.users.open[id]
+		rec := k.rec
+		rec.Needed = true
+		marks[id] = rec
+		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id, Version: k.version})
+		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + id, Value: encode(rec)})
+	}
+	c.commit(txn, false, func(r Result) {
+		var tr wire.TxnResult
+		switch {
+		case r.Status == 200 && json.Unmarshal(r.Body, &tr) == nil:
+			for _, id := range ids {
+				c.know(id, &known{version: tr.Revision, rec: marks[id]})
+			}
+		case r.Status == 409 || r.Status == 0:
+			for _, id := range ids {
+				delete(c.users.open, id)
+			}
+		default:
+			c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+			return
+		}
+		c.checkAwaited(s)
+	})
+}
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -185,7 +185,9 @@
 	if x == nil || x.busy || len(x.waiting) == 0 {
 		return
 	}
-	if k == nil || k.version != x.version {
+	if k == nil || k.version != x.version || k.rec.Needed {
+		// Of a job that others need, the leader's word does not suffice: while
+		// it cannot read, more dependents may have come.
 		c.putOff(id)
 		return
 	}
@@ -231,19 +233,12 @@
 		return l.c.now - time.Duration(max(0, l.c.wall-at+int64(skew)))*time.Millisecond
 	}
 	if rec.Cancelled && !j.cancelled {
-		j.cancelled = true
-		j.askedAt = l.c.now
+		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.told())
+		l.markCancelled(j)
 		if rec.AskedAt != 0 {
 			j.askedAt = ago(rec.AskedAt, 0)
 		}
-		l.cancelled[j.ID] = j
-		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.told())
-		for i := range j.tasks {
-			if j.tasks[i].m != nil {
-				l.stopTask(j, i, 0, "cancelled")
-			}
-		}
-		l.dirty = true
+		l.cancelAfter(j.ID)
 	}
 	if rec.told() && !j.told {
 		j.told = true
@@ -256,6 +251,19 @@
 	}
 }
 
+// markCancelled has a job end without being done.
+func (l *leader) markCancelled(j *job) {
+	j.cancelled = true
+	j.askedAt = l.c.now
+	l.cancelled[j.ID] = j
+	for i := range j.tasks {
+		if j.tasks[i].m != nil {
+			l.stopTask(j, i, 0, "cancelled")
+		}
+	}
+	l.dirty = true
+}
+
 // noteCancelled takes in the cancellations that another controller has
 // recorded, and tells it what has become of the jobs.
 func (l *leader) noteCancelled(from string, list []wire.Cancelled) {
@@ -263,7 +271,9 @@
 	for _, x := range list {
 		j := l.jobs[x.ID]
 		if j != nil && !j.cancelled {
-			l.noteOpen(x.ID, max(x.Version, j.version), openRecord{Job: j.Job, At: j.at, Cancelled: true, AskedAt: l.c.wall})
+			rec := j.rec
+			rec.Cancelled, rec.AskedAt = true, l.c.wall
+			l.noteOpen(x.ID, max(x.Version, j.version), rec)
 		}
 		switch f, over := l.c.users.final[x.ID]; {
 		case over:
@@ -312,7 +322,7 @@
 	for _, id := range sortedKeys(l.cancelled) {
 		j := l.cancelled[id]
 		switch {
-		case !j.loaded || j.placed > 0:
+		case !j.loaded || j.placed > 0 || l.awaitedStill(id):
 			j.goneAt = 0
 		case j.goneAt == 0:
 			j.goneAt = l.c.now
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,6 +122,7 @@
 	storeOK     bool
 	hearsLeader bool
 	ever        bool
+	version     int // highest PeerVersion that it has said
 }
 
 // New makes a core. The logger may be nil; boot has to differ from that of any
@@ -238,6 +239,9 @@
 // transaction that got no answer, and users' questions were answered too late.
 func (c *Core) commitTimeout() time.Duration { return c.report() / 3 }
 
+// limits are those of the state service that hold now and later.
+func (c *Core) limits() config.State { return c.cfg.Deployment.State.Bound() }
+
 func (c *Core) lease() time.Duration  { return config.Seconds(c.cfg.Deployment.Workers.LeaseS) }
 func (c *Core) report() time.Duration { return config.Seconds(c.cfg.Deployment.Workers.ReportS) }
 
@@ -288,7 +292,7 @@
 	c.call(Call{Dest: DestCloud, Method: "GET", Path: "/machine_types", Timeout: 3 * time.Second}, func(r Result) {
 		c.typesBusy = false
 		if r.Status == 200 && c.setTypes(r.Body) {
-			if raw := string(r.Body); c.lead != nil && raw != c.typesRaw {
+			if raw := string(r.Body); c.lead != nil && raw != c.typesRaw && len(raw) <= c.maxValue() {
 				c.typesRaw = raw
 				c.commit(&wire.Txn{If: []wire.Cond{c.lead.termCond()}, Writes: []wire.Write{{Put: "types", Value: r.Body}}}, false, func(Result) {})
 			}
--- /dev/null
+++ b/internal/core/dependencies_test.go
@@ -0,0 +1,39 @@
+package core
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestDependencies walks a diamond with a tail: what awaits whom, in either
+// direction, as jobs end, are dropped, and are added late.
+func TestDependencies(t *testing.T) {
+	d := newDependencies()
+	d.add("b", []string{"a"})
+	d.add("c", []string{"a"})
+	d.add("d", []string{"b", "c"})
+	d.add("e", []string{"d", "a"})
+	same := func(what string, got []string, want ...string) {
+		t.Helper()
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	same("after a", d.after("a"), "b", "c", "e", "d")
+	same("after d", d.after("d"), "e")
+	same("free after a", d.done("a"), "b", "c")
+	if d.waits("b") || !d.waits("d") || !d.waits("e") {
+		t.Error("after a: b may go on, d and e wait")
+	}
+	same("free after b", d.done("b"))
+	same("free after c", d.done("c"), "d")
+	d.add("f", []string{"d"})
+	same("after d with f", d.after("d"), "e", "f")
+	d.drop("e")
+	same("after d without e", d.after("d"), "f")
+	same("free after d", d.done("d"), "f")
+	same("free after d again", d.done("d"))
+	if len(d.awaited)+len(d.dependents) > 0 {
+		t.Errorf("left behind: %v %v", d.awaited, d.dependents)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -298,7 +298,7 @@
 	if j.Shape != wire.ShapeArray {
 		n = len(j.tasks)
 	}
-	at := l.c.now - time.Duration(max(0, l.c.wall-j.at))*time.Millisecond
+	at := l.c.now - time.Duration(max(0, l.c.wall-j.since))*time.Millisecond
 	for range min(n, maxArrival) {
 		a.at = append(a.at, at)
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -46,6 +46,10 @@
 	schedNext time.Duration
 
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
+	deps      *dependencies
+	looking   map[string]time.Duration // awaited jobs that are being looked up; when next
+	shed      []string                 // placement records of jobs that are over, to be deleted
+	limited   bool                     // the state service refused a value for its size
 	fleet     fleet
 	arrivals  map[string]*arrivals
 	estimate  map[string]*estimate
@@ -54,11 +58,16 @@
 // job is an unfinished job.
 type job struct {
 	wire.Job
-	rank      int  // of the priority
-	within    bool // fits into its team's guarantee
-	at        int64
-	order     uint64 // version of the first record seen: submission order
-	version   uint64 // of the open record
+	rec       openRecord // as recorded
+	rank      int        // of the priority, or of a higher one that a dependent has
+	due       float64    // time of day, in s, by which it has to be done; see claim
+	within    bool       // fits into its team's guarantee
+	waits     bool       // for jobs that are not done
+	free      bool       // all that it awaited is done, which is to be recorded
+	since     int64      // ms, time of day from which its waiting counts
+	order     uint64     // version of the first record seen: submission order
+	version   uint64     // of the open record
+	writing   bool       // the open record is being written
 	cancelled bool
 	askedAt   time.Duration // its user asked to cancel it
 	goneAt    time.Duration // cancelled and without a task since then
@@ -66,10 +75,13 @@
 	told      bool          // the user may have been told so
 	toldAt    time.Duration
 	stale     bool // the open record must be read again
+	tried     bool // a placement record was sent under this term
+	fence     bool // the open record is to be written before others, see mayWrite
 
 	tasks     []task
-	next      uint64 // next attempt number
-	chunks    []chunk
+	next      uint64   // next attempt number
+	chunks    []chunk  // in the order of their tasks
+	old       []string // placement records that chunks have taken the place of
 	done      int
 	placed    int
 	loaded    bool
@@ -83,14 +95,6 @@
 	held      []*machine       // kept for it, see preempt
 }
 
-// chunk is one placement record: a run of a job's tasks.
-type chunk struct {
-	version uint64
-	dirty   bool
-	stale   bool // the version is unknown and must be read
-	busy    bool
-}
-
 // task is one task. A task with a machine counts in full (its place, its
 // team's limit, its zone) until it is certainly gone, see gone.go.
 type task struct {
@@ -117,22 +121,6 @@
 	why   string
 }
 
-type placeRecord struct {
-	Next  uint64       `json:"n"`
-	Done  []int        `json:"d,omitempty"`
-	Tasks []placeEntry `json:"t,omitempty"`
-}
-
-type placeEntry struct {
-	Task    int    `json:"i"`
-	Attempt uint64 `json:"a"`
-	Machine string `json:"m"`
-	// Zone counts for spread and one-zone jobs while a new leader has not
-	// heard the machine yet.
-	Zone    string `json:"z"`
-	Session uint64 `json:"s"`
-}
-
 // ranks is the number of priorities.
 const ranks = 4
 
@@ -147,6 +135,7 @@
 		machines: map[string]*machine{},
 		reached:  map[string]time.Duration{},
 		returned: map[string]time.Duration{}, cancelled: map[string]*job{},
+		deps: newDependencies(), looking: map[string]time.Duration{},
 		arrivals: map[string]*arrivals{},
 		estimate: map[string]*estimate{},
 		fleet:    newFleet(),
@@ -155,14 +144,6 @@
 
 func (l *leader) termCond() wire.Cond { return wire.Cond{Key: keyTerm, Version: l.termVersion} }
 
-// chunkTasks is how many tasks one placement record covers, so that its value
-// stays within value_kb whatever the tasks' state.
-func (l *leader) chunkTasks() int {
-	return max(1, int(l.c.cfg.Deployment.State.ValueKB*1024)/128)
-}
-
-func placeKey(id string, i int) string { return prefixPlace + id + "/" + strconv.Itoa(i) }
-
 // recover loads the open jobs, then the placements, and follows the changes
 // of open jobs from then on.
 func (l *leader) recover() {
@@ -204,57 +185,16 @@
 			l.watch()
 			return
 		}
-		l.loadPlaces("")
-	})
-}
-
-func (l *leader) loadPlaces(after string) {
-	l.page(prefixPlace, after, func(p *wire.Page) {
-		for _, it := range p.Items {
-			after = it.Key
-			parts := strings.Split(it.Key, "/")
-			var rec placeRecord
-			if len(parts) != 3 || json.Unmarshal(it.Value, &rec) != nil {
-				l.c.log.Error("placement record is not readable", "key", it.Key)
-				continue
-			}
-			n, _ := strconv.Atoi(parts[2])
-			j := l.jobs[parts[1]]
-			if j == nil || n >= len(j.chunks) {
-				continue
-			}
-			j.chunks[n].version = it.Version
-			j.next = max(j.next, rec.Next)
-			for _, i := range rec.Done {
-				if i < len(j.tasks) && !j.tasks[i].done {
-					j.tasks[i].done = true
-					j.done++
-				}
-			}
-			for _, e := range rec.Tasks {
-				if e.Task >= len(j.tasks) {
-					continue
-				}
-				m := l.machine(e.Machine)
-				t := &j.tasks[e.Task]
-				t.attempt, t.zone, t.session, t.recorded, t.copied = e.Attempt, e.Zone, e.Session, true, true
-				m.zone = e.Zone
-				l.bind(j, e.Task, m)
-			}
-		}
-		if p.More {
-			l.loadPlaces(after)
-			return
-		}
-		l.becomeReady()
+		l.loadPlaces("", map[string][]loadedPlace{})
 	})
 }
 
 func (l *leader) becomeReady() {
 	l.ready = true
 	l.loadedAt = l.c.now
-	for _, j := range l.order {
+	for _, j := range slices.Clone(l.order) {
 		j.loaded = true
+		l.resolve(j)
 	}
 	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "machines", len(l.machines))
 	l.schedule = true
@@ -302,19 +242,20 @@
 		if f, ok := l.c.users.final[id]; ok && f.Status != "" {
 			return // an old event of a job that is over
 		}
-		n := (rec.Job.Tasks + l.chunkTasks() - 1) / l.chunkTasks()
-		j = &job{Job: rec.Job, rank: priorityRank[rec.Job.Priority], at: rec.At, order: version, version: version, next: 1,
-			tasks: make([]task, rec.Job.Tasks), chunks: make([]chunk, n), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
+		j = &job{Job: rec.Job, rec: rec, rank: priorityRank[rec.Job.Priority], due: ownDue(&rec), since: rec.At, order: version, version: version, next: 1,
+			tasks: make([]task, rec.Job.Tasks), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
+		l.layOut(j)
 		l.jobs[id] = j
 		at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order > j.order })
 		l.order = slices.Insert(l.order, at, j)
 		l.c.log.Debug("job", "job", id, "class", j.Class, "team", j.Team, "shape", j.Shape, "tasks", len(j.tasks))
-		l.noteArrival(j)
+		l.noteAwaited(j)
 	}
 	if version < j.version {
 		return
 	}
-	j.version = version
+	j.version, j.rec = version, rec
+	l.noteReady(j)
 	l.noteWish(j, rec)
 	l.schedule = true
 }
@@ -357,7 +298,7 @@
 
 // touch marks a task's record for writing.
 func (l *leader) touch(j *job, i int) {
-	j.chunks[i/l.chunkTasks()].dirty = true
+	j.chunkOf(i).dirty = true
 	l.dirty = true
 }
 
@@ -394,6 +335,7 @@
 	l.tickFleet()
 	l.tickStops()
 	l.tickGone()
+	l.tickAwaited()
 	if l.c.now >= l.schedNext+l.c.report()/3 {
 		l.schedule = true
 	}
@@ -421,7 +363,7 @@
 	if l.txnBusy || !l.dirty || l.c.now < l.txnRetry {
 		return
 	}
-	ops := l.c.cfg.Deployment.State.TxnOps
+	ops := l.c.limits().TxnOps
 	txn := &wire.Txn{If: []wire.Cond{l.termCond()}}
 	bytes := 0
 	var after []func(version uint64)
@@ -429,21 +371,19 @@
 	more := false
 	room := func(n int) bool { return len(txn.Writes)+n <= ops && bytes < 44<<10 }
 	for _, j := range l.order {
-		if j.ended || j.stale || j.final || !(j.finished() || j.over()) {
+		if j.ended || j.stale || j.final || j.writing || !(j.finished() || j.over()) {
 			continue
 		}
 		if j.staleChunk() {
 			continue
 		}
-		n := 2
-		for i := range j.chunks {
-			if j.chunks[i].version != 0 {
-				n++
-			}
-		}
-		if n > ops {
-			n = ops // long jobs shed their placement records afterwards
+		if j.cancelled && l.awaitedStill(j.ID) {
+			// Nobody is told that it is cancelled before its dependents are.
+			more = true
+			continue
 		}
+		keys := j.placeKeys()
+		n := min(2+len(keys), ops) // long jobs shed the rest afterwards
 		if !room(n) {
 			more = true
 			break
@@ -454,10 +394,8 @@
 		}
 		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
 		txn.Writes = append(txn.Writes, wire.Write{Delete: prefixOpen + j.ID}, wire.Write{Put: prefixFinal + j.ID, Value: encode(f)})
-		for i := range j.chunks {
-			if j.chunks[i].version != 0 && len(txn.Writes) < ops {
-				txn.Writes = append(txn.Writes, wire.Write{Delete: placeKey(j.ID, i)})
-			}
+		for _, k := range keys[:n-2] {
+			txn.Writes = append(txn.Writes, wire.Write{Delete: k})
 		}
 		bytes += 400
 		j.final = true
@@ -468,13 +406,61 @@
 			}
 			l.c.log.Info("job over", "job", j.ID, "status", f.Status)
 			j.ended = true
+			l.shed = append(l.shed, keys[n-2:]...)
 			l.c.noteEnd(wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
 			ends = append(ends, wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
 			l.forget(j)
+			l.awaitedOver(j.ID, f.Status)
+		})
+	}
+	named := 0 // conditions on awaited jobs
+	for _, j := range l.order {
+		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence {
+			continue
+		}
+		if !room(1) {
+			more = true
+			break
+		}
+		rec := j.rec
+		if j.free {
+			rec.ReadyAt = l.c.wall
+			// An awaited job's end took its open record away.
+			for _, a := range j.Awaits {
+				if named < 2*ops-1 {
+					named++
+					txn.If = append(txn.If, wire.Cond{Key: prefixOpen + a})
+				}
+			}
+		}
+		body := encode(rec)
+		bytes += len(body) + 300
+		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
+		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + j.ID, Value: body})
+		j.writing = true
+		after = append(after, func(v uint64) {
+			j.writing = false
+			if v == 0 {
+				l.dirty = true
+				return
+			}
+			l.c.know(j.ID, &known{version: v, rec: rec})
+			if j.version < v {
+				j.version, j.rec = v, rec
+			}
+			l.noteReady(j)
+			if j.fence {
+				j.fence = false
+				l.relay(j)
+			}
 		})
 	}
 	for _, j := range l.order {
-		if j.ended || j.stale || j.final || !j.loaded {
+		if j.ended || j.stale || j.final || j.writing || !j.loaded {
+			continue
+		}
+		if !l.mayWrite(j) {
+			more = true
 			continue
 		}
 		cond := false
@@ -491,11 +477,11 @@
 				cond = true
 				txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
 			}
-			body, starts := l.encodeChunk(j, i)
+			body, starts := encodeChunk(j, ch)
 			bytes += len(body) + 300
-			txn.If = append(txn.If, wire.Cond{Key: placeKey(j.ID, i), Version: ch.version})
-			txn.Writes = append(txn.Writes, wire.Write{Put: placeKey(j.ID, i), Value: body})
-			ch.dirty, ch.busy = false, true
+			txn.If = append(txn.If, wire.Cond{Key: ch.key, Version: ch.version})
+			txn.Writes = append(txn.Writes, wire.Write{Put: ch.key, Value: body})
+			ch.dirty, ch.busy, j.tried = false, true, true
 			after = append(after, func(v uint64) {
 				ch.busy = false
 				if v == 0 {
@@ -512,7 +498,19 @@
 			})
 		}
 	}
-	l.dirty = more
+	var shed []string
+	for len(l.shed) > len(shed) && room(1) && !more {
+		shed = l.shed[:len(shed)+1]
+		txn.Writes = append(txn.Writes, wire.Write{Delete: shed[len(shed)-1]})
+	}
+	if len(shed) > 0 {
+		after = append(after, func(v uint64) {
+			if v != 0 {
+				l.shed = l.shed[len(shed):]
+			}
+		})
+	}
+	l.dirty = more || len(l.shed) > len(shed)
 	if len(txn.Writes) == 0 {
 		return
 	}
@@ -531,6 +529,11 @@
 		case 409:
 			l.conflict(tr.Failed)
 		default:
+			if r.Status == 400 && !l.limited {
+				// The limits that were announced hold now.
+				l.c.log.Info("the state service takes smaller values only")
+				l.limited = true
+			}
 			l.txnRetry = l.c.now + l.c.ttl()/20
 		}
 		l.dirty = l.dirty || version == 0
@@ -551,25 +554,6 @@
 	return false
 }
 
-func (l *leader) encodeChunk(j *job, n int) ([]byte, []placeEntry) {
-	rec := placeRecord{Next: j.next}
-	var starts []placeEntry
-	for i := n * l.chunkTasks(); i < min((n+1)*l.chunkTasks(), len(j.tasks)); i++ {
-		t := &j.tasks[i]
-		if t.done {
-			rec.Done = append(rec.Done, i)
-		}
-		if t.m != nil {
-			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.m.name, Zone: t.zone, Session: t.session}
-			rec.Tasks = append(rec.Tasks, e)
-			if !t.recorded {
-				starts = append(starts, e)
-			}
-		}
-	}
-	return encode(rec), starts
-}
-
 // conflict reads again what a failed condition says has changed: by another
 // controller's cancellation, or by a transaction of ours whose answer got
 // lost.
@@ -585,11 +569,13 @@
 				l.rereadOpen(j)
 			}
 		case strings.HasPrefix(key, prefixPlace):
-			parts := strings.Split(key, "/")
-			n, _ := strconv.Atoi(parts[2])
-			if j := l.jobs[parts[1]]; j != nil && n < len(j.chunks) && !j.chunks[n].stale {
+			j := l.jobs[jobOf(key[len(prefixPlace):])]
+			if j == nil {
+				continue
+			}
+			if n := slices.IndexFunc(j.chunks, func(ch chunk) bool { return ch.key == key }); n >= 0 && !j.chunks[n].stale {
 				j.chunks[n].stale = true
-				l.rereadChunk(j, n)
+				l.rereadChunk(j, key)
 			}
 		}
 	}
@@ -613,39 +599,26 @@
 			j.stale = false
 			j.ended = true
 			l.c.log.Info("job over", "job", j.ID, "status", "recorded earlier")
+			l.shed = append(l.shed, j.placeKeys()...)
 			l.forget(j)
+			l.lookAwaited(j.ID)
 		default:
 			l.rereadOpen(j)
 		}
 	})
 }
 
-func (l *leader) rereadChunk(j *job, n int) {
-	l.c.get(placeKey(j.ID, n), func(r Result) {
-		if l.gone {
-			return
-		}
-		var it wire.Item
-		switch {
-		case r.Status == 200 && json.Unmarshal(r.Body, &it) == nil:
-			j.chunks[n].version = it.Version
-		case r.Status == 404:
-			j.chunks[n].version = 0
-		default:
-			l.rereadChunk(j, n)
-			return
-		}
-		j.chunks[n].stale = false
-		j.chunks[n].dirty = true
-		l.dirty = true
-	})
-}
-
 // forget drops a job whose end is recorded. Copies of its tasks that still
 // count on machines stay bound until they are certainly gone.
 func (l *leader) forget(j *job) {
 	delete(l.jobs, j.ID)
 	delete(l.cancelled, j.ID)
+	l.deps.drop(j.ID)
+	if j.waits {
+		for _, a := range j.Awaits {
+			l.claim(a)
+		}
+	}
 	for i, o := range l.order {
 		if o == j {
 			l.order = append(l.order[:i:i], l.order[i+1:]...)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -135,6 +135,7 @@
 	case m.Digest != nil:
 		d := m.Digest
 		c.noteTestimony(p, d)
+		p.version = max(p.version, d.Version)
 		p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
 		if c.lead != nil {
 			c.lead.noteCancelled(m.From, d.Cancelled)
@@ -160,7 +161,7 @@
 }
 
 func (c *Core) sendDigest() {
-	d := wire.Digest{Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.keep.list(c.now)}
+	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.keep.list(c.now)}
 	for _, id := range sortedKeys(c.users.cancels) {
 		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels[id].version})
 	}
@@ -218,6 +219,17 @@
 	return false
 }
 
+// allUpgraded tells whether every controller has said that it understands what
+// this version writes. One that has said so stays at that version.
+func (c *Core) allUpgraded() bool {
+	for _, p := range c.peers {
+		if p.version < wire.PeerVersion {
+			return false
+		}
+	}
+	return true
+}
+
 // cutFromPeers tells whether all other controllers, once heard, fell silent.
 func (c *Core) cutFromPeers() bool {
 	ever := false
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -25,7 +25,7 @@
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
 // whole, once nothing of its last attempt is left.
 func (j *job) pendingTasks() []int {
-	if !j.loaded || j.cancelled || j.final || j.ended || j.stale || j.done == len(j.tasks) {
+	if !j.loaded || j.waits || j.cancelled || j.final || j.ended || j.stale || j.done == len(j.tasks) {
 		return nil
 	}
 	if j.placed == len(j.tasks) || j.Shape == wire.ShapeGang && j.placed > 0 {
@@ -84,10 +84,10 @@
 
 // slack is how long a job can still wait, in seconds.
 func (l *leader) slack(j *job) float64 {
-	if j.DeadlineS == nil {
+	if math.IsInf(j.due, 1) {
 		return noDeadline
 	}
-	return *j.DeadlineS - float64(l.c.wall-j.at)/1000 - l.runEstimate(j)
+	return j.due - float64(l.c.wall)/1000 - l.runEstimate(j)
 }
 
 // beginWithin is half the time within which the protocol has the largest jobs
@@ -96,7 +96,7 @@
 
 // mustBegin tells whether a job has waited long without a beginning.
 func (l *leader) mustBegin(j *job) bool {
-	return j.done+j.placed == 0 && time.Duration(l.c.wall-j.at)*time.Millisecond > beginWithin
+	return j.done+j.placed == 0 && time.Duration(l.c.wall-j.since)*time.Millisecond > beginWithin
 }
 
 // work is what a job of a class that is to be finished within a time still has
--- /dev/null
+++ b/internal/core/placements.go
@@ -0,0 +1,339 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// Placement records say which of a job's tasks may be on which machine. Each
+// covers a range of its tasks, so that its value stays within the limits of the
+// state service. There are two layouts:
+//
+//   - p/JOB/N covers as many tasks as value_kb allows, the Nth such range. It is
+//     what versions before PeerVersion 1 read and write;
+//   - p/JOB/FROM-TO names its range. It is written where the limits are to
+//     become smaller than that, once every controller understands it. For the
+//     tasks of its range it stands above any record of the first layout, which
+//     is left as it is until the job is over.
+
+// chunk is one placement record: a run of a job's tasks.
+type chunk struct {
+	key      string
+	from, to int // tasks, the last one exclusive
+	version  uint64
+	dirty    bool
+	stale    bool // the version is unknown and must be read
+	busy     bool
+}
+
+type placeRecord struct {
+	Next  uint64       `json:"n"`
+	Done  []int        `json:"d,omitempty"`
+	Tasks []placeEntry `json:"t,omitempty"`
+}
+
+type placeEntry struct {
+	Task    int    `json:"i"`
+	Attempt uint64 `json:"a"`
+	Machine string `json:"m"`
+	// Zone counts for spread and one-zone jobs while a new leader has not
+	// heard the machine yet.
+	Zone    string `json:"z"`
+	Session uint64 `json:"s"`
+}
+
+// entryBytes is about what a task takes in a record, at most. numberedBytes is
+// what the numbered layout allows for it, and cannot change any more.
+const (
+	entryBytes    = 85
+	numberedBytes = 128
+)
+
+// numberedTasks is how many tasks a numbered record covers. It goes by the
+// limits that hold now, as in the versions that know no other layout.
+func (c *Core) numberedTasks() int {
+	return max(1, int(c.cfg.Deployment.State.ValueKB*1024)/numberedBytes)
+}
+
+func numberedKey(id string, n int) string { return prefixPlace + id + "/" + strconv.Itoa(n) }
+
+func rangeKey(id string, from, to int) string {
+	return prefixPlace + id + "/" + strconv.Itoa(from) + "-" + strconv.Itoa(to)
+}
+
+// rangeOf tells which tasks a placement record covers.
+func (c *Core) rangeOf(key string) (id string, from, to int, numbered, ok bool) {
+	id, part, found := strings.Cut(strings.TrimPrefix(key, prefixPlace), "/")
+	if !found {
+		return "", 0, 0, false, false
+	}
+	first, last, ranged := strings.Cut(part, "-")
+	n, err := strconv.Atoi(first)
+	if err != nil || n < 0 {
+		return "", 0, 0, false, false
+	}
+	if !ranged {
+		per := c.numberedTasks()
+		return id, n * per, (n + 1) * per, true, true
+	}
+	to, err = strconv.Atoi(last)
+	return id, n, to, false, err == nil && to > n
+}
+
+// ranges tells whether records that name their range are to be written.
+func (l *leader) ranges() bool {
+	smaller := l.c.limits().ValueKB < l.c.cfg.Deployment.State.ValueKB
+	return smaller && (l.limited || l.c.allUpgraded())
+}
+
+// layOut makes a job's chunks, for a job without records.
+func (l *leader) layOut(j *job) {
+	j.chunks = nil
+	if l.ranges() {
+		l.fillRanges(j)
+		return
+	}
+	per := l.c.numberedTasks()
+	for from := 0; from < len(j.tasks); from += per {
+		j.chunks = append(j.chunks, chunk{key: numberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))})
+	}
+}
+
+// fillRanges adds chunks that name their range for the tasks that none covers.
+func (l *leader) fillRanges(j *job) {
+	per := max(1, l.c.maxValue()/entryBytes)
+	var add []chunk
+	from := 0
+	gap := func(to int) {
+		for ; from < to; from += per {
+			end := min(from+per, to)
+			add = append(add, chunk{key: rangeKey(j.ID, from, end), from: from, to: end})
+		}
+	}
+	for _, ch := range j.chunks {
+		gap(ch.from)
+		from = ch.to
+	}
+	gap(len(j.tasks))
+	j.chunks = append(j.chunks, add...)
+	slices.SortFunc(j.chunks, func(a, b chunk) int { return cmp.Compare(a.from, b.from) })
+}
+
+// chunkOf is the chunk that covers a task.
+func (j *job) chunkOf(i int) *chunk {
+	n, _ := slices.BinarySearchFunc(j.chunks, i, func(ch chunk, i int) int {
+		switch {
+		case ch.to <= i:
+			return -1
+		case ch.from > i:
+			return 1
+		}
+		return 0
+	})
+	return &j.chunks[n]
+}
+
+// placeKeys lists a job's placement records.
+func (j *job) placeKeys() []string {
+	keys := slices.Clone(j.old)
+	for i := range j.chunks {
+		if j.chunks[i].version != 0 {
+			keys = append(keys, j.chunks[i].key)
+		}
+	}
+	return keys
+}
+
+// relay moves a job from numbered records to those that name their range. The
+// old ones go on holding for ranges that are not written yet.
+func (l *leader) relay(j *job) {
+	before := j.chunks
+	j.old = j.placeKeys()
+	j.chunks = nil
+	l.fillRanges(j)
+	for _, b := range before {
+		for i := range j.chunks {
+			if ch := &j.chunks[i]; b.dirty && ch.from < b.to && b.from < ch.to {
+				ch.dirty = true
+			}
+		}
+	}
+}
+
+// numbered tells whether a job has the numbered layout.
+func (j *job) numbered() bool {
+	return len(j.chunks) > 0 && j.chunks[0].key == numberedKey(j.ID, 0)
+}
+
+// mayWrite tells whether a job's chunks may be written as they are. Before the
+// layout changes, the open record is written once: a copy of an earlier write
+// that is still under way, conditional on that record, has no effect then. It
+// would bring back what the new records have overtaken.
+func (l *leader) mayWrite(j *job) bool {
+	if !j.numbered() || !l.ranges() {
+		return true
+	}
+	dirty := false
+	for i := range j.chunks {
+		if j.chunks[i].busy || j.chunks[i].stale {
+			return false
+		}
+		dirty = dirty || j.chunks[i].dirty
+	}
+	switch {
+	case !dirty:
+	case j.tried && !j.cancelled:
+		j.fence = true
+		return false
+	default:
+		l.relay(j)
+	}
+	return true
+}
+
+func encodeChunk(j *job, ch *chunk) ([]byte, []placeEntry) {
+	rec := placeRecord{Next: j.next}
+	var starts []placeEntry
+	for i := ch.from; i < ch.to; i++ {
+		t := &j.tasks[i]
+		if t.done {
+			rec.Done = append(rec.Done, i)
+		}
+		if t.m != nil {
+			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.m.name, Zone: t.zone, Session: t.session}
+			rec.Tasks = append(rec.Tasks, e)
+			if !t.recorded {
+				starts = append(starts, e)
+			}
+		}
+	}
+	return encode(rec), starts
+}
+
+// loadedPlace is a placement record as a new leader finds it.
+type loadedPlace struct {
+	key      string
+	version  uint64
+	from, to int
+	numbered bool
+	rec      placeRecord
+}
+
+// loadPlaces reads the placements of open jobs. What is left of jobs that are
+// over is to be deleted.
+func (l *leader) loadPlaces(after string, found map[string][]loadedPlace) {
+	l.page(prefixPlace, after, func(p *wire.Page) {
+		for _, it := range p.Items {
+			after = it.Key
+			id, from, to, numbered, ok := l.c.rangeOf(it.Key)
+			var rec placeRecord
+			if !ok || json.Unmarshal(it.Value, &rec) != nil {
+				l.c.log.Error("placement record is not readable", "key", it.Key)
+				continue
+			}
+			if l.jobs[id] == nil {
+				l.shed = append(l.shed, it.Key)
+				continue
+			}
+			found[id] = append(found[id], loadedPlace{it.Key, it.Version, from, to, numbered, rec})
+		}
+		if p.More {
+			l.loadPlaces(after, found)
+			return
+		}
+		for _, id := range sortedKeys(found) {
+			l.adopt(l.jobs[id], found[id])
+		}
+		l.becomeReady()
+	})
+}
+
+// adopt takes in a job's placement records.
+func (l *leader) adopt(j *job, found []loadedPlace) {
+	covered := make([]bool, len(j.tasks)) // by a record that names its range
+	named := false
+	for _, f := range found {
+		named = named || !f.numbered
+		for i := f.from; !f.numbered && i < min(f.to, len(j.tasks)); i++ {
+			covered[i] = true
+		}
+	}
+	j.chunks = nil
+	for _, f := range found {
+		f.to = min(f.to, len(j.tasks))
+		switch {
+		case f.from >= f.to:
+			j.old = append(j.old, f.key)
+		case named && f.numbered:
+			j.old = append(j.old, f.key)
+		default:
+			j.chunks = append(j.chunks, chunk{key: f.key, from: f.from, to: f.to, version: f.version})
+		}
+		j.next = max(j.next, f.rec.Next)
+		for _, i := range f.rec.Done {
+			if i < len(j.tasks) && !j.tasks[i].done {
+				j.tasks[i].done = true
+				j.done++
+			}
+		}
+		for _, e := range f.rec.Tasks {
+			if e.Task >= len(j.tasks) || f.numbered && covered[e.Task] {
+				continue
+			}
+			m := l.machine(e.Machine)
+			t := &j.tasks[e.Task]
+			t.attempt, t.zone, t.session, t.recorded, t.copied = e.Attempt, e.Zone, e.Session, true, true
+			m.zone = e.Zone
+			l.bind(j, e.Task, m)
+		}
+	}
+	slices.SortFunc(j.chunks, func(a, b chunk) int { return cmp.Compare(a.from, b.from) })
+	if named {
+		l.fillRanges(j)
+		return
+	}
+	have := j.chunks
+	per := l.c.numberedTasks()
+	j.chunks = nil
+	for from := 0; from < len(j.tasks); from += per {
+		ch := chunk{key: numberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))}
+		for _, h := range have {
+			if h.key == ch.key {
+				ch = h
+			}
+		}
+		j.chunks = append(j.chunks, ch)
+	}
+}
+
+// rereadChunk reads the version of a placement record that is not known.
+func (l *leader) rereadChunk(j *job, key string) {
+	l.c.get(key, func(r Result) {
+		if l.gone {
+			return
+		}
+		n := slices.IndexFunc(j.chunks, func(ch chunk) bool { return ch.key == key })
+		if n < 0 {
+			return
+		}
+		ch := &j.chunks[n]
+		var it wire.Item
+		switch {
+		case r.Status == 200 && json.Unmarshal(r.Body, &it) == nil:
+			ch.version = it.Version
+		case r.Status == 404:
+			ch.version = 0
+		default:
+			l.rereadChunk(j, key)
+			return
+		}
+		ch.stale = false
+		ch.dirty = true
+		l.dirty = true
+	})
+}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -277,7 +277,7 @@
 						free = free.Add(size(&p.j.Job)) // already on its way out
 						continue
 					}
-					if !l.mayPreempt(c, p.j) || quick && p.j.Priority == j.Priority {
+					if !l.mayPreempt(c, p.j) || quick && p.j.rank == j.rank {
 						continue
 					}
 					vs = append(vs, victim{p, l.victimCost(p.j, t, whole)})
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -59,7 +59,8 @@
 }
 
 // guarantee notes which jobs fit into their team's guarantee along with the
-// team's earlier unfinished jobs. A resource for which no team has a
+// team's earlier unfinished jobs. A job that waits for others holds no part of
+// it. A resource for which no team has a
 // guarantee is not guaranteed to anybody and does not count.
 func (l *leader) guarantee() {
 	cpus, gpus := false, false
@@ -70,7 +71,7 @@
 	sum := map[string]topology.Resources{}
 	for _, j := range l.order {
 		j.within = false
-		if j.cancelled {
+		if j.cancelled || j.waits {
 			continue
 		}
 		t := l.c.team(j.Team)
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -60,6 +60,7 @@
 	CheckpointS field[float64]   `json:"markS"`
 	SaveS       field[float64]   `json:"stowS"`
 	DeadlineS   field[float64]   `json:"dueS"`
+	Awaits      field[[]*string] `json:"awaits"`
 }
 
 // parseSubmission returns the job that a body describes, or tells why it
@@ -160,6 +161,18 @@
 		}
 		j.DeadlineS = p
 	}
+	if p := s.Awaits.value; p != nil {
+		named := map[string]bool{}
+		for _, id := range *p {
+			if id == nil || !validID(*id) {
+				return nil, "awaits holds something else than job ids"
+			}
+			if !named[*id] {
+				named[*id] = true
+				j.Awaits = append(j.Awaits, *id)
+			}
+		}
+	}
 	return &j, ""
 }
 
@@ -179,13 +192,15 @@
 	return true
 }
 
-// maxRecord is the largest record of a job, in bytes, that the state service
-// takes: a value, in a transaction of 64 KiB at most. What a cancellation adds
-// to it later has to fit as well.
-func (c *Core) maxRecord() int {
-	const txn, cancellation = 48 << 10, 200
-	return min(int(c.cfg.Deployment.State.ValueKB*1024), txn) - cancellation
-}
+// maxValue is the largest value, in bytes, that the state service takes, in a
+// transaction of 64 KiB at most.
+func (c *Core) maxValue() int { return min(int(c.limits().ValueKB*1024), 48<<10) }
+
+// maxRecord is the largest record of a new job, in bytes. What a cancellation
+// and other changes add to it later has to fit as well.
+func (c *Core) maxRecord() int { return c.maxValue() - 200 }
+
+func (c *Core) recordable(rec openRecord) bool { return len(encode(rec)) <= c.maxRecord() }
 
 // possible tells why a job can never run, or nothing.
 func (c *Core) possible(j *wire.Job) string {
@@ -222,7 +237,15 @@
 	if j.Spread && j.Shape == wire.ShapeGang && n > 1 && (j.OneZone || len(zones) < 2) {
 		return "tasks that are to be apart have only one zone"
 	}
-	if len(encode(openRecord{Job: *j})) > c.maxRecord() {
+	for _, id := range j.Awaits {
+		if id == j.ID {
+			return "it awaits itself"
+		}
+	}
+	// Only the jobs that are not over when it is accepted go on record.
+	plain := *j
+	plain.Awaits = nil
+	if !c.recordable(openRecord{Job: plain}) {
 		return "the description is larger than the state service takes"
 	}
 	return ""
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -29,6 +29,11 @@
 	// CancelledAt is the time of day, in ms, at which the user was about to be
 	// told: cancel_s runs from it, whoever leads.
 	CancelledAt int64 `json:"ca,omitempty"`
+	// Needed tells that another job awaits this one.
+	Needed bool `json:"nd,omitempty"`
+	// ReadyAt is the time of day, in ms, at which all jobs that it awaited were
+	// done; before that none of its tasks may be placed.
+	ReadyAt int64 `json:"ra,omitempty"`
 }
 
 // told tells whether the user may have been told that the job is cancelled.
@@ -67,10 +72,13 @@
 }
 
 type submit struct {
-	req   uint64
-	rec   openRecord
-	body  []byte
-	until time.Duration
+	req    uint64
+	rec    openRecord
+	awaits []string // all that were named; the record has those that are not over
+	until  time.Duration
+	// withdrawn: a job that it awaits is cancelled, and so is this one.
+	withdrawn bool
+	alone     bool // in a transaction of its own
 }
 
 type lookup struct {
@@ -210,8 +218,13 @@
 	if c.refuse(r.ID, len(u.submits)) {
 		return
 	}
-	rec := openRecord{Job: *job, At: c.wall}
-	u.submits = append(u.submits, &submit{req: r.ID, rec: rec, body: encode(rec), until: c.now + 2*time.Second})
+	s := &submit{req: r.ID, rec: openRecord{Job: *job, At: c.wall}, awaits: job.Awaits, until: c.now + 2*time.Second}
+	s.rec.Job.Awaits = nil
+	if len(s.awaits) > 0 {
+		c.checkAwaited(s)
+		return
+	}
+	u.submits = append(u.submits, s)
 	c.pumpSubmits()
 }
 
@@ -242,41 +255,69 @@
 	if u.submitBusy || len(u.submits) == 0 {
 		return
 	}
-	var batch []*submit
-	var rest []*submit
+	var batch, rest, again []*submit
 	txn := &wire.Txn{}
-	ids := map[string]bool{}
+	keys := map[string]bool{} // to be written
+	marks := map[string]openRecord{}
 	bytes := 0
 	for _, s := range u.submits {
-		id := s.rec.Job.ID
-		if ids[id] || len(batch) >= c.cfg.Deployment.State.TxnOps || bytes+len(s.body) > 48<<10 {
+		if len(batch) > 0 && (s.alone || batch[0].alone) {
 			rest = append(rest, s)
 			continue
 		}
-		ids[id] = true
-		bytes += len(s.body) + 200
+		p, ok := c.prepare(s)
+		if !ok {
+			again = append(again, s)
+			continue
+		}
+		fits := bytes+p.bytes <= 48<<10 && len(txn.Writes)+len(p.writes) <= c.limits().TxnOps && len(txn.If)+len(p.conds) <= 4*c.limits().TxnOps
+		for _, w := range p.writes {
+			fits = fits && !keys[w.Put]
+		}
+		if !fits {
+			rest = append(rest, s)
+			continue
+		}
+		for _, w := range p.writes {
+			keys[w.Put] = true
+		}
+		for id, rec := range p.marks {
+			marks[id] = rec
+		}
+		bytes += p.bytes
 		batch = append(batch, s)
-		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id}, wire.Cond{Key: prefixFinal + id})
-		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + id, Value: s.body})
+		txn.If = append(txn.If, p.conds...)
+		txn.Writes = append(txn.Writes, p.writes...)
 	}
 	u.submits = rest
+	for _, s := range again {
+		c.checkAwaited(s)
+	}
 	if len(batch) == 0 {
 		return
 	}
 	u.submitBusy = true
 	c.commit(txn, false, func(r Result) {
 		u.submitBusy = false
+		var tr wire.TxnResult
 		switch r.Status {
 		case 200:
-			var tr wire.TxnResult
 			json.Unmarshal(r.Body, &tr)
+			for _, id := range sortedKeys(marks) {
+				c.know(id, &known{version: tr.Revision, rec: marks[id]})
+			}
 			for _, s := range batch {
 				id := s.rec.Job.ID
+				if s.withdrawn {
+					f := s.final()
+					c.remember(id, f)
+					c.answer(s.req, 201, f.status(id), 0)
+					continue
+				}
 				c.know(id, &known{version: tr.Revision, rec: s.rec})
 				c.answer(s.req, 201, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
 			}
 		case 409:
-			var tr wire.TxnResult
 			json.Unmarshal(r.Body, &tr)
 			failed := map[string]bool{}
 			for _, k := range tr.Failed {
@@ -285,6 +326,17 @@
 			for _, s := range batch {
 				if failed[s.rec.Job.ID] {
 					c.answerKnown(s.req, s.rec.Job.ID)
+					continue
+				}
+				changed := false
+				for _, a := range s.rec.Job.Awaits {
+					if failed[a] {
+						changed = true
+						delete(u.open, a)
+					}
+				}
+				if changed {
+					c.checkAwaited(s)
 				} else {
 					u.submits = append(u.submits, s)
 				}
@@ -295,6 +347,17 @@
 			// that is reset gives no answer at once.
 			u.submits = append(batch, u.submits...)
 			return
+		case 400:
+			// One of them may be too large for the service. Alone it does not
+			// hold up the others.
+			for _, s := range batch {
+				if len(batch) == 1 {
+					c.answer(s.req, 503, errorBody("the state service refuses the record"), 1)
+				} else {
+					s.alone = true
+					u.submits = append(u.submits, s)
+				}
+			}
 		default:
 			// Refused: the user comes again.
 			for _, s := range batch {
@@ -379,7 +442,7 @@
 	for len(u.order) > 0 && u.lookupBusy < 4 {
 		var batch, rest []string
 		txn := &wire.Txn{}
-		limit := 4 * c.cfg.Deployment.State.TxnOps
+		limit := 4 * c.limits().TxnOps
 		unknown := ""
 		for _, id := range u.order {
 			k := u.open[id]
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,7 +30,7 @@
 // NewPace makes a pace. A tenth of the rates is left unused, for what other
 // controllers send at the same time.
 func NewPace(s *config.Settings) *Pace {
-	d := s.Deployment.State
+	d := s.Deployment.State.Bound()
 	return &Pace{reqs: budget.New(0.9*d.RPS, 0.5*d.RPS), writes: budget.New(0.9*d.WriteRPS, 0.9*d.WriteRPS)}
 }
 
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -11,6 +11,12 @@
 	Ends    *Ends
 }
 
+// PeerVersion is what this program understands of the others' messages and
+// records. Records that an earlier version would misread are written only once
+// every controller has said that it understands them. Version 1 understands
+// jobs that await others, and placement records that name their range of tasks.
+const PeerVersion = 1
+
 // Forward hands a worker's report to the leader as it came.
 type Forward struct {
 	ID   uint64
@@ -29,6 +35,9 @@
 // whether the state service answers it. Now and then the leader adds its jobs'
 // counts for display.
 type Digest struct {
+	// Version is that of what the sender understands, see PeerVersion; 0 of
+	// controllers that came before it was said.
+	Version     int
 	Term        uint64
 	Leader      bool
 	HearsLeader bool
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -76,6 +76,9 @@
 	CheckpointS float64  `json:"markS"`
 	SaveS       float64  `json:"stowS"`
 	DeadlineS   *float64 `json:"dueS,omitempty"`
+	// Awaits names the jobs that have to be done before any task of this one
+	// starts.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // JobStatus answers a submission, a query or a cancellation.
