--- a/wire/wire.go
+++ b/wire/wire.go
@@ -76,6 +76,7 @@
 	CheckpointS float64  `json:"markS"`
 	SaveS       float64  `json:"stowS"`
 	DeadlineS   *float64 `json:"dueS,omitempty"`
+	Awaits      []string `json:"awaits,omitempty"`
 }
 
 // JobStatus answers a submission, a query or a cancellation.
