--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,6 +84,7 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	Next     *State  `toml:"next"` // the limits from some moment on, or nil
 }
 
 // Cloud holds the limits of the cloud.
