--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/budget"
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -48,6 +49,7 @@
 	busy     int // requests turned away for the rates
 	late     late
 	down     time.Duration // how long it has been out in all
+	limits   *config.State // the limits that it has come to have, or nil
 }
 
 func newStore(w *World) *stateService {
@@ -172,6 +174,11 @@
 		if len(body) > 64<<10 {
 			s.w.check.broken("limits", "a transaction of %d bytes", len(body))
 		}
+		s.judge(&t)
+		if s.tooLarge(&t) {
+			send(400, map[string]string{"error": "too large"})
+			return
+		}
 		if _, ok := s.writes.TakeAt(s.w.clock(), float64(len(t.Writes)), false, 0); !ok {
 			s.busy++
 			send(429, struct{}{})
@@ -202,6 +209,44 @@
 	}
 }
 
+// judge holds a transaction to the limits in the settings: of those that come
+// later, to the number of operations at all times.
+func (s *stateService) judge(t *wire.Txn) {
+	d := s.w.cfg.Deployment.State
+	ops := d.TxnOps
+	if d.Next != nil {
+		ops = min(ops, d.Next.TxnOps)
+	}
+	if len(t.Writes) > ops || len(t.If) > 4*ops {
+		s.w.check.broken("limits", "a transaction of %d writes and %d conditions", len(t.Writes), len(t.If))
+	}
+	for _, w := range t.Writes {
+		if float64(len(w.Value)) > d.ValueKB*1024 {
+			s.w.check.broken("limits", "a value of %d bytes", len(w.Value))
+		}
+	}
+}
+
+// limit has the service turn away what is beyond new limits. What is stored stays.
+func (s *stateService) limit(to config.State) {
+	s.limits = &to
+	s.writes = budget.New(to.WriteRPS, to.WriteRPS)
+}
+
+// tooLarge tells whether a transaction is beyond the limits that the service has
+// come to have.
+func (s *stateService) tooLarge(t *wire.Txn) bool {
+	if s.limits == nil {
+		return false
+	}
+	for _, w := range t.Writes {
+		if float64(len(w.Value)) > s.limits.ValueKB*1024 {
+			return true
+		}
+	}
+	return len(t.Writes) > s.limits.TxnOps || len(t.If) > 4*s.limits.TxnOps
+}
+
 // commitLate carries out a transaction that nobody waits for any more, after
 // newer ones. One that falls into an outage waits for its end.
 func (s *stateService) commitLate(t *wire.Txn) {
@@ -209,14 +254,12 @@
 		s.w.after(s.outage-s.w.now+time.Millisecond, func() { s.commitLate(t) })
 		return
 	}
-	s.commit(t, func(int, any) {})
+	if !s.tooLarge(t) {
+		s.commit(t, func(int, any) {})
+	}
 }
 
 func (s *stateService) commit(t *wire.Txn, send func(int, any)) {
-	d := s.w.cfg.Deployment.State
-	if len(t.Writes) > d.TxnOps || len(t.If) > 4*d.TxnOps {
-		s.w.check.broken("limits", "a transaction of %d writes and %d conditions", len(t.Writes), len(t.If))
-	}
 	var failed []string
 	for _, c := range t.If {
 		have := uint64(0)
@@ -234,9 +277,6 @@
 				return
 			}
 		}
-		if float64(len(w.Value)) > d.ValueKB*1024 {
-			s.w.check.broken("limits", "a value of %d bytes", len(w.Value))
-		}
 	}
 	if failed != nil {
 		send(409, wire.TxnResult{Failed: failed, Revision: s.rev})
