--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -55,6 +55,15 @@
 	return def
 }
 
+// limits are those of the state service that the line names, and the others.
+func (l *line) limits(s config.State) config.State {
+	s.Next = nil
+	s.ValueKB = l.num("value_kb", s.ValueKB)
+	s.TxnOps = int(l.num("txn_ops", float64(s.TxnOps)))
+	s.WriteRPS = l.num("write_rps", s.WriteRPS)
+	return s
+}
+
 func (l *line) arg(i int) string {
 	if i >= len(l.args) {
 		panic(fmt.Sprintf("line %d: %s lacks an argument", l.no, l.word))
@@ -136,6 +145,9 @@
 		case l.word == "workers":
 			d := &s.cfg.Deployment.Workers
 			d.ReportS, d.LeaseS, d.CancelS = l.num("report", d.ReportS), l.num("lease", d.LeaseS), l.num("cancel", d.CancelS)
+		case l.word == "next":
+			next := l.limits(s.cfg.Deployment.State)
+			s.cfg.Deployment.State.Next = &next
 		case l.word == "type":
 			s.setup = append(s.setup, l)
 		case l.word == "expect":
@@ -220,6 +232,13 @@
 		Tasks: int(l.num("tasks", 1)), CPUs: l.num("cpus", 1), GPUs: l.num("gpus", 0), MemGB: l.num("mem", 1),
 		Image: "img", ImageGB: l.num("image_gb", 2), OneZone: l.has("together"), Spread: l.has("apart"), Spot: l.has("spot"),
 		CheckpointS: l.num("checkpoint", 0), SaveS: l.num("save", 0), EstimateS: l.num("run", 30), Zone: l.opt["zone"]}
+	if l.opt["due"] != "" {
+		due := l.num("due", 0)
+		t.DeadlineS = &due
+	}
+	if v := l.opt["awaits"]; v != "" {
+		t.Awaits = strings.Split(v, ",")
+	}
 	set := func(p *string, key string) {
 		if v, ok := l.opt[key]; ok {
 			*p = v
@@ -383,7 +402,13 @@
 	w.trace("act %s %v", l.word, l.args)
 	switch l.word {
 	case "submit":
-		w.users.submit(w.job(l))
+		when := whenAccepted
+		if l.has("early") {
+			when = whenever
+		} else if l.has("after") {
+			when = whenOver
+		}
+		w.users.submit(w.job(l), when)
 	case "cancel":
 		w.users.cancel(l.arg(0))
 	case "crash":
@@ -414,6 +439,8 @@
 				w.cuts = append(w.cuts, &cut{n.name, other, w.now + d, false}, &cut{other, n.name, w.now + d, false})
 			}
 		}
+	case "limits": // the state service has lower limits from now on
+		w.store.limit(l.limits(w.cfg.Deployment.State))
 	case "cancel_now":
 		w.users.cancelNow(int(l.num("count", 1)), seconds(l.num("hang", 0)))
 	case "cancel_at_end":
@@ -496,6 +523,10 @@
 			if want := int(l.num("status", 422)); j.refused != want {
 				return fmt.Sprintf("%s: refused with %d, %d expected", what, j.refused, want)
 			}
+		case "over":
+			if j.final == "" {
+				return fmt.Sprintf("%s: told %q, not over", what, j.last.Status)
+			}
 		default:
 			if j.last.Status != l.arg(1) {
 				return fmt.Sprintf("%s: told %q, %q expected", what, j.last.Status, l.arg(1))
