--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -145,6 +146,13 @@
 			fmt.Fprintf(&b, "at %d cancel %s\n", at+5+r.IntN(60), id)
 		}
 	}
+	overlaps(&b, r)
+	b.WriteString("until 480\n")
+	return b.String()
+}
+
+// overlaps writes troubles of all kinds that overlap.
+func overlaps(b *strings.Builder, r *rand.Rand) {
 	pick := func(of ...string) string { return of[r.IntN(len(of))] }
 	for range 10 {
 		at := 20 + 200*r.Float64()
@@ -152,7 +160,7 @@
 		who := pick("leader", "leader", "follower", "node-0", "node-1", "node-2")
 		machines := pick("busy", "some share=0.3", "some count=2", "zone:east", "zone:north")
 		mode := pick("hold", "", "oneway", "hold oneway")
-		act := func(format string, a ...any) { fmt.Fprintf(&b, "at %.2f %s\n", at, fmt.Sprintf(format, a...)) }
+		act := func(format string, a ...any) { fmt.Fprintf(b, "at %.2f %s\n", at, fmt.Sprintf(format, a...)) }
 		switch r.IntN(18) {
 		case 0, 1:
 			act("crash %s for=%g", pick("all", who), []float64{0.2, 3, 10}[r.IntN(3)])
@@ -196,8 +204,6 @@
 			act("odd_requests for=%d", 2*d)
 		}
 	}
-	b.WriteString("until 480\n")
-	return b.String()
 }
 
 // TestSoak plays random days: no rule may break, and all that can be done is
@@ -244,6 +250,9 @@
 		if !j.accepted && j.refused == 0 && !j.hopeless {
 			t.Errorf("%s was never answered", id)
 		}
+		if len(w.jobs[id].Awaits) > 0 && j.refused != 0 {
+			t.Errorf("%s was refused with %d", id, j.refused)
+		}
 		service := w.jobs[id].Shape == wire.ShapeService
 		if j.accepted && j.final == "" && !service {
 			t.Errorf("%s is still %s", id, j.last.Status)
@@ -252,6 +261,11 @@
 			t.Errorf("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks)
 		}
 	}
+	for id, job := range w.users.unsent {
+		if !w.users.lost(job) {
+			t.Errorf("%s still waits to be submitted", id)
+		}
+	}
 	if t.Failed() {
 		t.Log(text)
 	}
@@ -324,6 +338,43 @@
 			out.Calls[i].Body = []byte(strings.ReplaceAll(string(out.Calls[i].Body), `"o/job-000004"`, `"x/job-000004"`))
 		}
 	}
+	// A task is started on all machines that have room for it.
+	start := func(task string, from, to time.Duration) func(*node, *core.Output) {
+		return func(n *node, _ *core.Output) {
+			if n.w.now < from || n.w.now > to {
+				return
+			}
+			for _, name := range n.w.cloud.names() {
+				if m := n.w.cloud.machines[name]; !m.gone && m.upAt < n.w.now {
+					m.execute([]wire.Command{{Verb: wire.VerbStart, Task: task, Attempt: 77}})
+				}
+			}
+		}
+	}
+	since := func(from time.Duration, f func(*node, *core.Output)) func(*node, *core.Output) {
+		return func(n *node, out *core.Output) {
+			if n.w.now >= from {
+				f(n, out)
+			}
+		}
+	}
+	// Transactions carry changes that nobody needs.
+	bulky := func(_ *node, out *core.Output) {
+		for i := range out.Calls {
+			var t wire.Txn
+			if k := &out.Calls[i]; k.Path == "/commit" && json.Unmarshal(k.Body, &t) == nil {
+				for len(t.Writes) < 6 {
+					t.Writes = append(t.Writes, wire.Write{Delete: fmt.Sprintf("none/%d", len(t.Writes))})
+				}
+				k.Body, _ = json.Marshal(t)
+			}
+		}
+	}
+	// The jobs after job-000003, which is cancelled at 50 s.
+	const after = "at 2 submit job-000004 team=t cpus=0.5 run=300 image_gb=0 awaits=job-000003\n" +
+		"at 3 submit job-000005 cpus=0.5 image_gb=0 awaits=job-000004\n"
+	// A job after job-000001, which ends by itself.
+	const next = "at 2 submit job-000004 team=t cpus=0.5 run=300 image_gb=0 awaits=job-000001\n"
 	// A task of a cancelled job is started once more.
 	restart := func(n *node, _ *core.Output) {
 		for _, name := range n.w.cloud.names() {
@@ -360,6 +411,14 @@
 		{"accepted_impossible", refusal(422, 201), "at 10 odd_requests for=60"},
 		{"wrong_answer", refusal(422, 400), "at 10 odd_requests for=60"},
 		{"forgotten", refusal(200, 201), "at 10 odd_requests for=60"},
+		{"too_early", start("job-000004/0", 20*time.Second, 28*time.Second), next},
+		{"orphaned", answers("job-000005", 200, `"status":"withdrawn"`, `"status":"pending"`), after},
+		{"ran_cancelled", start("job-000004/0", 85*time.Second, 95*time.Second), after},
+		{"went_back", answers("job-000004", 200, `"status":"running"`, `"status":"withdrawn"`), next},
+		{"went_back", since(95*time.Second, answers("job-000004", 200, `"status":"running"`, `"status":"withdrawn"`)), next + "at 80 cancel job-000001"},
+		{"forgotten", answers("job-000004", 422, "", ""), "at 12 submit job-000004 awaits=job-000001,job-000001"},
+		{"left_waiting", mislaid, "until 260\n" + next},
+		{"limits", bulky, "next txn_ops=5"},
 	} {
 		t.Run(tc.rule, func(t *testing.T) {
 			s, err := ParseScenario(scenario + tc.extra)
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -96,6 +96,17 @@
 	return true
 }
 
+// lost tells whether a job names one whose user got no answer, so that it is
+// never submitted.
+func (u *users) lost(t *jobTruth) bool {
+	for _, id := range t.Awaits {
+		if j := u.jobs[id]; j != nil && j.hopeless || u.unsent[id] != nil && u.lost(u.unsent[id]) {
+			return true
+		}
+	}
+	return false
+}
+
 // before names all jobs that a job needs, directly or through others.
 func (u *users) before(t *jobTruth) []*userJob {
 	if len(t.Awaits) == 0 {
