--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -37,6 +37,7 @@
 	txnBusy  bool
 	txnRetry time.Duration
 	dirty    bool
+	writeAt  time.Duration // records that were put off are due
 
 	visits    int                      // machines looked at by the passes so far
 	probing   int                      // probes under way
@@ -292,21 +293,43 @@
 	j.placed--
 	done := t.done
 	*t = task{done: done}
-	l.touch(j, i)
+	l.touch(j, i, true)
 	l.schedule = true
 }
 
-// touch marks a task's record for writing.
-func (l *leader) touch(j *job, i int) {
-	j.chunkOf(i).dirty = true
-	l.dirty = true
+// touch marks a task's record for writing: at once, or, where nothing is lost
+// with it but the knowledge that the task is over, gathered with what follows.
+// The worker remembers an end until it is recorded. Written one by one, the ends
+// of arrays took most of the state service's changes, and their last ones are
+// written in vain, since the job's own end deletes the record.
+func (l *leader) touch(j *job, i int, later bool) {
+	ch := j.chunkOf(i)
+	at := l.c.now
+	if later {
+		at += l.c.report() / 2
+	}
+	if !ch.dirty || at < ch.due {
+		ch.dirty, ch.due = true, at
+	}
+	if !later || j.finished() || j.over() {
+		l.dirty = true
+	} else {
+		l.writeBy(ch.due)
+	}
+}
+
+// writeBy has the records written at a time, if not before.
+func (l *leader) writeBy(at time.Duration) {
+	if l.writeAt == 0 || at < l.writeAt {
+		l.writeAt = at
+	}
 }
 
 func (l *leader) markDone(j *job, i int) {
 	if !j.tasks[i].done {
 		j.tasks[i].done = true
 		j.done++
-		l.touch(j, i)
+		l.touch(j, i, true)
 	}
 }
 
@@ -331,6 +354,9 @@
 	if !l.ready {
 		return
 	}
+	if l.writeAt != 0 && l.c.now >= l.writeAt {
+		l.writeAt, l.dirty = 0, true
+	}
 	l.tickMachines()
 	l.tickFleet()
 	l.tickStops()
@@ -469,6 +495,10 @@
 			if !ch.dirty || ch.stale || ch.busy {
 				continue
 			}
+			if l.c.now < ch.due {
+				l.writeBy(ch.due)
+				continue
+			}
 			if !room(1) {
 				more = true
 				break
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -349,7 +349,7 @@
 		t.attempt, t.zone, t.session, t.ours, t.placedAt = attempt, m.zone, m.session, true, l.c.now
 		delete(j.moveTo, i)
 		l.bind(j, i, m)
-		l.touch(j, i)
+		l.touch(j, i, false)
 		if m.reserved == j {
 			if m.seats--; m.seats < 1 {
 				m.reserved = nil
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -27,7 +28,8 @@
 	from, to int // tasks, the last one exclusive
 	version  uint64
 	dirty    bool
-	stale    bool // the version is unknown and must be read
+	due      time.Duration // when it is to be written, if dirty
+	stale    bool          // the version is unknown and must be read
 	busy     bool
 }
 
