--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -167,6 +167,9 @@
 				delete(c.users.open, id)
 			}
 		default:
+			if r.Status == 400 {
+				c.refusedTxn(len(txn.Writes))
+			}
 			c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,9 @@
 
 	users users
 	elect election
+
+	fewerOps int // changes in a transaction, if fewer than announced; 0 unknown
+
 	peers map[string]*peerState
 	lead  *leader // nil on a follower
 
@@ -239,8 +242,25 @@
 // transaction that got no answer, and users' questions were answered too late.
 func (c *Core) commitTimeout() time.Duration { return c.report() / 3 }
 
-// limits are those of the state service that hold now and later.
-func (c *Core) limits() config.State { return c.cfg.Deployment.State.Bound() }
+// limits are those of the state service that hold now and later, as far as they
+// were announced or have shown.
+func (c *Core) limits() config.State {
+	b := c.cfg.Deployment.State.Bound()
+	if c.fewerOps > 0 {
+		b.TxnOps = min(b.TxnOps, c.fewerOps)
+	}
+	return b
+}
+
+// refusedTxn takes in that the service found a transaction malformed: its limits
+// are lower than they were said to be. Else what does not fit would be sent again
+// for ever, and hold up everything behind it.
+func (c *Core) refusedTxn(writes int) {
+	if writes > 2 {
+		c.fewerOps = max(2, writes*3/4)
+		c.log.Info("the state service takes fewer changes at a time", "changes", c.fewerOps)
+	}
+}
 
 func (c *Core) lease() time.Duration  { return config.Seconds(c.cfg.Deployment.Workers.LeaseS) }
 func (c *Core) report() time.Duration { return config.Seconds(c.cfg.Deployment.Workers.ReportS) }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -559,10 +559,9 @@
 		case 409:
 			l.conflict(tr.Failed)
 		default:
-			if r.Status == 400 && !l.limited {
-				// The limits that were announced hold now.
-				l.c.log.Info("the state service takes smaller values only")
+			if r.Status == 400 {
 				l.limited = true
+				l.c.refusedTxn(len(txn.Writes))
 			}
 			l.txnRetry = l.c.now + l.c.ttl()/20
 		}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -350,6 +350,7 @@
 		case 400:
 			// One of them may be too large for the service. Alone it does not
 			// hold up the others.
+			c.refusedTxn(len(txn.Writes))
 			for _, s := range batch {
 				if len(batch) == 1 {
 					c.answer(s.req, 503, errorBody("the state service refuses the record"), 1)
