--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -83,6 +83,16 @@
 	// mutate, if set, changes what a core asks for: it stands for a broken
 	// core in the checker's own test.
 	mutate func(n *node, out *core.Output)
+
+	// newCore, if set, makes the core of a node that boots, in place of that of
+	// this version.
+	newCore func(n *node, boot uint64) stepper
+}
+
+// stepper is what a node runs: a core of this version, or a child process with
+// one of another version.
+type stepper interface {
+	Step(now time.Duration, wall time.Time, in any) core.Output
 }
 
 // jobTruth is what the stand-ins know of a job.
@@ -171,7 +181,7 @@
 	w     *World
 	index int
 	name  string
-	core  *core.Core
+	core  stepper
 	alive bool
 	life  int
 	born  time.Duration
@@ -199,7 +209,12 @@
 	n.born = n.w.now
 	n.reqs = map[uint64]func(core.Answer){}
 	n.pace, n.cloud = store.NewPace(n.w.cfg), cloud.NewPace(n.w.cfg)
-	n.core = core.New(n.settings(), nil, uint64(n.index+1)<<32+uint64(n.life), n.w.log.With("node", n.name))
+	boot := uint64(n.index+1)<<32 + uint64(n.life)
+	if n.w.newCore != nil {
+		n.core = n.w.newCore(n, boot)
+	} else {
+		n.core = core.New(n.settings(), nil, boot, n.w.log.With("node", n.name))
+	}
 	n.tick(n.life)
 }
 
