--- a/internal/sim/upgrade_test.go
+++ b/internal/sim/upgrade_test.go
@@ -300,7 +300,7 @@
 //
 //	at T upgrade WHO for=    the controller is killed and comes back with this version; 3 s unless said
 //	expect leaders old|new...    versions that led, in this order
-func playUpgrade(t *testing.T, program string, s *Scenario) (w *World, faults []string) {
+func playUpgrade(t *testing.T, program string, s *Scenario, mutate func(*node, *core.Output)) (w *World, faults []string) {
 	var acts, upgrades, expect, order []line
 	for _, l := range s.acts {
 		if l.word == "upgrade" {
@@ -324,7 +324,7 @@
 	}
 	w = day.world(log)
 	u := &upgrade{t: t, w: w, program: program, upgraded: map[string]bool{}, children: map[string]*child{}}
-	w.newCore = u.newCore
+	w.newCore, w.mutate = u.newCore, mutate
 	defer func() {
 		for name := range u.children {
 			u.endChild(name)
@@ -370,13 +370,17 @@
 			}
 			for first := s.seed; s.seed < first+uint64(s.seeds); s.seed++ {
 				s.cfg.Deployment.State.ValueKB = valueKB[(s.seed-first)%3]
-				_, faults := playUpgrade(t, program, s)
+				_, faults := playUpgrade(t, program, s, nil)
 				for _, fault := range faults {
 					t.Errorf("seed %d: %s", s.seed, fault)
 				}
 			}
 		})
 	}
+	t.Run("placements an old leader does not find", func(t *testing.T) {
+		t.Parallel()
+		testUpgradeCatches(t, program)
+	})
 	for seed := uint64(1); seed <= uint64(soakDays(6)); seed++ {
 		t.Run(fmt.Sprintf("troubles meet/%d", seed), func(t *testing.T) {
 			t.Parallel()
@@ -386,7 +390,7 @@
 				t.Fatal(err)
 			}
 			s.cfg.Deployment.State.ValueKB = valueKB[seed%3]
-			w, faults := playUpgrade(t, program, s)
+			w, faults := playUpgrade(t, program, s, nil)
 			for _, fault := range append(faults, unfinished(w)...) {
 				t.Error(fault)
 			}
@@ -397,6 +401,42 @@
 	}
 }
 
+// testUpgradeCatches has this version record a job's placements where the one in
+// production does not look for them: once that one leads, tasks run twice.
+func testUpgradeCatches(t *testing.T, program string) {
+	s, err := ParseScenario(`
+team t
+type small cpus=8 mem=32 boot=10
+at 30 upgrade node-1
+at 36 refuse node-2 for=8
+at 36.5 crash node-0 for=12
+at 45 submit job-000001 tasks=20 run=60
+at 60 crash node-1 for=10
+at 80 upgrade node-0
+at 90 upgrade node-2
+until 150
+expect leaders old new old new
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, faults := playUpgrade(t, program, s, nil)
+	for _, f := range faults {
+		t.Error("without the fault: " + f)
+	}
+	_, faults = playUpgrade(t, program, s, func(n *node, out *core.Output) {
+		if _, ok := n.core.(*core.Core); !ok {
+			return
+		}
+		for i := range out.Calls {
+			out.Calls[i].Body = bytes.ReplaceAll(out.Calls[i].Body, []byte(`"p/job-`), []byte(`"q/job-`))
+		}
+	})
+	if all := strings.Join(faults, "\n"); !strings.Contains(all, "ran_twice") {
+		t.Errorf("ran_twice was not reported; reported: %s", all)
+	}
+}
+
 // upgrades writes the upgrade of a random day.
 func upgrades(seed uint64) string {
 	r := rand.New(rand.NewPCG(seed, 13))
