--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -76,3 +76,41 @@
 		}
 	}
 }
+
+// TestNextLimits reads the limits that the state service will have: what is
+// written keeps to the smaller of both, and nonsense is named.
+func TestNextLimits(t *testing.T) {
+	with := func(next string) string { return good + "[deployment.state.next]\n" + next }
+	for _, tc := range []struct {
+		next string
+		want State
+		bad  string
+	}{
+		{"", State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 16}, ""},
+		{"value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 70.0", State{RPS: 250, WriteRPS: 70, ValueKB: 2, TxnOps: 5}, ""},
+		{"value_kb = 32.0\ntxn_ops = 40\nrps = 50.0\nlater = 1", State{RPS: 50, WriteRPS: 100, ValueKB: 16, TxnOps: 16}, ""},
+		{"value_kb = -1.0", State{}, "deployment.state.next.value_kb"},
+		{"write_rps = nan", State{}, "deployment.state.next.write_rps"},
+		{"txn_ops = 1", State{}, "txn_ops"},
+		{"txn_ops = \"five\"", State{}, "txn_ops"},
+	} {
+		s, err := Parse(with(tc.next))
+		if tc.bad != "" {
+			if err == nil || !strings.Contains(err.Error(), tc.bad) {
+				t.Errorf("%q: error %v, want one that names %s", tc.next, err, tc.bad)
+			}
+			continue
+		}
+		if err != nil {
+			t.Errorf("%q: %v", tc.next, err)
+			continue
+		}
+		if got := s.Deployment.State.Bound(); got != tc.want {
+			t.Errorf("%q: bound by %+v, want %+v", tc.next, got, tc.want)
+		}
+	}
+	s, err := Parse(good)
+	if err != nil || s.Deployment.State.Bound() != s.Deployment.State {
+		t.Errorf("without next limits: %+v, %v", s, err)
+	}
+}
--- /dev/null
+++ b/internal/core/awaited_test.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/segmentio/encoding/json"
+)
+
+func jobID(n int) string { return "job-" + strconv.Itoa(100+n) }
+
+// named is a submission body of the job n that awaits others.
+func named(n int, awaits string, change ...string) string {
+	b := body(append([]string{"nameId", `"` + jobID(n) + `"`}, change...)...)
+	return strings.TrimSuffix(b, "}") + `,"awaits":` + awaits + "}"
+}
+
+// TestAwaits submits jobs that await others in every state, well and badly named.
+func TestAwaits(t *testing.T) {
+	open, done, cancelled, service, asked := jobID(1), jobID(2), jobID(3), jobID(4), jobID(5)
+	for _, tc := range []struct {
+		name, awaits string
+		status       int
+		state        string // of the answer
+		recorded     string // what it awaits, as recorded; "" for no list
+	}{
+		{"null", `null`, 201, "pending", ""},
+		{"none", `[]`, 201, "pending", ""},
+		{"an open job", `["` + open + `"]`, 201, "pending", open},
+		{"a name twice", `["` + open + `","` + open + `"]`, 201, "pending", open},
+		{"a job that is done", `["` + done + `"]`, 201, "pending", ""},
+		{"an open one and one that is done", `["` + done + `","` + open + `"]`, 201, "pending", open},
+		{"a cancelled job", `["` + open + `","` + cancelled + `"]`, 201, "withdrawn", ""},
+		{"a job that is being cancelled", `["` + asked + `"]`, 201, "withdrawn", ""},
+		{"a service", `["` + service + `"]`, 422, "", ""},
+		{"itself", `["` + jobID(9) + `"]`, 422, "", ""},
+		{"never accepted", `["` + open + `","` + jobID(7) + `"]`, 422, "", ""},
+		{"no list", `"` + open + `"`, 400, "", ""},
+		{"an object", `{}`, 400, "", ""},
+		{"numbers", `[1]`, 400, "", ""},
+		{"a null name", `[null]`, 400, "", ""},
+		{"an empty name", `[""]`, 400, "", ""},
+		{"no job id", `["task-000001"]`, 400, "", ""},
+	} {
+		for _, known := range []bool{true, false} {
+			t.Run(tc.name+"/known here "+strconv.FormatBool(known), func(t *testing.T) {
+				b := newHarness(t, someTypes)
+				for n, change := range [][]string{1: nil, 4: {"shape", `"daemon"`}, 5: nil} {
+					if n == 0 || n == 2 || n == 3 {
+						continue
+					}
+					if a := b.ask("POST", "/submissions", body(append([]string{"nameId", `"` + jobID(n) + `"`}, change...)...)); a.Status != 201 {
+						t.Fatalf("job %d: %d %s", n, a.Status, a.Body)
+					}
+				}
+				b.write(prefixFinal+done, "", []byte(`{"s":"done","n":16}`))
+				b.write(prefixFinal+cancelled, "", []byte(`{"s":"withdrawn","n":16}`))
+				var rec openRecord
+				if err := json.Unmarshal(b.store[prefixOpen+asked].Value, &rec); err != nil {
+					t.Fatal(err)
+				}
+				rec.Cancelled, rec.AskedAt = true, 1
+				b.write(prefixOpen+asked, "", encode(rec))
+				delete(b.c.users.open, asked)
+				if !known {
+					clear(b.c.users.open) // accepted by another controller
+				}
+				a := b.ask("POST", "/submissions", named(9, tc.awaits))
+				if a.Status != tc.status || tc.state != "" && !strings.Contains(string(a.Body), `"status":"`+tc.state+`"`) {
+					t.Fatalf("answered %d %s, want %d %s", a.Status, a.Body, tc.status, tc.state)
+				}
+				it, isOpen := b.store[prefixOpen+jobID(9)]
+				_, isFinal := b.store[prefixFinal+jobID(9)]
+				if isOpen != (tc.state == "pending") || isFinal != (tc.state == "withdrawn") {
+					t.Errorf("open on record: %v, final: %v", isOpen, isFinal)
+				}
+				rec = openRecord{}
+				json.Unmarshal(it.Value, &rec)
+				if got := strings.Join(rec.Job.Awaits, ","); got != tc.recorded {
+					t.Errorf("awaits %q on record, want %q", got, tc.recorded)
+				}
+				if tc.recorded != "" && !strings.Contains(string(b.store[prefixOpen+open].Value), `"nd":true`) {
+					t.Error("the awaited job is not marked as needed")
+				}
+				if tc.status == 201 {
+					if a := b.ask("POST", "/submissions", named(9, tc.awaits)); a.Status != 200 {
+						t.Errorf("the repeat is answered %d %s", a.Status, a.Body)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestAwaitsMany names more jobs than a transaction has conditions or changes.
+func TestAwaitsMany(t *testing.T) {
+	b := newHarness(t, someTypes)
+	b.c.cfg.Deployment.State.TxnOps = 5
+	var names []string
+	for n := range 50 {
+		if a := b.ask("POST", "/submissions", body("nameId", `"`+jobID(n)+`"`)); a.Status != 201 {
+			t.Fatalf("job %d: %d %s", n, a.Status, a.Body)
+		}
+		names = append(names, `"`+jobID(n)+`"`)
+	}
+	clear(b.c.users.open)
+	if a := b.ask("POST", "/submissions", named(99, "["+strings.Join(names, ",")+"]")); a.Status != 201 {
+		t.Fatalf("answered %d %s", a.Status, a.Body)
+	}
+	for n := range 50 {
+		if !strings.Contains(string(b.store[prefixOpen+jobID(n)].Value), `"nd":true`) {
+			t.Errorf("%s is not marked as needed", jobID(n))
+		}
+	}
+}
+
+// TestAwaitsRace has an awaited job cancelled between the moment at which it is
+// read and the one at which its dependent is recorded.
+func TestAwaitsRace(t *testing.T) {
+	b := newHarness(t, someTypes)
+	if a := b.ask("POST", "/submissions", body("nameId", `"`+jobID(1)+`"`)); a.Status != 201 {
+		t.Fatalf("answered %d %s", a.Status, a.Body)
+	}
+	var rec openRecord
+	json.Unmarshal(b.store[prefixOpen+jobID(1)].Value, &rec)
+	rec.Cancelled, rec.AskedAt = true, 1
+	b.write(prefixOpen+jobID(1), "", encode(rec)) // by another controller
+	if b.c.users.open[jobID(1)].rec.Cancelled {
+		t.Fatal("known already")
+	}
+	a := b.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`))
+	if a.Status != 201 || !strings.Contains(string(a.Body), "withdrawn") {
+		t.Errorf("answered %d %s, want 201 and withdrawn", a.Status, a.Body)
+	}
+	if _, ok := b.store[prefixOpen+jobID(2)]; ok {
+		t.Error("open on record though the job before it is cancelled")
+	}
+}
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -77,6 +77,9 @@
 	if err := stdjson.Unmarshal(body, &txn); err != nil {
 		b.t.Fatalf("transaction %s: %v", body, err)
 	}
+	if ops := b.c.cfg.Deployment.State.TxnOps; len(txn.Writes) > ops || len(txn.If) > 4*ops {
+		b.t.Fatalf("a transaction of %d changes and %d conditions", len(txn.Writes), len(txn.If))
+	}
 	tr := wire.TxnResult{Revision: b.revision}
 	for _, c := range txn.If {
 		if b.store[c.Key].Version != c.Version {
