Find a task's present attempt in a report that lists an earlier one too

The leader took the first row of that name, saw another attempt there, and counted a running task as vanished. The stand-ins' workers now list both, as the protocol has it.

--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -32,8 +32,7 @@
 			l.lost(p, "session") // case 2
 			continue
 		}
-		w, listed := m.reported(p.name)
-		if listed && w.Attempt == t.attempt {
+		if w, listed := m.reported(p.name, t.attempt); listed {
 			l.observe(p, w)
 			continue
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -76,6 +76,7 @@
 	told      bool          // the user may have been told so
 	toldAt    time.Duration
 	stale     bool // the open record must be read again
+	numbered  bool // its placement records are numbered, see placements.go
 	tried     bool // a placement record was sent under this term
 	fence     bool // the open record is to be written before others, see mayWrite
 
@@ -389,7 +390,7 @@
 	if l.txnBusy || !l.dirty || l.c.now < l.txnRetry {
 		return
 	}
-	ops := l.c.limits().TxnOps
+	ops, ranges := l.c.limits().TxnOps, l.ranges()
 	txn := &wire.Txn{If: []wire.Cond{l.termCond()}}
 	bytes := 0
 	var after []func(version uint64)
@@ -485,7 +486,7 @@
 		if j.ended || j.stale || j.final || j.writing || !j.loaded {
 			continue
 		}
-		if !l.mayWrite(j) {
+		if ranges && !l.mayWrite(j) {
 			more = true
 			continue
 		}
@@ -515,7 +516,7 @@
 			after = append(after, func(v uint64) {
 				ch.busy = false
 				if v == 0 {
-					ch.dirty, l.dirty = true, true
+					ch.dirty, ch.due, l.dirty = true, 0, true
 					return
 				}
 				ch.version = v
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -123,10 +124,13 @@
 	return nil
 }
 
-// reported finds a task in the newest report.
-func (m *machine) reported(name string) (wire.Task, bool) {
+// reported finds an attempt at a task in the newest report. A worker lists an
+// earlier attempt that has ended beside the present one until it is to forget it;
+// taken for the present one, it made a running task seem to have vanished, and
+// the task ran twice.
+func (m *machine) reported(name string, attempt uint64) (wire.Task, bool) {
 	for k := range m.tasks {
-		if m.tasks[k].Task == name {
+		if m.tasks[k].Task == name && m.tasks[k].Attempt == attempt {
 			return m.tasks[k], true
 		}
 	}
@@ -239,7 +243,9 @@
 		m.leaving = l.c.now + config.Seconds(*r.WarningS)
 	}
 	m.tasks = r.Tasks
-	slices.SortFunc(m.tasks, func(a, b wire.Task) int { return strings.Compare(a.Task, b.Task) })
+	slices.SortFunc(m.tasks, func(a, b wire.Task) int {
+		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
+	})
 	for _, t := range m.tasks {
 		if t.State == wire.TaskRunning || t.State == wire.TaskWaiting {
 			if j := l.jobs[jobOf(t.Task)]; j != nil {
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -100,6 +100,7 @@
 		l.fillRanges(j)
 		return
 	}
+	j.numbered = true
 	per := l.c.numberedTasks()
 	for from := 0; from < len(j.tasks); from += per {
 		j.chunks = append(j.chunks, chunk{key: numberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))})
@@ -156,7 +157,7 @@
 func (l *leader) relay(j *job) {
 	before := j.chunks
 	j.old = j.placeKeys()
-	j.chunks = nil
+	j.chunks, j.numbered = nil, false
 	l.fillRanges(j)
 	for _, b := range before {
 		for i := range j.chunks {
@@ -167,17 +168,13 @@
 	}
 }
 
-// numbered tells whether a job has the numbered layout.
-func (j *job) numbered() bool {
-	return len(j.chunks) > 0 && j.chunks[0].key == numberedKey(j.ID, 0)
-}
-
-// mayWrite tells whether a job's chunks may be written as they are. Before the
-// layout changes, the open record is written once: a copy of an earlier write
+// mayWrite tells whether a job's chunks may be written, now that records name
+// their range. Before the layout changes, the open record is written once: a copy
+// of an earlier write
 // that is still under way, conditional on that record, has no effect then. It
 // would bring back what the new records have overtaken.
 func (l *leader) mayWrite(j *job) bool {
-	if !j.numbered() || !l.ranges() {
+	if !j.numbered {
 		return true
 	}
 	dirty := false
@@ -295,6 +292,7 @@
 		}
 	}
 	slices.SortFunc(j.chunks, func(a, b chunk) int { return cmp.Compare(a.from, b.from) })
+	j.numbered = !named
 	if named {
 		l.fillRanges(j)
 		return
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -83,10 +83,17 @@
 	for _, t := range m.tasks {
 		out = append(out, t)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].name < out[j].name || out[i].name == out[j].name && out[i].attempt < out[j].attempt
+	})
 	return out
 }
 
+// endedKey is where an ended attempt is kept when another one has its place.
+func endedKey(name string, attempt uint64) string {
+	return name + "#" + strconv.FormatUint(attempt, 10)
+}
+
 func (m *machine) tick() {
 	if m.gone {
 		return
@@ -351,6 +358,13 @@
 func (m *machine) execute(cmds []wire.Command) {
 	for _, c := range cmds {
 		t := m.tasks[c.Task]
+		if old := m.tasks[endedKey(c.Task, c.Attempt)]; old != nil {
+			if c.Verb == wire.VerbForget {
+				delete(m.tasks, endedKey(c.Task, c.Attempt))
+				m.changed = true
+			}
+			continue // an earlier attempt, over
+		}
 		switch c.Verb {
 		case wire.VerbStart:
 			if t == nil || t.attempt != c.Attempt {
@@ -391,8 +405,11 @@
 		t.job = w.jobs[c.Task[:i]]
 		t.index, _ = strconv.Atoi(c.Task[i+1:])
 	}
-	if old := m.tasks[c.Task]; old != nil && old.state != wire.TaskExited {
-		return // another attempt is here; the stand-in refuses silently
+	if old := m.tasks[c.Task]; old != nil {
+		if old.state != wire.TaskExited {
+			return // another attempt is here; the stand-in refuses silently
+		}
+		m.tasks[endedKey(c.Task, old.attempt)] = old // listed until it is to be forgotten
 	}
 	m.tasks[c.Task] = t
 	if t.job == nil || t.index >= t.job.Tasks {
