--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -259,7 +259,10 @@
 		s := (m.warning - m.w.now).Seconds()
 		r.WarningS = &s
 	}
-	for _, t := range m.sorted() {
+	rows := m.sorted()
+	// The protocol gives no order.
+	m.w.rng.Shuffle(len(rows), func(a, b int) { rows[a], rows[b] = rows[b], rows[a] })
+	for _, t := range rows {
 		r.Tasks = append(r.Tasks, wire.Task{Task: t.name, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
 	}
 	return r
