--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -477,7 +477,7 @@
 			}
 			l.noteReady(j)
 			if j.fence {
-				j.fence = false
+				j.fence, l.dirty = false, true
 				l.relay(j)
 			}
 		})
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -24,6 +24,8 @@
 	down     bool // the state service answers 503
 	nextReq  uint64
 	answers  map[uint64]Answer
+	commits  []string // transactions, as they were sent
+	watch    func()   // called after each
 }
 
 // small is in the zones a and b, large in b and c, lone in c.
@@ -62,7 +64,11 @@
 		case k.Dest == DestCloud && k.Path == "/machine_types" && b.types != "":
 			r.Status, r.Body = 200, []byte(b.types)
 		case k.Dest == DestStore && k.Path == "/commit":
+			b.commits = append(b.commits, string(k.Body))
 			r.Status, r.Body = b.commit(k.Body)
+			if b.watch != nil {
+				b.watch()
+			}
 		case k.Dest == DestStore && strings.HasPrefix(k.Path, "/store/"):
 			if it, ok := b.store[strings.TrimPrefix(k.Path, "/store/")]; ok {
 				r.Status, r.Body = 200, encode(it)
