Stop other work by a dependent's priority only when the chain runs late

Chains took the rank of their last, urgent stage from the start and stopped everything below, and each other's stages that had not got it yet: one array of 89 tasks was started 580 times.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -20,6 +20,7 @@
 	pending    []int
 	held       int  // tasks for which room is being made
 	cornered   bool // no machine can be rented for it just now
+	power      int  // the rank by which it may stop other work
 }
 
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
@@ -50,12 +51,12 @@
 		if len(p) == 0 {
 			continue
 		}
-		c := &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p}
+		c := &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p, power: l.power(j)}
 		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
 			// One task makes a job begin. Where more jobs wait than there is
 			// room for, all tasks of one ahead of the next kept every job of
 			// a class from beginning for six minutes.
-			out = append(out, &candidate{j: j, guaranteed: j.within, slack: c.slack, work: c.work - 1, pending: p[:1:1]})
+			out = append(out, &candidate{j: j, guaranteed: j.within, slack: c.slack, work: c.work - 1, pending: p[:1:1], power: c.power})
 			c.pending = p[1:]
 		}
 		out = append(out, c)
@@ -79,6 +80,15 @@
 	return out
 }
 
+// power is the rank by which a job may stop other work. That of a dependent
+// counts once the chain would be late without it.
+func (l *leader) power(j *job) int {
+	if own := priorityRank[j.Priority]; j.rank > own && l.slack(j) > l.runEstimate(j) {
+		return own
+	}
+	return j.rank
+}
+
 // noDeadline is the slack of a job without a deadline: behind all others.
 const noDeadline = 1e9
 
@@ -277,7 +287,7 @@
 func shapeOf(c *candidate) shape {
 	j := c.j
 	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
-		rank: j.rank, guaranteed: c.guaranteed, team: j.Team}
+		rank: c.power, guaranteed: c.guaranteed, team: j.Team}
 	if j.Shape == wire.ShapeGang {
 		s.gang, s.oneZone = len(c.pending), j.OneZone
 	} else if j.OneZone {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -36,7 +36,7 @@
 	if c.held = l.heldFor(j); c.held > 0 {
 		return false
 	}
-	if j.rank == 0 && !c.guaranteed {
+	if c.power == 0 && !c.guaranteed {
 		return true
 	}
 	_, offered := l.offer(nil, &j.Job, nil)
@@ -194,11 +194,11 @@
 func (l *leader) emptied(c *candidate, m *machine) topology.Resources {
 	r, _ := l.total(m)
 	r = r.Sub(m.used).Add(m.going)
-	for _, s := range m.soft[:c.j.rank] {
+	for _, s := range m.soft[:c.power] {
 		r = r.Add(s)
 	}
 	if c.guaranteed {
-		r = r.Add(m.saves[c.j.rank]) // see mayPreempt
+		r = r.Add(m.saves[c.power]) // see mayPreempt
 	}
 	return r
 }
@@ -277,7 +277,7 @@
 						free = free.Add(size(&p.j.Job)) // already on its way out
 						continue
 					}
-					if !l.mayPreempt(c, p.j) || quick && p.j.rank == j.rank {
+					if !l.mayPreempt(c, p.j) || quick && p.j.rank == c.power {
 						continue
 					}
 					vs = append(vs, victim{p, l.victimCost(p.j, t, whole)})
@@ -326,8 +326,8 @@
 	if v.Shape == wire.ShapeGang && !c.cornered && !worthGang(c, v) {
 		return false
 	}
-	if v.rank != c.j.rank {
-		return v.rank < c.j.rank
+	if v.rank != c.power {
+		return v.rank < c.power
 	}
 	return c.guaranteed && v.Team != c.j.Team && !v.within && v.CheckpointS > 0
 }
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -273,3 +273,25 @@
 		t.Errorf("records to delete at the end: %v", keys)
 	}
 }
+
+// TestPower has a job queue by the rank of its dependent at once, and stop other
+// work by it only once the chain has less time left than the job takes.
+func TestPower(t *testing.T) {
+	b, l := leading(t, func(*config.Settings) {})
+	due := 100.0
+	record(b, l, wire.Job{ID: "job-1"}, func(r *openRecord) { r.Job.EstimateS = 30 })
+	record(b, l, wire.Job{ID: "job-2", Awaits: []string{"job-1"}}, func(r *openRecord) {
+		r.Job.Priority, r.Job.DeadlineS, r.Job.EstimateS = wire.PriorityUrgent, &due, 20
+	})
+	j, urgent := l.jobs["job-1"], priorityRank[wire.PriorityUrgent]
+	if j.rank != urgent || l.power(j) != 0 {
+		t.Errorf("with 50 s to spare of 30: rank %d, stops by %d", j.rank, l.power(j))
+	}
+	b.c.wall += 25_000
+	if l.power(j) != urgent {
+		t.Errorf("with 25 s to spare of 30 it stops by %d", l.power(j))
+	}
+	if l.power(l.jobs["job-2"]) != urgent {
+		t.Error("a job's own priority counts at all times")
+	}
+}
