--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -159,7 +159,14 @@
 			}
 			// A machine stays listed until it is gone, but lists may be old.
 			// Its absence proves nothing, so the return makes it certain.
-			if m.listedAt != 0 && l.c.now-m.listedAt > lag && l.c.now-m.heard > 3*l.c.report() && !m.returning {
+			// One that only the records know was there before this leader: an
+			// earlier one may have returned it when it could not record the ends
+			// of its tasks. Taken for cut off, it held up those for minutes.
+			listed := m.listedAt
+			if listed == 0 && m.heard == 0 && len(m.placed) > 0 {
+				listed = l.loadedAt
+			}
+			if listed != 0 && l.c.now-listed > lag && l.c.now-m.heard > 3*l.c.report() && !m.returning {
 				l.giveBack(m, "no longer listed")
 			}
 		}
--- a/internal/sim/pipelines_test.go
+++ b/internal/sim/pipelines_test.go
@@ -85,7 +85,15 @@
 
 // TestPipelines plays random days on which jobs await others and troubles meet.
 func TestPipelines(t *testing.T) {
+	// On day 58 a leader returned machines whose last ends it could not record;
+	// the next one held up the jobs, and all that awaited them, for minutes.
+	seeds := []uint64{58}
 	for seed := uint64(1); seed <= uint64(soakDays(15)); seed++ {
+		if seed != 58 {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			playDay(t, pipelines(seed))
