--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -61,7 +61,7 @@
 	wire.Job
 	rec       openRecord // as recorded
 	rank      int        // of the priority, or of a higher one that a dependent has
-	due       float64    // time of day, in s, by which it has to be done; see claim
+	due       float64    // time of day, in s, by which it has to be done; see raise
 	within    bool       // fits into its team's guarantee
 	waits     bool       // for jobs that are not done
 	free      bool       // all that it awaited is done, which is to be recorded
@@ -434,6 +434,7 @@
 			l.c.log.Info("job over", "job", j.ID, "status", f.Status)
 			j.ended = true
 			l.shed = append(l.shed, keys[n-2:]...)
+			l.dirty = l.dirty || len(l.shed) > 0
 			l.c.noteEnd(wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
 			ends = append(ends, wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
 			l.forget(j)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -290,9 +290,12 @@
 		txn.Writes = append(txn.Writes, p.writes...)
 	}
 	u.submits = rest
-	for _, s := range again {
-		c.checkAwaited(s)
-	}
+	// Afterwards, since they may come back here at once.
+	defer func() {
+		for _, s := range again {
+			c.checkAwaited(s)
+		}
+	}()
 	if len(batch) == 0 {
 		return
 	}
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -45,7 +45,7 @@
 		case x.cancelled:
 			l.cancelAfter(a)
 		}
-		l.claim(a)
+		l.raise(a, j)
 	}
 }
 
@@ -137,9 +137,22 @@
 	return float64(rec.At)/1000 + *rec.Job.DeadlineS
 }
 
-// claim gives a job the highest priority of any job that needs it, and the time
-// by which it has to be done so that the rest of the chain can be: users name
-// both on the last job only.
+// raise gives a job the priority of one that needs it, and the time by which it
+// has to be done so that the rest of the chain can be, if either is more urgent
+// than its own: users name both on the last job only.
+func (l *leader) raise(id string, dependent *job) {
+	j := l.jobs[id]
+	if j == nil {
+		return
+	}
+	rank, due := max(j.rank, dependent.rank), min(j.due, dependent.due-l.runEstimate(dependent))
+	if rank != j.rank || due != j.due {
+		l.claimed(j, rank, due, func(a string) { l.raise(a, j) })
+	}
+}
+
+// claim finds out what a job is left with when one that needed it is not there
+// any more.
 func (l *leader) claim(id string) {
 	j := l.jobs[id]
 	if j == nil {
@@ -151,15 +164,20 @@
 			rank, due = max(rank, o.rank), min(due, o.due-l.runEstimate(o))
 		}
 	}
-	if rank == j.rank && due == j.due {
-		return
+	if rank != j.rank || due != j.due {
+		l.claimed(j, rank, due, l.claim)
 	}
+}
+
+// claimed changes a job's rank and the time by which it has to be done, and goes
+// on to the jobs that it awaits.
+func (l *leader) claimed(j *job, rank int, due float64, next func(string)) {
 	l.setRank(j, rank)
 	j.due = due
 	l.schedule = true
 	if j.waits {
 		for _, a := range j.Awaits {
-			l.claim(a)
+			next(a)
 		}
 	}
 }
