Accept jobs that await more others than a record holds

The list is spread over list records, written in bounded transactions before the job is accepted by one final commit; the open record refers to them. The first record stands for the attempt: later ones, the acceptance and the clearing of what is left of an attempt are conditional on it, so nothing carried out late has an effect.

A leader reads the lists, holds back ends of needed jobs while one is unread, deletes a list with its job and clears abandoned ones. Looking up many names leaves room for users' questions. Until now such a submission got 422.

--- /dev/null
+++ b/internal/core/await_lists.go
@@ -0,0 +1,330 @@
+package core
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// A list of awaited jobs that does not fit into the open record of its job is
+// spread over list records, a/JOB/TOKEN/0 and following. They are written in
+// bounded transactions before the job is accepted; the token differs for each
+// attempt, so that two attempts never share a record. The open record then holds
+// a reference to the list in place of the names.
+//
+// The first record stands for the whole attempt: the others are written, and the
+// job is accepted, on the condition that it is unchanged. Clearing what is left
+// of an attempt that was given up deletes the first record before or together
+// with the others. So a transaction of that attempt that is carried out late has
+// no effect, and a job that is accepted has its whole list.
+//
+// Versions before wire.PeerVersionLists do not know these records. To them the
+// reference is the name of a job that does not exist: they never start the job,
+// but do not cancel it with one that it awaits either. Lists are therefore
+// written only once every controller knows them.
+
+const prefixList = "a/"
+
+// listRef refers to a list that is spread over records.
+type listRef struct {
+	prefix  string // of the records' keys: a/JOB/TOKEN/
+	records int
+}
+
+func (r listRef) String() string { return r.prefix + strconv.Itoa(r.records) }
+
+func (r listRef) key(n int) string { return r.prefix + strconv.Itoa(n) }
+
+func (r listRef) keys() []string {
+	keys := make([]string, r.records)
+	for n := range keys {
+		keys[n] = r.key(n)
+	}
+	return keys
+}
+
+// listRefOf returns the reference that an open record's list of awaited jobs
+// consists of, if it is not the list itself.
+func listRefOf(awaits []string) (listRef, bool) {
+	if len(awaits) != 1 || !strings.HasPrefix(awaits[0], prefixList) {
+		return listRef{}, false
+	}
+	slash := strings.LastIndexByte(awaits[0], '/')
+	n, err := strconv.Atoi(awaits[0][slash+1:])
+	if err != nil || n < 1 {
+		return listRef{}, false
+	}
+	return listRef{prefix: awaits[0][:slash+1], records: n}, true
+}
+
+// listRecord is one record of a list.
+type listRecord struct {
+	At    int64    `json:"at"` // ms, time of day at which the attempt began
+	Names []string `json:"w"`
+}
+
+// listRecordOverhead is what a list record takes beside its names, and
+// listNameOverhead what a name takes beside its letters, in bytes.
+const (
+	listRecordOverhead = 50
+	listNameOverhead   = 3
+)
+
+// splitList spreads names over records of at most limit bytes.
+func splitList(names []string, at int64, limit int) []listRecord {
+	var records []listRecord
+	bytes := limit
+	for _, name := range names {
+		size := len(name) + listNameOverhead
+		if bytes+size > limit {
+			records = append(records, listRecord{At: at})
+			bytes = listRecordOverhead
+		}
+		last := &records[len(records)-1]
+		last.Names = append(last.Names, name)
+		bytes += size
+	}
+	return records
+}
+
+// listWriter writes the list records of one attempt to submit a job.
+type listWriter struct {
+	ref     listRef
+	records []listRecord
+	written int
+	version uint64 // of the first record
+}
+
+// firstUnchanged is the condition that the attempt has not been cleared.
+func (w *listWriter) firstUnchanged() wire.Cond {
+	return wire.Cond{Key: w.ref.key(0), Version: w.version}
+}
+
+// complete tells whether all records are written.
+func (w *listWriter) complete() bool { return w.written == len(w.records) }
+
+// next returns the transaction that writes as many further records as fit into
+// it, and their number.
+func (w *listWriter) next(maxWrites int) (*wire.Txn, int) {
+	txn := &wire.Txn{If: []wire.Cond{w.firstUnchanged()}}
+	bytes := 0
+	for n := w.written; n < len(w.records) && len(txn.Writes) < maxWrites; n++ {
+		value := encode(w.records[n])
+		if len(txn.Writes) > 0 && bytes+len(value) > maxTxnBytes {
+			break
+		}
+		bytes += len(value) + writeOverhead
+		txn.Writes = append(txn.Writes, wire.Write{Put: w.ref.key(n), Value: value})
+	}
+	return txn, len(txn.Writes)
+}
+
+// writeList spreads the names that a submission awaits over records, and goes
+// on with the submission once they are all written.
+func (c *Core) writeList(s *submit) {
+	c.nextList++
+	token := strconv.FormatUint(c.boot, 36) + "-" + strconv.FormatUint(c.nextList, 36)
+	records := splitList(s.unfinished, c.wall, c.maxRecord())
+	s.list = &listWriter{
+		ref:     listRef{prefix: prefixList + s.rec.Job.ID + "/" + token + "/", records: len(records)},
+		records: records,
+	}
+	c.writeListRecords(s)
+}
+
+// writeListRecords writes the next records of a submission's list.
+func (c *Core) writeListRecords(s *submit) {
+	if c.now >= s.until {
+		c.answer(s.req, 503, errorBody("not now"), 1)
+		return
+	}
+	w := s.list
+	txn, count := w.next(c.limits().TxnOps)
+	c.commit(txn, false, func(r Result) {
+		var result wire.TxnResult
+		switch {
+		case r.Status == 200 && json.Unmarshal(r.Body, &result) == nil:
+			if w.written == 0 {
+				w.version = result.Revision
+			}
+			w.written += count
+			if !w.complete() {
+				c.writeListRecords(s)
+				return
+			}
+		case r.Status == 0 || r.Status == 409:
+			// Carried out or not: begun again under another token.
+			s.list = nil
+		default:
+			if r.Status == 400 {
+				c.refusedTxn(count)
+			}
+			c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+			return
+		}
+		c.checkAwaited(s)
+	})
+}
+
+// readList reads the names that a job awaits from its list records.
+func (l *leader) readList(j *job) {
+	l.unreadLists[j.ID] = noRetry
+	l.readListPage(j, "", nil)
+}
+
+// noRetry is the time of a retry that is not due while a call is under way.
+const noRetry = time.Duration(math.MaxInt64)
+
+func (l *leader) readListPage(j *job, after string, names []string) {
+	l.c.readPage(j.list.prefix, after, false, func(p *wire.Page) {
+		if l.gone || l.jobs[j.ID] != j {
+			return
+		}
+		if p == nil {
+			l.retryList(j)
+			return
+		}
+		for _, item := range p.Items {
+			after = item.Key
+			var record listRecord
+			if json.Unmarshal(item.Value, &record) != nil {
+				l.c.log.Error("list record is not readable", "key", item.Key)
+				l.retryList(j)
+				return
+			}
+			names = append(names, record.Names...)
+			j.listRead++
+		}
+		switch {
+		case p.More:
+			l.readListPage(j, after, names)
+		case j.listRead < j.list.records:
+			// Accepted with the whole list: read once more.
+			l.c.log.Error("list records are missing", "job", j.ID, "read", j.listRead, "of", j.list.records)
+			l.retryList(j)
+		default:
+			delete(l.unreadLists, j.ID)
+			l.noteNames(j, names)
+			l.dirty = true
+		}
+	})
+}
+
+func (l *leader) retryList(j *job) {
+	j.listRead = 0
+	l.unreadLists[j.ID] = l.c.now + l.c.ttl()/8
+}
+
+// tickLists reads lists again whose reading failed, and now and then clears what
+// is left of attempts that were given up.
+func (l *leader) tickLists() {
+	for _, id := range sortedKeys(l.unreadLists) {
+		if l.c.now < l.unreadLists[id] {
+			continue
+		}
+		if j := l.jobs[id]; j != nil {
+			l.readList(j)
+		} else {
+			delete(l.unreadLists, id)
+		}
+	}
+	if l.c.now >= l.clearListsAt {
+		l.clearListsAt = l.c.now + l.c.abandonedAfter()
+		l.findAbandoned("", nil)
+	}
+}
+
+// abandonedAfter is the age from which an attempt that has led to no job counts
+// as given up. No harm is done where it has not been: it fails, and its user
+// comes again.
+func (c *Core) abandonedAfter() time.Duration { return 4 * c.lease() }
+
+// attempt is what the state service holds of an attempt to submit a job with a
+// long list.
+type attempt struct {
+	ref     listRef
+	job     string
+	version uint64 // of the first record; 0 if it is gone
+	at      int64
+	keys    []string
+}
+
+// attemptOf tells which attempt a list record belongs to.
+func attemptOf(key string) (ref listRef, job string, ok bool) {
+	parts := strings.Split(key, "/")
+	if len(parts) != 4 {
+		return listRef{}, "", false
+	}
+	return listRef{prefix: strings.Join(parts[:3], "/") + "/"}, parts[1], true
+}
+
+// findAbandoned reads all list records and clears those of attempts that have
+// led to no job.
+func (l *leader) findAbandoned(after string, found []attempt) {
+	l.c.readPage(prefixList, after, false, func(p *wire.Page) {
+		if l.gone || p == nil {
+			return
+		}
+		for _, item := range p.Items {
+			after = item.Key
+			ref, job, ok := attemptOf(item.Key)
+			if !ok {
+				continue
+			}
+			if n := len(found); n == 0 || found[n-1].ref != ref {
+				found = append(found, attempt{ref: ref, job: job})
+			}
+			a := &found[len(found)-1]
+			a.keys = append(a.keys, item.Key)
+			var record listRecord
+			if item.Key == ref.key(0) && json.Unmarshal(item.Value, &record) == nil {
+				a.version, a.at = item.Version, record.At
+			}
+		}
+		if p.More {
+			l.findAbandoned(after, found)
+			return
+		}
+		l.clearAbandoned(found)
+	})
+}
+
+// clearAbandoned clears attempts one transaction after the other.
+func (l *leader) clearAbandoned(found []attempt) {
+	for len(found) > 0 {
+		a := &found[0]
+		age := time.Duration(l.c.wall-a.at) * time.Millisecond
+		if l.jobs[a.job] != nil || a.version != 0 && age < l.c.abandonedAfter() || len(a.keys) == 0 {
+			found = found[1:]
+			continue
+		}
+		count := min(len(a.keys), l.c.limits().TxnOps)
+		// The job may just have been accepted, and the first record just have
+		// been written.
+		txn := &wire.Txn{If: []wire.Cond{
+			l.termCond(),
+			{Key: prefixOpen + a.job},
+			{Key: a.ref.key(0), Version: a.version},
+		}}
+		for _, key := range a.keys[:count] {
+			txn.Writes = append(txn.Writes, wire.Write{Delete: key})
+		}
+		l.c.commit(txn, false, func(r Result) {
+			if l.gone || r.Status != 200 && r.Status != 409 {
+				return // looked for again later
+			}
+			if r.Status == 409 {
+				l.clearAbandoned(found[1:])
+				return
+			}
+			l.c.log.Debug("list records of a submission that was given up are cleared", "job", a.job, "records", count)
+			a.keys, a.version = a.keys[count:], 0
+			l.clearAbandoned(found)
+		})
+		return
+	}
+}
--- /dev/null
+++ b/internal/core/await_lists_test.go
@@ -0,0 +1,377 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	stdjson "encoding/json"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// longList is how many jobs are named in the tests below: several times what a
+// record holds under smallLimits.
+const longList = 400
+
+func smallLimits(s *config.Settings) {
+	s.Deployment.State.ValueKB, s.Deployment.State.TxnOps = 2, 5
+}
+
+// jsonNames is a list of names as a submission holds it.
+func jsonNames(names []string) string { return string(encode(names)) }
+
+// openJobs puts open jobs on record and returns their names.
+func openJobs(b *harness, count int) []string {
+	var names []string
+	for n := range count {
+		rec := openRecord{At: b.c.wall, Job: wire.Job{ID: jobID(1000 + n), Class: "c", Team: "vision", Shape: wire.ShapeArray,
+			Priority: wire.PriorityIdle, Tasks: 1, CPUs: 1, MemGB: 1}}
+		b.write(prefixOpen+rec.Job.ID, "", encode(rec))
+		names = append(names, rec.Job.ID)
+	}
+	return names
+}
+
+// listKeys are the keys of the list records that exist.
+func (b *harness) listKeys() (keys []string) {
+	for _, key := range sortedKeys(b.store) {
+		if strings.HasPrefix(key, prefixList) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// askPatiently repeats a submission as users do, until it is accepted.
+func (b *harness) askPatiently(text string) Answer {
+	var a Answer
+	for range 20 {
+		if a = b.ask("POST", "/submissions", text); a.Status != 503 {
+			return a
+		}
+		b.run(time.Second)
+	}
+	return a
+}
+
+// acceptLong has a job accepted that awaits longList others.
+func acceptLong(t *testing.T, b *harness) (id string, names []string) {
+	t.Helper()
+	smallLimits(b.c.cfg)
+	names = openJobs(b, longList)
+	id = jobID(9)
+	if a := b.askPatiently(named(9, jsonNames(names))); a.Status != 201 {
+		t.Fatalf("answered %d %s", a.Status, a.Body)
+	}
+	return id, names
+}
+
+// TestLongListIsAccepted spreads a list over records within the limits of the
+// state service, marks all jobs that it names as needed, and knows a repeat.
+func TestLongListIsAccepted(t *testing.T) {
+	b := newHarness(t, someTypes)
+	id, names := acceptLong(t, b)
+	var rec openRecord
+	if err := stdjson.Unmarshal(b.store[prefixOpen+id].Value, &rec); err != nil {
+		t.Fatal(err)
+	}
+	ref, ok := listRefOf(rec.Job.Awaits)
+	if !ok {
+		t.Fatalf("recorded as %q", rec.Job.Awaits)
+	}
+	if keys := b.listKeys(); !slices.Equal(keys, slices.Sorted(slices.Values(ref.keys()))) {
+		t.Errorf("list records %q, the job refers to %q", keys, ref.keys())
+	}
+	var got []string
+	for _, key := range ref.keys() {
+		var record listRecord
+		if err := stdjson.Unmarshal(b.store[key].Value, &record); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, record.Names...)
+	}
+	if !slices.Equal(got, names) {
+		t.Errorf("%d names on record, want %d", len(got), len(names))
+	}
+	for key, item := range b.store {
+		if len(item.Value) > 2<<10 {
+			t.Errorf("%s has %d bytes", key, len(item.Value))
+		}
+	}
+	for _, name := range names {
+		if !strings.Contains(string(b.store[prefixOpen+name].Value), `"nd":true`) {
+			t.Fatalf("%s is not marked as needed", name)
+		}
+	}
+	commits := len(b.commits)
+	if a := b.ask("POST", "/submissions", named(9, jsonNames(names))); a.Status != 200 {
+		t.Errorf("the repeat is answered %d %s", a.Status, a.Body)
+	}
+	if len(b.listKeys()) != ref.records || len(b.commits) > commits+2 {
+		t.Error("the repeat writes a list of its own")
+	}
+}
+
+// TestLongListMeetsLostAnswers loses the answer to each transaction in turn, once
+// carried out and once not: the job is accepted once, with its whole list.
+func TestLongListMeetsLostAnswers(t *testing.T) {
+	for _, carriedOut := range []bool{true, false} {
+		for lost := range 4 { // three with list records, one with the job
+			b := newHarness(t, someTypes)
+			b.c.cfg.Deployment.State.ValueKB, b.c.cfg.Deployment.State.TxnOps = 1, 2
+			names := openJobs(b, 300)
+			begun := false
+			b.lose = func(commit string) (lose, apply bool) {
+				begun = begun || strings.Contains(commit, `"put":"a/`)
+				if !begun {
+					return false, true
+				}
+				lost--
+				return lost == -1, carriedOut
+			}
+			if a := b.askPatiently(named(9, jsonNames(names))); a.Status != 201 && a.Status != 200 {
+				t.Fatalf("answered %d %s", a.Status, a.Body)
+			}
+			var rec openRecord
+			stdjson.Unmarshal(b.store[prefixOpen+jobID(9)].Value, &rec)
+			ref, ok := listRefOf(rec.Job.Awaits)
+			for _, key := range ref.keys() {
+				if b.store[key].Key == "" {
+					t.Errorf("%s is missing", key)
+				}
+			}
+			if !ok || lost >= 0 {
+				t.Errorf("recorded as %q, %d answers left to lose", rec.Job.Awaits, lost+1)
+			}
+		}
+	}
+}
+
+// TestLongListWaitsForUpgrade asks the user to come back while a controller runs
+// a version that can't read lists spread over records, and writes none.
+func TestLongListWaitsForUpgrade(t *testing.T) {
+	b := newHarness(t, someTypes)
+	smallLimits(b.c.cfg)
+	names := openJobs(b, 150)
+	b.c.cfg.Peers = []config.Peer{{Name: "n1", Zone: "b"}}
+	b.c.peers["n1"] = &peerState{}
+	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersionLists - 1}})
+	b.run(3 * time.Second)
+	var a Answer
+	for range 8 {
+		a = b.ask("POST", "/submissions", named(9, jsonNames(names)))
+		b.run(time.Second)
+	}
+	if a.Status != 503 || a.RetryAfter == 0 || len(b.listKeys()) > 0 {
+		t.Errorf("answered %d %s, %d list records", a.Status, a.Body, len(b.listKeys()))
+	}
+	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersionLists}})
+	if a := b.askPatiently(named(9, jsonNames(names))); a.Status != 201 {
+		t.Errorf("after the upgrade: %d %s", a.Status, a.Body)
+	}
+}
+
+// leadOver makes a core that leads over a harness's records.
+func leadOver(b *harness) *leader {
+	b.write(keyTerm, "", []byte("5"))
+	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
+	b.c.lead = l
+	b.c.elect.term, b.c.elect.leader, b.c.elect.busy = 5, b.c.cfg.Name, true
+	l.again = l.recover // with the next tick
+	b.run(time.Second)
+	return l
+}
+
+// end records a job's end as an earlier leader would.
+func (b *harness) end(id, status string) {
+	b.write(prefixFinal+id, prefixOpen+id, encode(finalRecord{Status: status, Tasks: 1}))
+}
+
+// TestLongListHoldsTheJob has a new leader read a list from its records: the job
+// goes on when the last of them is done, no earlier, and its end deletes the list.
+func TestLongListHoldsTheJob(t *testing.T) {
+	b := newHarness(t, someTypes)
+	id, names := acceptLong(t, b)
+	for _, name := range names[1:] {
+		b.end(name, wire.StatusDone)
+	}
+	clear(b.c.users.open)
+	l := leadOver(b)
+	b.run(10 * time.Second)
+	j := l.jobs[id]
+	if j == nil || !j.waits || j.rec.ReadyAt != 0 || len(j.pendingTasks()) > 0 {
+		t.Fatalf("with one job not done it does not wait: %+v", j)
+	}
+	first := l.jobs[names[0]]
+	l.markDone(first, 0)
+	b.run(2 * time.Second)
+	if j.waits || len(j.pendingTasks()) == 0 {
+		t.Fatal("with all of them done it does not go on")
+	}
+	for i := range j.tasks {
+		l.markDone(j, i)
+	}
+	b.run(5 * time.Second)
+	if b.store[prefixFinal+id].Key == "" || len(b.listKeys()) > 0 {
+		t.Errorf("over: %v, list records left: %q", b.store[prefixFinal+id].Key != "", b.listKeys())
+	}
+}
+
+// TestLongListIsCancelled cancels a job named in the last record of a list, before
+// and after the leader has begun.
+func TestLongListIsCancelled(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		b := newHarness(t, someTypes)
+		id, names := acceptLong(t, b)
+		last := names[len(names)-1]
+		cancel := func(l *leader) {
+			var rec openRecord
+			stdjson.Unmarshal(b.store[prefixOpen+last].Value, &rec)
+			rec.Cancelled, rec.AskedAt = true, b.c.wall
+			b.write(prefixOpen+last, "", encode(rec))
+			if l != nil {
+				l.noteOpen(last, b.store[prefixOpen+last].Version, rec)
+			}
+		}
+		b.watch = func() {
+			if b.store[prefixFinal+last].Key != "" && b.store[prefixOpen+id].Key != "" {
+				t.Error("its end is told before that of the job that needs it")
+			}
+		}
+		if before {
+			cancel(nil)
+		}
+		l := leadOver(b)
+		if !before {
+			cancel(l)
+		}
+		b.run(5 * time.Second)
+		if f := string(b.store[prefixFinal+id].Value); !strings.Contains(f, wire.StatusCancelled) || len(b.listKeys()) > 0 {
+			t.Errorf("before %v: ended as %q, list records left: %d", before, f, len(b.listKeys()))
+		}
+	}
+}
+
+// TestUnreadListHoldsEnds keeps a cancelled job that others need from ending
+// while a list is not read that may name it.
+func TestUnreadListHoldsEnds(t *testing.T) {
+	b := newHarness(t, someTypes)
+	id, names := acceptLong(t, b)
+	l := leadOver(b)
+	l.unreadLists[id] = noRetry
+	var rec openRecord
+	stdjson.Unmarshal(b.store[prefixOpen+names[0]].Value, &rec)
+	rec.Cancelled, rec.AskedAt = true, b.c.wall
+	b.write(prefixOpen+names[0], "", encode(rec))
+	l.deps.drop(id)
+	l.noteOpen(names[0], b.store[prefixOpen+names[0]].Version, rec)
+	b.run(5 * time.Second)
+	if b.store[prefixFinal+names[0]].Key != "" {
+		t.Error("its end is on record while a list that may name it is not read")
+	}
+}
+
+// TestAbandonedListsAreCleared clears what attempts have left that led to no job:
+// not those that may still lead to one, nor the list of an accepted job. What is
+// left of such an attempt has no effect when it is carried out late.
+func TestAbandonedListsAreCleared(t *testing.T) {
+	b := newHarness(t, someTypes)
+	id, _ := acceptLong(t, b)
+	accepted := len(b.listKeys())
+	record := func(key string, age time.Duration) {
+		b.write(key, "", encode(listRecord{At: b.c.wall - age.Milliseconds(), Names: []string{jobID(1000)}}))
+	}
+	old := 2 * b.c.abandonedAfter()
+	for _, key := range []string{"a/job-7/x-1/0", "a/job-7/x-1/1", "a/job-7/x-1/10", "a/job-7/x-1/2", "a/job-7/x-1/3", "a/job-7/x-1/4", "a/job-7/x-1/5"} {
+		record(key, old)
+	}
+	first := b.store["a/job-7/x-1/0"].Version
+	record("a/job-7/x-2/0", 0)
+	record("a/job-8/y-1/3", old) // its first record is gone
+	leadOver(b)
+	b.run(5 * time.Second)
+	var left []string
+	for _, key := range b.listKeys() {
+		if !strings.HasPrefix(key, prefixList+id+"/") {
+			left = append(left, key)
+		}
+	}
+	if !slices.Equal(left, []string{"a/job-7/x-2/0"}) || len(b.listKeys()) != accepted+1 {
+		t.Errorf("left: %q, and %d records of the accepted job, want %d", left, len(b.listKeys())-len(left), accepted)
+	}
+	w := listWriter{ref: listRef{prefix: "a/job-7/x-1/", records: 12}, records: make([]listRecord, 12), written: 11, version: first}
+	late, _ := w.next(5)
+	if status, _ := b.commit(encode(late)); status != 409 {
+		t.Errorf("a late list record is answered %d, want 409", status)
+	}
+	s := &submit{rec: openRecord{Job: wire.Job{ID: "job-7"}}, list: &w}
+	p, _ := b.c.prepare(s)
+	if status, _ := b.commit(encode(wire.Txn{If: p.conds, Writes: p.writes})); status != 409 {
+		t.Errorf("a late acceptance is answered %d, want 409", status)
+	}
+}
+
+// TestClearingIsConditional clears on the word of a listing that is out of date: a
+// job has been accepted since, or the first record of an attempt written. Neither
+// loses a record.
+func TestClearingIsConditional(t *testing.T) {
+	b := newHarness(t, someTypes)
+	l := leadOver(b)
+	accepted, begun := "a/job-7/x-1/", "a/job-8/y-1/"
+	for _, prefix := range []string{accepted, begun} {
+		for _, n := range []string{"0", "1"} {
+			b.write(prefix+n, "", encode(listRecord{Names: []string{jobID(1000)}}))
+		}
+	}
+	b.write(prefixOpen+"job-7", "", encode(openRecord{Job: wire.Job{ID: "job-7", Tasks: 1, Awaits: []string{accepted + "2"}}}))
+	l.again = func() {
+		l.clearAbandoned([]attempt{
+			{ref: listRef{prefix: accepted}, job: "job-7", version: b.store[accepted+"0"].Version, keys: []string{accepted + "0", accepted + "1"}},
+			{ref: listRef{prefix: begun}, job: "job-8", keys: []string{begun + "1"}},
+		})
+	}
+	b.run(time.Second)
+	if keys := b.listKeys(); len(keys) != 4 {
+		t.Errorf("left: %q", keys)
+	}
+}
+
+// TestManyUnknownNames asks about the jobs of a long list, none of which the
+// controller remembers, without taking all room for users' questions.
+func TestManyUnknownNames(t *testing.T) {
+	b := newHarness(t, someTypes)
+	names := openJobs(b, longList)
+	b.c.cfg.Deployment.Limits.MaxConnections = 40
+	clear(b.c.users.open)
+	longest := 0
+	b.stepped = func() { longest = max(longest, len(b.c.users.order)) }
+	if a := b.askPatiently(named(9, jsonNames(names))); a.Status != 201 {
+		t.Fatalf("answered %d %s", a.Status, a.Body)
+	}
+	if longest > 20 {
+		t.Errorf("%d questions at a time", longest)
+	}
+}
+
+// TestSplitList keeps every record within its limit and every name in order.
+func TestSplitList(t *testing.T) {
+	var names []string
+	for n := range 3000 {
+		names = append(names, "job-"+strings.Repeat("7", 1+n%40))
+	}
+	for _, limit := range []int{300, 1848, 16184} {
+		var got []string
+		for _, record := range splitList(names, 1_700_000_000_000, limit) {
+			if size := len(encode(record)); size > limit || len(record.Names) == 0 {
+				t.Errorf("limit %d: a record of %d bytes with %d names", limit, size, len(record.Names))
+			}
+			got = append(got, record.Names...)
+		}
+		if !slices.Equal(got, names) {
+			t.Errorf("limit %d: %d names, want %d", limit, len(got), len(names))
+		}
+	}
+}
--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -12,7 +12,8 @@
 // word of a leader that cannot read new dependents. Only what is not over goes
 // on record, for an end never reverts; of a list that is longer than a
 // transaction's conditions the rest has been read before, and the leader looks
-// again.
+// again. A list that does not fit into the open record is spread over records of
+// its own first, see await_lists.go.
 
 // prepared is what a submission adds to a transaction.
 type prepared struct {
@@ -36,7 +37,10 @@
 		p.write(prefixFinal+id, encode(s.final()))
 		return p, true
 	}
-	for _, a := range s.rec.Job.Awaits {
+	if s.list != nil {
+		p.conds = append(p.conds, s.list.firstUnchanged())
+	}
+	for _, a := range s.unfinished {
 		k := c.users.open[a]
 		if _, over := c.users.final[a]; over || k == nil || k.rec.Cancelled {
 			return p, false
@@ -57,7 +61,7 @@
 
 func (p *prepared) write(key string, v []byte) {
 	p.writes = append(p.writes, wire.Write{Put: key, Value: v})
-	p.bytes += len(v) + 200
+	p.bytes += len(v) + writeOverhead
 }
 
 // checkAwaited finds out about the jobs that a submission awaits, and has it
@@ -78,6 +82,9 @@
 		c.takeAwaited(s)
 		return
 	}
+	// A long list leaves room for other questions. What is found is remembered,
+	// so that the next round, or the user's next try, asks for the rest.
+	ask = ask[:min(len(ask), c.maxWaiting()/4)]
 	left, failed, unknown := len(ask), false, ""
 	for _, a := range ask {
 		c.find(a, func(f found) {
@@ -96,7 +103,7 @@
 			case failed:
 				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
 			default:
-				c.takeAwaited(s)
+				c.checkAwaited(s)
 			}
 		})
 	}
@@ -105,7 +112,7 @@
 // takeAwaited has a submission recorded, all of whose awaited jobs are known.
 func (c *Core) takeAwaited(s *submit) {
 	u := &c.users
-	s.rec.Job.Awaits, s.withdrawn = nil, false
+	s.unfinished, s.withdrawn = nil, false
 	var unmarked []string
 	for _, a := range s.awaits {
 		if f, over := u.final[a]; over {
@@ -123,7 +130,7 @@
 		case k.rec.Cancelled:
 			s.withdrawn = true
 		default:
-			s.rec.Job.Awaits = append(s.rec.Job.Awaits, a)
+			s.unfinished = append(s.unfinished, a)
 			if !k.rec.Needed {
 				unmarked = append(unmarked, a)
 			}
@@ -131,18 +138,39 @@
 	}
 	switch {
 	case s.withdrawn:
-	case !c.recordable(s.rec):
-		c.answer(s.req, 422, errorBody("it awaits more jobs than the state service can hold"), 0)
-		return
 	case len(unmarked) >= c.limits().TxnOps:
 		// More than go into one transaction beside the job itself.
 		c.markNeeded(s, unmarked[:c.limits().TxnOps])
 		return
+	case !c.placeNames(s):
+		return
 	}
 	u.submits = append(u.submits, s)
 	c.pumpSubmits()
 }
 
+// placeNames puts what a submission awaits into its record: the names, or a
+// reference to the list that holds them. If the list has to be written first, or
+// can't be, it returns false, and the submission goes on later or is answered.
+func (c *Core) placeNames(s *submit) bool {
+	s.rec.Job.Awaits = s.unfinished
+	if c.recordable(s.rec) {
+		s.list = nil
+		return true
+	}
+	switch {
+	case s.list != nil && s.list.complete():
+		// It may name jobs that are done meanwhile, but lacks none.
+		s.rec.Job.Awaits = []string{s.list.ref.String()}
+		return true
+	case !c.allUnderstand(wire.PeerVersionLists):
+		c.answer(s.req, 503, errorBody("it awaits more jobs than controllers of an earlier version can read"), 1)
+		return false
+	}
+	c.writeList(s)
+	return false
+}
+
 // markNeeded marks some of the jobs that a submission awaits.
 func (c *Core) markNeeded(s *submit, ids []string) {
 	txn := &wire.Txn{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,7 @@
 
 	calls    map[uint64]func(Result)
 	nextCall uint64
+	nextList uint64 // attempts to write a long list of awaited jobs
 
 	types     map[string]*wire.MachineType
 	typesAt   time.Duration
@@ -242,6 +243,13 @@
 // transaction that got no answer, and users' questions were answered too late.
 func (c *Core) commitTimeout() time.Duration { return c.report() / 3 }
 
+// maxTxnBytes bounds the values of a transaction, of which the state service takes
+// 64 KiB in all; writeOverhead is what a change takes beside its value, at most.
+const (
+	maxTxnBytes   = 48 << 10
+	writeOverhead = 200
+)
+
 // limits are those of the state service that hold now and later, as far as they
 // were announced or have shown.
 func (c *Core) limits() config.State {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -49,11 +49,15 @@
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
 	deps      *dependencies
 	looking   map[string]time.Duration // awaited jobs that are being looked up; when next
-	shed      []string                 // placement records of jobs that are over, to be deleted
-	limited   bool                     // the state service refused a value for its size
-	fleet     fleet
-	arrivals  map[string]*arrivals
-	estimate  map[string]*estimate
+	lookups   int                      // such look-ups under way
+
+	unreadLists  map[string]time.Duration // jobs whose list of awaited ones is not read; when to retry
+	clearListsAt time.Duration
+	shed         []string // placement records of jobs that are over, to be deleted
+	limited      bool     // the state service refused a value for its size
+	fleet        fleet
+	arrivals     map[string]*arrivals
+	estimate     map[string]*estimate
 }
 
 // job is an unfinished job.
@@ -65,6 +69,8 @@
 	within    bool       // fits into its team's guarantee
 	waits     bool       // for jobs that are not done
 	free      bool       // all that it awaited is done, which is to be recorded
+	list      listRef    // of the awaited jobs, if it is spread over records
+	listRead  int        // records of it that have been read
 	since     int64      // ms, time of day from which its waiting counts
 	order     uint64     // version of the first record seen: submission order
 	version   uint64     // of the open record
@@ -138,9 +144,10 @@
 		reached:  map[string]time.Duration{},
 		returned: map[string]time.Duration{}, cancelled: map[string]*job{},
 		deps: newDependencies(), looking: map[string]time.Duration{},
-		arrivals: map[string]*arrivals{},
-		estimate: map[string]*estimate{},
-		fleet:    newFleet(),
+		unreadLists: map[string]time.Duration{},
+		arrivals:    map[string]*arrivals{},
+		estimate:    map[string]*estimate{},
+		fleet:       newFleet(),
 	}
 }
 
@@ -363,6 +370,7 @@
 	l.tickStops()
 	l.tickGone()
 	l.tickAwaited()
+	l.tickLists()
 	if l.c.now >= l.schedNext+l.c.report()/3 {
 		l.schedule = true
 	}
@@ -409,7 +417,7 @@
 			more = true
 			continue
 		}
-		keys := j.placeKeys()
+		keys := j.recordKeys()
 		n := min(2+len(keys), ops) // long jobs shed the rest afterwards
 		if !room(n) {
 			more = true
@@ -630,7 +638,7 @@
 			j.stale = false
 			j.ended = true
 			l.c.log.Info("job over", "job", j.ID, "status", "recorded earlier")
-			l.shed = append(l.shed, j.placeKeys()...)
+			l.shed = append(l.shed, j.recordKeys()...)
 			l.forget(j)
 			l.lookAwaited(j.ID)
 		default:
@@ -644,6 +652,7 @@
 func (l *leader) forget(j *job) {
 	delete(l.jobs, j.ID)
 	delete(l.cancelled, j.ID)
+	delete(l.unreadLists, j.ID)
 	l.deps.drop(j.ID)
 	if j.waits {
 		for _, a := range j.Awaits {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -219,11 +219,11 @@
 	return false
 }
 
-// allUpgraded tells whether every controller has said that it understands what
-// this version writes. One that has said so stays at that version.
-func (c *Core) allUpgraded() bool {
+// allUnderstand tells whether every controller has said that it understands what
+// a version introduced. One that has said so stays at that version.
+func (c *Core) allUnderstand(version int) bool {
 	for _, p := range c.peers {
-		if p.version < wire.PeerVersion {
+		if p.version < version {
 			return false
 		}
 	}
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -16,7 +16,7 @@
 // state service. There are two layouts:
 //
 //   - p/JOB/N covers as many tasks as value_kb allows, the Nth such range. It is
-//     what versions before PeerVersion 1 read and write;
+//     what versions before wire.PeerVersionRanges read and write;
 //   - p/JOB/FROM-TO names its range. It is written where the limits are to
 //     become smaller than that, once every controller understands it. For the
 //     tasks of its range it stands above any record of the first layout, which
@@ -90,7 +90,7 @@
 // ranges tells whether records that name their range are to be written.
 func (l *leader) ranges() bool {
 	smaller := l.c.limits().ValueKB < l.c.cfg.Deployment.State.ValueKB
-	return smaller && (l.limited || l.c.allUpgraded())
+	return smaller && (l.limited || l.c.allUnderstand(wire.PeerVersionRanges))
 }
 
 // layOut makes a job's chunks, for a job without records.
@@ -152,6 +152,11 @@
 	return keys
 }
 
+// recordKeys lists what a job's end deletes beside its open record.
+func (j *job) recordKeys() []string {
+	return append(j.placeKeys(), j.list.keys()...)
+}
+
 // relay moves a job from numbered records to those that name their range. The
 // old ones go on holding for ranges that are not written yet.
 func (l *leader) relay(j *job) {
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -194,7 +194,7 @@
 
 // maxValue is the largest value, in bytes, that the state service takes, in a
 // transaction of 64 KiB at most.
-func (c *Core) maxValue() int { return min(int(c.limits().ValueKB*1024), 48<<10) }
+func (c *Core) maxValue() int { return min(int(c.limits().ValueKB*1024), maxTxnBytes) }
 
 // maxRecord is the largest record of a new job, in bytes. What a cancellation
 // and other changes add to it later has to fit as well.
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,10 @@
 	answers  map[uint64]Answer
 	commits  []string // transactions, as they were sent
 	watch    func()   // called after each
+	stepped  func()   // called after each step
+	// lose tells of a transaction whether its answer is lost, and whether it is
+	// carried out in that case.
+	lose func(commit string) (lose, apply bool)
 }
 
 // small is in the zones a and b, large in b and c, lone in c.
@@ -53,6 +58,9 @@
 // step feeds an input, and the result of every call that it leads to.
 func (b *harness) step(in any) {
 	out := b.c.Step(b.now, time.Unix(1e9, 0).Add(b.now), in)
+	if b.stepped != nil {
+		b.stepped()
+	}
 	for _, a := range out.Answers {
 		b.answers[a.ID] = a
 	}
@@ -65,10 +73,21 @@
 			r.Status, r.Body = 200, []byte(b.types)
 		case k.Dest == DestStore && k.Path == "/commit":
 			b.commits = append(b.commits, string(k.Body))
-			r.Status, r.Body = b.commit(k.Body)
+			lose, apply := false, true
+			if b.lose != nil {
+				lose, apply = b.lose(string(k.Body))
+			}
+			if !lose || apply {
+				r.Status, r.Body = b.commit(k.Body)
+			}
+			if lose {
+				r.Status, r.Body = 0, nil
+			}
 			if b.watch != nil {
 				b.watch()
 			}
+		case k.Dest == DestStore && strings.HasPrefix(k.Path, "/store?"):
+			r.Status, r.Body = 200, b.page(k.Path)
 		case k.Dest == DestStore && strings.HasPrefix(k.Path, "/store/"):
 			if it, ok := b.store[strings.TrimPrefix(k.Path, "/store/")]; ok {
 				r.Status, r.Body = 200, encode(it)
@@ -95,13 +114,38 @@
 	if tr.Failed != nil {
 		return 409, encode(tr)
 	}
+	// All changes of a transaction share its revision.
+	before := b.revision
 	for _, w := range txn.Writes {
+		b.revision = before
 		b.write(w.Put, w.Delete, w.Value)
 	}
 	tr.Revision = b.revision
 	return 200, encode(tr)
 }
 
+// pageItems is the size of a page, smaller than the service's so that tests read
+// several.
+const pageItems = 20
+
+func (b *harness) page(path string) []byte {
+	u, err := url.Parse(path)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	page := wire.Page{Revision: b.revision}
+	for _, key := range sortedKeys(b.store) {
+		if !strings.HasPrefix(key, u.Query().Get("under")) || key <= u.Query().Get("since") {
+			continue
+		}
+		if page.More = len(page.Items) == pageItems; page.More {
+			break
+		}
+		page.Items = append(page.Items, b.store[key])
+	}
+	return encode(page)
+}
+
 func (b *harness) write(put, del string, v []byte) {
 	b.revision++
 	delete(b.store, del)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -74,13 +75,24 @@
 type submit struct {
 	req    uint64
 	rec    openRecord
-	awaits []string // all that were named; the record has those that are not over
 	until  time.Duration
+	awaits []string // all that were named
+	// unfinished are those of them that are not over.
+	unfinished []string
+	list       *listWriter // for a list too long for the record; nil for others
 	// withdrawn: a job that it awaits is cancelled, and so is this one.
 	withdrawn bool
 	alone     bool // in a transaction of its own
 }
 
+// submitWait is how long a submission may take before its user is asked to come
+// back, and longSubmitWait how long one that awaits more jobs than go into a
+// transaction may. Users wait for 5 s.
+const (
+	submitWait     = 2 * time.Second
+	longSubmitWait = 4 * time.Second
+)
+
 type lookup struct {
 	f     func(found)
 	until time.Duration
@@ -218,7 +230,10 @@
 	if c.refuse(r.ID, len(u.submits)) {
 		return
 	}
-	s := &submit{req: r.ID, rec: openRecord{Job: *job, At: c.wall}, awaits: job.Awaits, until: c.now + 2*time.Second}
+	s := &submit{req: r.ID, rec: openRecord{Job: *job, At: c.wall}, awaits: job.Awaits, until: c.now + submitWait}
+	if len(s.awaits) > c.limits().TxnOps {
+		s.until = c.now + longSubmitWait
+	}
 	s.rec.Job.Awaits = nil
 	if len(s.awaits) > 0 {
 		c.checkAwaited(s)
@@ -270,7 +285,7 @@
 			again = append(again, s)
 			continue
 		}
-		fits := bytes+p.bytes <= 48<<10 && len(txn.Writes)+len(p.writes) <= c.limits().TxnOps && len(txn.If)+len(p.conds) <= 4*c.limits().TxnOps
+		fits := bytes+p.bytes <= maxTxnBytes && len(txn.Writes)+len(p.writes) <= c.limits().TxnOps && len(txn.If)+len(p.conds) <= 4*c.limits().TxnOps
 		for _, w := range p.writes {
 			fits = fits && !keys[w.Put]
 		}
@@ -331,8 +346,13 @@
 					c.answerKnown(s.req, s.rec.Job.ID)
 					continue
 				}
+				if s.list != nil && slices.Contains(tr.Failed, s.list.ref.key(0)) {
+					s.list = nil // cleared
+					c.checkAwaited(s)
+					continue
+				}
 				changed := false
-				for _, a := range s.rec.Job.Awaits {
+				for _, a := range s.unfinished {
 					if failed[a] {
 						changed = true
 						delete(u.open, a)
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -26,8 +26,19 @@
 		return
 	}
 	j.waits = true
-	l.deps.add(j.ID, j.Awaits)
-	l.c.log.Debug("job waits", "job", j.ID, "for", j.Awaits)
+	if ref, ok := listRefOf(j.Awaits); ok {
+		j.list, j.Awaits = ref, nil
+		l.readList(j)
+		return
+	}
+	l.noteNames(j, j.Awaits)
+}
+
+// noteNames takes in which jobs a new job awaits.
+func (l *leader) noteNames(j *job, names []string) {
+	j.Awaits = names
+	l.deps.add(j.ID, names)
+	l.c.log.Debug("job waits", "job", j.ID, "for", names)
 	if l.ready {
 		l.resolve(j)
 	}
@@ -55,8 +66,14 @@
 	if _, ok := l.looking[id]; ok || len(l.deps.dependents[id]) == 0 {
 		return
 	}
+	if l.lookups >= l.c.maxWaiting()/8 {
+		l.looking[id] = l.c.now // users' questions go the same way
+		return
+	}
+	l.lookups++
 	l.looking[id] = math.MaxInt64
 	l.c.find(id, func(f found) {
+		l.lookups--
 		switch {
 		case l.gone:
 		case f.final != nil:
@@ -119,8 +136,11 @@
 	}
 }
 
-// awaitedStill tells whether any dependent of a job is not over.
+// awaitedStill tells whether any dependent of a job is not over, or may not be.
 func (l *leader) awaitedStill(id string) bool {
+	if j := l.jobs[id]; j != nil && j.rec.Needed && len(l.unreadLists) > 0 {
+		return true
+	}
 	for _, y := range l.deps.dependents[id] {
 		if j := l.jobs[y]; j != nil && !j.ended && !j.final {
 			return true
--- a/internal/sim/upgrade_test.go
+++ b/internal/sim/upgrade_test.go
@@ -402,7 +402,8 @@
 }
 
 // testUpgradeCatches has this version record a job's placements where the one in
-// production does not look for them: once that one leads, tasks run twice.
+// production does not look for them: once that one leads, tasks run twice. Of
+// one machine that runs some of them it hears by the records alone.
 func testUpgradeCatches(t *testing.T, program string) {
 	s, err := ParseScenario(`
 team t
@@ -410,7 +411,8 @@
 at 30 upgrade node-1
 at 36 refuse node-2 for=8
 at 36.5 crash node-0 for=12
-at 45 submit job-000001 tasks=20 run=60
+at 45 submit job-000001 tasks=20 cpus=1 run=60
+at 59.5 mute busy for=9
 at 60 crash node-1 for=10
 at 80 upgrade node-0
 at 90 upgrade node-2
@@ -420,19 +422,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, faults := playUpgrade(t, program, s, nil)
-	for _, f := range faults {
-		t.Error("without the fault: " + f)
-	}
-	_, faults = playUpgrade(t, program, s, func(n *node, out *core.Output) {
-		if _, ok := n.core.(*core.Core); !ok {
-			return
-		}
-		for i := range out.Calls {
-			out.Calls[i].Body = bytes.ReplaceAll(out.Calls[i].Body, []byte(`"p/job-`), []byte(`"q/job-`))
+	// Whether tasks run twice hangs on which machine has room when: of a few days
+	// at least one shows it, and none without the fault.
+	var reported []string
+	for ; s.seed <= 5; s.seed++ {
+		_, faults := playUpgrade(t, program, s, nil)
+		for _, f := range faults {
+			t.Errorf("seed %d, without the fault: %s", s.seed, f)
 		}
-	})
-	if all := strings.Join(faults, "\n"); !strings.Contains(all, "ran_twice") {
+		_, faults = playUpgrade(t, program, s, func(n *node, out *core.Output) {
+			if _, ok := n.core.(*core.Core); !ok {
+				return
+			}
+			for i := range out.Calls {
+				out.Calls[i].Body = bytes.ReplaceAll(out.Calls[i].Body, []byte(`"p/job-`), []byte(`"q/job-`))
+			}
+		})
+		reported = append(reported, faults...)
+	}
+	if all := strings.Join(reported, "\n"); !strings.Contains(all, "ran_twice") {
 		t.Errorf("ran_twice was not reported; reported: %s", all)
 	}
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -13,9 +13,16 @@
 
 // PeerVersion is what this program understands of the others' messages and
 // records. Records that an earlier version would misread are written only once
-// every controller has said that it understands them. Version 1 understands
-// jobs that await others, and placement records that name their range of tasks.
-const PeerVersion = 1
+// every controller has said that it understands them.
+const PeerVersion = PeerVersionLists
+
+// PeerVersionRanges understands jobs that await others, and placement records
+// that name their range of tasks; PeerVersionLists also lists of awaited jobs
+// that are spread over records.
+const (
+	PeerVersionRanges = 1
+	PeerVersionLists  = 2
+)
 
 // Forward hands a worker's report to the leader as it came.
 type Forward struct {
