--- a/internal/core/await_lists.go
+++ b/internal/core/await_lists.go
@@ -233,7 +233,7 @@
 		}
 	}
 	if l.c.now >= l.clearListsAt {
-		l.clearListsAt = l.c.now + l.c.abandonedAfter()
+		l.clearListsAt = l.c.now + l.c.clearListsEvery()
 		l.findAbandoned("", nil)
 	}
 }
@@ -243,6 +243,10 @@
 // comes again.
 func (c *Core) abandonedAfter() time.Duration { return 4 * c.lease() }
 
+// clearListsEvery is the time between searches for such attempts. The first one
+// comes that long after a leader has begun, when it has nothing more urgent to do.
+func (c *Core) clearListsEvery() time.Duration { return 3 * c.abandonedAfter() }
+
 // attempt is what the state service holds of an attempt to submit a job with a
 // long list.
 type attempt struct {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -201,6 +201,7 @@
 func (l *leader) becomeReady() {
 	l.ready = true
 	l.loadedAt = l.c.now
+	l.clearListsAt = l.c.now + l.c.clearListsEvery()
 	for _, j := range slices.Clone(l.order) {
 		j.loaded = true
 		l.resolve(j)
