Play upgrades from two old versions, with chains and falling limits from the later

The version in production stays the last one without jobs that await others. A commit that the history lacks ends the test with what to do, which TestMissingHistory shows.

--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -242,33 +242,38 @@
 		t.Fatal(err)
 	}
 	w, faults := s.Run(nil)
-	for _, f := range faults {
+	for _, f := range append(faults, w.unfinished()...) {
 		t.Error(f)
 	}
+	if t.Failed() {
+		t.Log(text)
+	}
+}
+
+// unfinished tells what a random day has left undone.
+func (w *World) unfinished() (faults []string) {
+	add := func(format string, a ...any) { faults = append(faults, fmt.Sprintf(format, a...)) }
 	for _, id := range w.users.names() {
 		j := w.users.jobs[id]
-		if !j.accepted && j.refused == 0 && !j.hopeless {
-			t.Errorf("%s was never answered", id)
-		}
-		if len(w.jobs[id].Awaits) > 0 && j.refused != 0 {
-			t.Errorf("%s was refused with %d", id, j.refused)
-		}
 		service := w.jobs[id].Shape == wire.ShapeService
-		if j.accepted && j.final == "" && !service {
-			t.Errorf("%s is still %s", id, j.last.Status)
+		switch {
+		case !j.accepted && j.refused == 0 && !j.hopeless:
+			add("%s was never answered", id)
+		case j.accepted && j.final == "" && !service:
+			add("%s is still %s", id, j.last.Status)
+		case j.accepted && j.final == "" && w.running(id) != w.jobs[id].Tasks:
+			add("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks)
 		}
-		if j.accepted && j.final == "" && service && w.running(id) != w.jobs[id].Tasks {
-			t.Errorf("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks)
+		if len(w.jobs[id].Awaits) > 0 && j.refused != 0 {
+			add("%s was refused with %d", id, j.refused)
 		}
 	}
 	for id, job := range w.users.unsent {
 		if !w.users.lost(job) {
-			t.Errorf("%s still waits to be submitted", id)
+			add("%s still waits to be submitted", id)
 		}
 	}
-	if t.Failed() {
-		t.Log(text)
-	}
+	return faults
 }
 
 // TestCheckerCatches shows that the checker sees a broken core: each mutation
--- a/internal/sim/upgrade_test.go
+++ b/internal/sim/upgrade_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"encoding/gob"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -133,7 +135,7 @@
 	case *wire.PeerMessage:
 		x.Message = in
 	default:
-		c.t.Fatalf("the version in production takes no %T", in)
+		c.t.Fatalf("the old version takes no %T", in)
 	}
 	var got childOutput
 	err := c.enc.Encode(&x)
@@ -145,7 +147,7 @@
 	}
 	if err != nil {
 		c.end()
-		c.t.Fatalf("a controller of the version in production ended: %v\n%s", err, c.stderr.String())
+		c.t.Fatalf("a controller of the old version ended: %v\n%s", err, c.stderr.String())
 	}
 	var out core.Output
 	for _, a := range got.Answers {
@@ -166,59 +168,118 @@
 	return out
 }
 
-// buildProduction builds the driver with the core of the version that
-// deploy/service.toml names, from the repository's history.
-func buildProduction(t *testing.T) string {
+// chainsVersion is the last commit before upgrades from two versions were met.
+// It knows jobs that await others and the limits to come, and may run at the
+// operators' as well as the one that deploy/service.toml names: that one has to
+// stay the last without these, so that upgrades from it are played too.
+const chainsVersion = "b39e01dd13644fcdc220b403f4ac32c4cd433bbc"
+
+// version is one that is replaced by this one.
+type version struct {
+	name, commit string
+	chains       bool // it knows jobs that await others
+	program      string
+}
+
+// oldVersions builds the drivers of the versions that are replaced.
+func oldVersions(t *testing.T) []version {
 	t.Helper()
 	root, err := filepath.Abs("../..")
 	if err != nil {
 		t.Fatal(err)
 	}
+	production, err := productionCommit(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	versions := []version{{name: "production", commit: production}, {name: "chains", commit: chainsVersion, chains: true}}
+	dir := t.TempDir()
+	for i := range versions {
+		v := &versions[i]
+		if v.program, err = buildDriver(root, v.commit, filepath.Join(dir, v.name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return versions
+}
+
+// productionCommit is the version that deploy/service.toml names.
+func productionCommit(root string) (string, error) {
 	var service struct {
 		Production string `toml:"production"`
 	}
 	if _, err := toml.DecodeFile(filepath.Join(root, "deploy/service.toml"), &service); err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	if service.Production == "" {
-		t.Fatal("deploy/service.toml does not name the version in production")
-	}
-	run := func(dir, name string, args ...string) {
-		t.Helper()
-		cmd := exec.Command(name, args...)
-		cmd.Dir = dir
-		cmd.Env = append(os.Environ(), "GOPROXY=off", "GOWORK=off")
-		if out, err := cmd.CombinedOutput(); err != nil {
-			t.Fatalf("the version in production, commit %s, has to come from the repository's history: %s %s: %v\n%s",
-				service.Production, name, strings.Join(args, " "), err, out)
-		}
+		return "", errors.New("deploy/service.toml does not name the version in production")
+	}
+	return service.Production, nil
+}
+
+// buildDriver builds testdata/upgrade/driver.go.txt in dir with the core of a
+// commit from the history of the repository at root.
+func buildDriver(root, commit, dir string) (string, error) {
+	if _, err := runIn(root, "git", "cat-file", "-e", commit+"^{commit}"); err != nil {
+		return "", fmt.Errorf("commit %s is not in the repository's history, from which the old version is built: "+
+			"the full history is needed, in a shallow clone run `git fetch --unshallow` (%w)", commit, err)
 	}
-	dir := t.TempDir()
 	src := filepath.Join(dir, "src")
-	drive := filepath.Join(src, "cmd", "driver")
 	if err := os.MkdirAll(src, 0o755); err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	archive := filepath.Join(dir, "src.tar")
-	run(root, "git", "archive", "--format=tar", "--output="+archive, service.Production)
-	run(src, "tar", "-xf", archive)
-	driver, err := os.ReadFile("testdata/upgrade/driver.go.txt")
+	if _, err := runIn(root, "git", "archive", "--format=tar", "--output="+archive, commit); err != nil {
+		return "", err
+	}
+	if _, err := runIn(src, "tar", "-xf", archive); err != nil {
+		return "", err
+	}
+	source, err := os.ReadFile("testdata/upgrade/driver.go.txt")
 	if err != nil {
-		t.Fatal(err)
+		return "", err
 	}
+	drive := filepath.Join(src, "cmd", "driver")
 	if err := os.MkdirAll(drive, 0o755); err != nil {
-		t.Fatal(err)
+		return "", err
 	}
-	if err := os.WriteFile(filepath.Join(drive, "main.go"), driver, 0o644); err != nil {
-		t.Fatal(err)
+	if err := os.WriteFile(filepath.Join(drive, "main.go"), source, 0o644); err != nil {
+		return "", err
 	}
 	program := filepath.Join(dir, "driver")
-	run(src, "go", "build", "-trimpath", "-buildvcs=false", "-o", program, "./cmd/driver")
-	return program
+	_, err = runIn(src, "go", "build", "-trimpath", "-buildvcs=false", "-o", program, "./cmd/driver")
+	return program, err
+}
+
+// runIn runs a command in a directory and tells of its output if it fails.
+func runIn(dir, name string, args ...string) ([]byte, error) {
+	cmd := exec.Command(name, args...)
+	cmd.Dir = dir
+	cmd.Env = append(os.Environ(), "GOPROXY=off", "GOWORK=off")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w: %s", name, strings.Join(args, " "), err, bytes.TrimSpace(out))
+	}
+	return out, nil
+}
+
+// TestMissingHistory asks for a commit that the history lacks, as a shallow
+// clone lacks the old versions: the error tells what to do.
+func TestMissingHistory(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	missing := strings.Repeat("0123456789", 4)
+	_, err = buildDriver(root, missing, t.TempDir())
+	for _, part := range []string{missing, "full history is needed", "git fetch --unshallow"} {
+		if err == nil || !strings.Contains(err.Error(), part) {
+			t.Errorf("the error does not say %q: %v", part, err)
+		}
+	}
 }
 
-// upgrade is a day on which every controller begins with the version in
-// production.
+// upgrade is a day on which every controller begins with an old version.
 type upgrade struct {
 	t        *testing.T
 	w        *World
@@ -226,17 +287,77 @@
 	upgraded map[string]bool
 	children map[string]*child
 	leaders  []string // "old NAME" and "new NAME", as they followed each other
+
+	// visits counts how often the requests about a worker or a job came to
+	// another version than the one before.
+	visits map[string]*visits
+}
+
+// visits tells which version a worker's or a user's last request came to.
+type visits struct {
+	new   bool
+	turns int
+}
+
+// recorder notes whose requests a core takes.
+type recorder struct {
+	stepper
+	u   *upgrade
+	new bool
+}
+
+func (r *recorder) Step(now time.Duration, wall time.Time, in any) core.Output {
+	if q, ok := in.(core.Request); ok {
+		r.u.visit(q, r.new)
+	}
+	return r.stepper.Step(now, wall, in)
+}
+
+// visit notes that a request about a worker or a job came to a version.
+func (u *upgrade) visit(q core.Request, newVersion bool) {
+	who := strings.TrimPrefix(q.Path, "/submissions/")
+	if q.Path == "/checkin" {
+		var r wire.Report
+		if json.Unmarshal(q.Body, &r) != nil {
+			return
+		}
+		who = r.Machine
+	}
+	switch v := u.visits[who]; {
+	case v == nil:
+		u.visits[who] = &visits{new: newVersion}
+	case v.new != newVersion:
+		v.new = newVersion
+		v.turns++
+	}
+}
+
+// mostTurns is the largest number of turns of any worker or, with "job-", user.
+func (u *upgrade) mostTurns(prefix string) int {
+	most := 0
+	for who, v := range u.visits {
+		if strings.HasPrefix(who, prefix) {
+			most = max(most, v.turns)
+		}
+	}
+	return most
+}
+
+// runsNew tells whether a node runs this version.
+func (n *node) runsNew() bool {
+	r, ok := n.core.(*recorder)
+	return ok && r.new
 }
 
 // newCore makes the core of a node that boots: a new process each time.
 func (u *upgrade) newCore(n *node, boot uint64) stepper {
 	u.endChild(n.name)
 	if u.upgraded[n.name] {
-		return core.New(n.settings(), nil, boot, u.w.log.With("node", n.name))
+		return &recorder{core.New(n.settings(), nil, boot, u.w.log.With("node", n.name)), u, true}
 	}
 	c := startChild(u.t, u.program, n, boot)
 	u.children[n.name] = c
-	return c
+	return &recorder{c, u, false}
 }
 
 func (u *upgrade) endChild(name string) {
@@ -276,7 +397,7 @@
 func (u *upgrade) watch() {
 	if n := u.w.leader(); n != nil {
 		who := "old " + n.name
-		if _, ok := n.core.(*core.Core); ok {
+		if n.runsNew() {
 			who = "new " + n.name
 		}
 		if k := len(u.leaders); n.alive && (k == 0 || u.leaders[k-1] != who) {
@@ -286,20 +407,39 @@
 	u.w.after(200*time.Millisecond, u.watch)
 }
 
-// ledBy tells whether versions led in this order, others between them or not.
+// ledBy tells whether versions, or controllers with them ("old:node-0"), led in
+// this order, others between them or not.
 func (u *upgrade) ledBy(versions []string) bool {
 	for _, l := range u.leaders {
-		if len(versions) > 0 && strings.HasPrefix(l, versions[0]) {
+		if len(versions) > 0 && strings.HasPrefix(l, strings.Replace(versions[0], ":", " ", 1)) {
 			versions = versions[1:]
 		}
 	}
 	return len(versions) == 0
 }
 
-// playUpgrade plays a scenario with two lines more than others have:
+// judge tells what a line expects of the upgrade and did not find.
+func (u *upgrade) judge(l line) string {
+	switch l.arg(0) {
+	case "leaders":
+		if !u.ledBy(l.args[1:]) {
+			return fmt.Sprintf("line %d: leaders were %v", l.no, u.leaders)
+		}
+	case "turns":
+		for what, prefix := range map[string]string{"worker": "n-", "user": "job-"} {
+			if got, least := u.mostTurns(prefix), int(l.num(what, 0)); got < least {
+				return fmt.Sprintf("line %d: no %s changed versions more than %d times", l.no, what, got)
+			}
+		}
+	}
+	return ""
+}
+
+// playUpgrade plays a scenario with three lines more than others have:
 //
 //	at T upgrade WHO for=    the controller is killed and comes back with this version; 3 s unless said
 //	expect leaders old|new...    versions that led, in this order
+//	expect turns worker= user=    so often one of them, at least, came to the other version than before
 func playUpgrade(t *testing.T, program string, s *Scenario, mutate func(*node, *core.Output)) (w *World, faults []string) {
 	var acts, upgrades, expect, order []line
 	for _, l := range s.acts {
@@ -310,7 +450,7 @@
 		}
 	}
 	for _, l := range s.expect {
-		if l.arg(0) == "leaders" {
+		if l.arg(0) == "leaders" || l.arg(0) == "turns" {
 			order = append(order, l)
 		} else {
 			expect = append(expect, l)
@@ -323,7 +463,7 @@
 		log = slog.New(slog.DiscardHandler)
 	}
 	w = day.world(log)
-	u := &upgrade{t: t, w: w, program: program, upgraded: map[string]bool{}, children: map[string]*child{}}
+	u := &upgrade{t: t, w: w, program: program, upgraded: map[string]bool{}, children: map[string]*child{}, visits: map[string]*visits{}}
 	w.newCore, w.mutate = u.newCore, mutate
 	defer func() {
 		for name := range u.children {
@@ -337,12 +477,12 @@
 	w.after(0, u.watch)
 	faults = day.finish(w)
 	for _, l := range order {
-		if !u.ledBy(l.args[1:]) {
-			faults = append(faults, fmt.Sprintf("line %d: leaders were %v", l.no, u.leaders))
+		if why := u.judge(l); why != "" {
+			faults = append(faults, why)
 		}
 	}
 	for _, n := range w.nodes {
-		if _, ok := n.core.(*core.Core); !ok || !n.alive {
+		if !n.runsNew() || !n.alive {
 			faults = append(faults, n.name+" does not run this version at the end")
 		}
 	}
@@ -353,11 +493,30 @@
 // 32 and 16 tasks.
 var valueKB = []float64{16, 4, 2}
 
-// TestUpgrade plays days on which the version in production, built from the
-// repository's history, is replaced by this one while jobs run.
+// TestUpgrade plays days on which an old version, built from the repository's
+// history, is replaced by this one while jobs run: the version in production,
+// and the one after it that knows jobs that await others.
 func TestUpgrade(t *testing.T) {
-	program := buildProduction(t)
-	data, err := os.ReadFile("testdata/upgrade/upgrade.txtar")
+	for _, v := range oldVersions(t) {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			playUpgradeFile(t, v, "testdata/upgrade/upgrade.txtar")
+			playUpgradeDays(t, v, "troubles meet", 9, meetings)
+			t.Run("placements an old leader does not find", func(t *testing.T) {
+				t.Parallel()
+				testUpgradeCatches(t, v.program)
+			})
+			if v.chains {
+				playUpgradeFile(t, v, "testdata/upgrade/chains.txtar")
+				playUpgradeDays(t, v, "chains meet troubles", 12, pipelines)
+			}
+		})
+	}
+}
+
+// playUpgradeFile plays the scenarios of a file.
+func playUpgradeFile(t *testing.T, v version, file string) {
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -370,28 +529,28 @@
 			}
 			for first := s.seed; s.seed < first+uint64(s.seeds); s.seed++ {
 				s.cfg.Deployment.State.ValueKB = valueKB[(s.seed-first)%3]
-				_, faults := playUpgrade(t, program, s, nil)
+				_, faults := playUpgrade(t, v.program, s, nil)
 				for _, fault := range faults {
 					t.Errorf("seed %d: %s", s.seed, fault)
 				}
 			}
 		})
 	}
-	t.Run("placements an old leader does not find", func(t *testing.T) {
-		t.Parallel()
-		testUpgradeCatches(t, program)
-	})
-	for seed := uint64(1); seed <= uint64(soakDays(6)); seed++ {
-		t.Run(fmt.Sprintf("troubles meet/%d", seed), func(t *testing.T) {
+}
+
+// playUpgradeDays plays random days in the middle of an upgrade.
+func playUpgradeDays(t *testing.T, v version, name string, days int, day func(seed uint64) string) {
+	for seed := uint64(1); seed <= uint64(soakDays(days)); seed++ {
+		t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 			t.Parallel()
-			text := meetings(seed) + upgrades(seed)
+			text := day(seed) + upgrades(seed)
 			s, err := ParseScenario(text)
 			if err != nil {
 				t.Fatal(err)
 			}
 			s.cfg.Deployment.State.ValueKB = valueKB[seed%3]
-			w, faults := playUpgrade(t, program, s, nil)
-			for _, fault := range append(faults, unfinished(w)...) {
+			w, faults := playUpgrade(t, v.program, s, nil)
+			for _, fault := range append(faults, w.unfinished()...) {
 				t.Error(fault)
 			}
 			if t.Failed() {
@@ -425,7 +584,7 @@
 		t.Error("without the fault: " + f)
 	}
 	_, faults = playUpgrade(t, program, s, func(n *node, out *core.Output) {
-		if _, ok := n.core.(*core.Core); !ok {
+		if !n.runsNew() {
 			return
 		}
 		for i := range out.Calls {
@@ -458,20 +617,3 @@
 	}
 	return b.String()
 }
-
-// unfinished tells what a random day has left undone.
-func unfinished(w *World) (faults []string) {
-	for _, id := range w.users.names() {
-		j := w.users.jobs[id]
-		service := w.jobs[id].Shape == wire.ShapeService
-		switch {
-		case !j.accepted && j.refused == 0 && !j.hopeless:
-			faults = append(faults, id+" was never answered")
-		case j.accepted && j.final == "" && !service:
-			faults = append(faults, id+" is still "+j.last.Status)
-		case j.accepted && j.final == "" && w.running(id) != w.jobs[id].Tasks:
-			faults = append(faults, fmt.Sprintf("%s: %d of %d replicas run", id, w.running(id), w.jobs[id].Tasks))
-		}
-	}
-	return faults
-}
