Hold records, transactions and messages as both old versions write them

Fixtures come from the old versions' own code: one transaction of each kind, an open record with every field, a stream of peer messages with the version that the later one says. Keys, JSON names, and the names that gob sends have to stay when identifiers of the program change; a renamed field or tag fails the tests even if their own types are renamed with it.

--- a/internal/core/compat_test.go
+++ b/internal/core/compat_test.go
@@ -1,18 +1,23 @@
 package core
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
 
 // During an upgrade controllers of two versions share the records of the state
 // service. The types below are frozen copies of those of the version in
-// production: what this version writes must lose nothing that they know.
+// production: what this version writes must lose nothing that they know. Those
+// that begin with "later" are of the later version that may run as well.
 
 type productionJob struct {
 	ID          string   `json:"nameId"`
@@ -86,6 +91,21 @@
 	Types []productionMachineType `json:"hulls"`
 }
 
+type laterJob struct {
+	productionJob
+	Awaits []string `json:"awaits,omitempty"`
+}
+
+type laterOpen struct {
+	Job         laterJob `json:"j"`
+	At          int64    `json:"at"`
+	Cancelled   bool     `json:"c,omitempty"`
+	AskedAt     int64    `json:"ak,omitempty"`
+	CancelledAt int64    `json:"ca,omitempty"`
+	Needed      bool     `json:"nd,omitempty"`
+	ReadyAt     int64    `json:"ra,omitempty"`
+}
+
 func firstInts(n int) []int {
 	var out []int
 	for i := range n {
@@ -165,10 +185,145 @@
 	}
 }
 
+// TestLaterRecord reads an open record in which the later version has set every
+// field, and has both old layouts read what this version makes of it.
+func TestLaterRecord(t *testing.T) {
+	data, err := os.ReadFile("testdata/chains/open_every_field.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	due := 1234.5
+	want := openRecord{Job: wire.Job{ID: "job-000007", Class: "train", Team: "vision", Shape: "group",
+		Priority: "urgent", Tasks: 4, CPUs: 6.5, GPUs: 2, MemGB: 48, Image: "img-7", ImageGB: 12.25,
+		Types: []string{"big", "small"}, Zone: "east", OneZone: true, Spread: true, Spot: true, EstimateS: 600,
+		CheckpointS: 30, SaveS: 4.5, DeadlineS: &due, Awaits: []string{"job-000005", "job-000006"}}, At: 1764640000123,
+		Cancelled: true, AskedAt: 1764640000124, CancelledAt: 1764640000125, Needed: true, ReadyAt: 1764640000126}
+	var got openRecord
+	if err := json.Unmarshal(data, &got); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("read as %+v, want %+v", got, want)
+	}
+	for _, layout := range []func() any{func() any { return &laterOpen{} }, func() any { return &productionOpen{} }} {
+		before, after := layout(), layout()
+		if json.Unmarshal(data, before) != nil || json.Unmarshal(encode(got), after) != nil {
+			t.Fatalf("%T cannot be read", before)
+		}
+		if !reflect.DeepEqual(before, after) {
+			t.Errorf("%T is %+v, of what this version writes %+v", before, before, after)
+		}
+	}
+	sameJSON(t, data, encode(got))
+}
+
+// sameJSON requires that this version writes what an old one wrote, name by name.
+func sameJSON(t *testing.T, old, present []byte) {
+	t.Helper()
+	var a, b any
+	if json.Unmarshal(old, &a) != nil || json.Unmarshal(present, &b) != nil {
+		t.Fatalf("no JSON: %s, %s", old, present)
+	}
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("an old version wrote\n%s\nthis one makes of it\n%s", old, present)
+	}
+}
+
+// kindOf names the kind of a key's record by the names that this version knows,
+// and makes an empty value of it.
+func kindOf(key string) (string, any) {
+	c := &Core{cfg: &config.Settings{}}
+	_, from, to, numbered, isPlace := c.rangeOf(key)
+	switch {
+	case key == keyLeader:
+		return "leader", &leaderValue{}
+	case key == keyTerm:
+		return "term", new(uint64)
+	case key == keyTypes:
+		return "types", &wire.MachineTypes{}
+	case strings.HasPrefix(key, prefixOpen):
+		return "open", &openRecord{}
+	case strings.HasPrefix(key, prefixFinal):
+		return "final", &finalRecord{}
+	case strings.HasPrefix(key, prefixPlace) && isPlace && numbered:
+		return "numbered", &placeRecord{}
+	case strings.HasPrefix(key, prefixPlace) && isPlace && rangeKey("job-000001", from, to)[len("p/job-000001"):] == key[len("p/job-000001"):]:
+		return "range", &placeRecord{}
+	}
+	return "", nil
+}
+
+// TestOldTransactions takes apart the transactions that the cores of old versions
+// sent, one of each kind: this version knows every key and would write the same.
+func TestOldTransactions(t *testing.T) {
+	for dir, kinds := range map[string][]string{
+		"production": {"final", "leader", "numbered", "open", "term", "types"},
+		"chains":     {"final", "leader", "numbered", "open", "range", "term", "types"},
+	} {
+		data, err := os.ReadFile("testdata/" + dir + "/transactions.jsonl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := map[string]bool{}
+		for _, line := range bytes.Split(bytes.TrimSpace(data), []byte("\n")) {
+			var txn wire.Txn
+			if err := json.Unmarshal(line, &txn); err != nil {
+				t.Fatal(err)
+			}
+			for i, w := range txn.Writes {
+				kind, value := kindOf(w.Put + w.Delete)
+				if kind == "" {
+					t.Fatalf("%s: unknown key %q", dir, w.Put+w.Delete)
+				}
+				if w.Delete != "" {
+					continue
+				}
+				seen[kind] = true
+				if err := json.Unmarshal(w.Value, value); err != nil {
+					t.Fatalf("%s: %s: %v", dir, w.Put, err)
+				}
+				txn.Writes[i].Value = encode(value)
+				if (w.Lease != 0) != (kind == "leader") {
+					t.Errorf("%s: %s has lease %d", dir, w.Put, w.Lease)
+				}
+			}
+			for _, cond := range txn.If {
+				if kind, _ := kindOf(cond.Key); kind == "" {
+					t.Errorf("%s: unknown key %q", dir, cond.Key)
+				}
+			}
+			sameJSON(t, line, encode(txn))
+		}
+		if got := sortedKeys(seen); !slices.Equal(got, kinds) {
+			t.Errorf("%s: records of the kinds %q, want %q", dir, got, kinds)
+		}
+	}
+}
+
+// TestOldElection reads the transaction by which an old version came to lead,
+// whose key is bound to a lease, and writes it again.
+func TestOldElection(t *testing.T) {
+	want := wire.Txn{If: []wire.Cond{{Key: keyLeader}, {Key: keyTerm, Version: 101}}, Writes: []wire.Write{
+		{Put: keyLeader, Value: encode(leaderValue{"node-1", 2}), Lease: 2}, {Put: keyTerm, Value: encode(2)}}}
+	for _, dir := range []string{"production", "chains"} {
+		data, err := os.ReadFile("testdata/" + dir + "/transactions.jsonl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, _, _ := bytes.Cut(data, []byte("\n"))
+		if got := encode(want); !bytes.Equal(got, first) {
+			t.Errorf("%s wrote\n%s\nthis version writes\n%s", dir, first, got)
+		}
+	}
+	if got := string(encode(wire.GrantRequest{TTLMs: 2000})); got != `{"ttlMs":2000}` {
+		t.Errorf("a lease is asked for by %s", got)
+	}
+}
+
 // TestProductionKeys holds the keys under which both versions look for records.
 func TestProductionKeys(t *testing.T) {
-	for got, want := range map[string]string{keyLeader: "leader", keyTerm: "term", prefixOpen + "job-000001": "o/job-000001",
-		prefixFinal + "job-000001": "f/job-000001", numberedKey("job-000001", 1): "p/job-000001/1"} {
+	for got, want := range map[string]string{keyLeader: "leader", keyTerm: "term", keyTypes: "types", prefixOpen + "job-000001": "o/job-000001",
+		prefixFinal + "job-000001": "f/job-000001", numberedKey("job-000001", 1): "p/job-000001/1", rangeKey("job-000001", 12, 24): "p/job-000001/12-24"} {
 		if got != want {
 			t.Errorf("key %q, want %q", got, want)
 		}
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -17,6 +17,8 @@
 	keyTerm   = "term"
 )
 
+// leaderValue is the value of the key of the leader. Versions share the records:
+// keys and JSON names never change, see compat_test.go.
 type leaderValue struct {
 	Name string `json:"name"`
 	Term uint64 `json:"term"`
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -33,6 +33,8 @@
 	busy     bool
 }
 
+// placeRecord is the value of a placement record. Versions share the records:
+// keys and JSON names never change, see compat_test.go.
 type placeRecord struct {
 	Next  uint64       `json:"n"`
 	Done  []int        `json:"d,omitempty"`
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -17,8 +17,12 @@
 	prefixOpen  = "o/"
 	prefixFinal = "f/"
 	prefixPlace = "p/"
+	// keyTypes is not of a job: it holds the machine types last seen.
+	keyTypes = "types"
 )
 
+// openRecord is the value of an open job's record. Versions share the records:
+// keys and JSON names never change, see compat_test.go.
 type openRecord struct {
 	Job       wire.Job `json:"j"`
 	At        int64    `json:"at"` // ms, time of day of the submission
@@ -39,6 +43,7 @@
 // told tells whether the user may have been told that the job is cancelled.
 func (r *openRecord) told() bool { return r.Cancelled && (r.CancelledAt != 0 || r.AskedAt == 0) }
 
+// finalRecord is the value of an ended job's record, which is never changed.
 type finalRecord struct {
 	Status string `json:"s"`
 	Tasks  int    `json:"n"`
--- a/wire/compat_test.go
+++ b/wire/compat_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"os"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/brookwalk/brookwalk/wire"
@@ -15,6 +17,8 @@
 // During an upgrade controllers of two versions send each other messages. The
 // types below are frozen copies of those of the version in production (commit
 // 1fdb220); testdata/production.gob is what one of its links sent.
+// testdata/chains.gob is the same of the later version that may run as well
+// (commit b39e01d), whose digests have one field more; see LaterMessage.
 
 type PeerMessage struct {
 	From    string
@@ -107,6 +111,59 @@
 	{From: "node-2", Digest: &Digest{Term: 8, Boot: 9, Clock: 10}},
 }
 
+// LaterMessage is a PeerMessage of the later version.
+type LaterMessage struct {
+	From    string
+	Forward *Forward
+	Reply   *Reply
+	Digest  *LaterDigest
+	Ends    *Ends
+}
+
+// LaterDigest is the frozen copy of the later version's Digest.
+type LaterDigest struct {
+	Version        int
+	Term           uint64
+	Leader         bool
+	HearsLeader    bool
+	StoreOK        bool
+	HasJobs        bool
+	Jobs           []JobCount
+	More           bool
+	Boot, EchoBoot uint64
+	Clock, Echo    int64
+	Kept           []Kept
+	Cancelled      []Cancelled
+}
+
+// versioned are the messages of testdata/chains.gob in this version's types.
+func versioned() []wire.PeerMessage {
+	out := slices.Clone(present)
+	for i := range out {
+		if out[i].Digest != nil {
+			d := *out[i].Digest
+			d.Version = 1
+			out[i].Digest = &d
+		}
+	}
+	return out
+}
+
+// later are the same in the types of the later version.
+func later() []LaterMessage {
+	var out []LaterMessage
+	for _, m := range frozen {
+		x := LaterMessage{From: m.From, Forward: m.Forward, Reply: m.Reply, Ends: m.Ends}
+		if d := m.Digest; d != nil {
+			x.Digest = &LaterDigest{Version: 1, Term: d.Term, Leader: d.Leader, HearsLeader: d.HearsLeader, StoreOK: d.StoreOK,
+				HasJobs: d.HasJobs, Jobs: d.Jobs, More: d.More, Boot: d.Boot, EchoBoot: d.EchoBoot, Clock: d.Clock,
+				Echo: d.Echo, Kept: d.Kept, Cancelled: d.Cancelled}
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
 // encode writes messages as a link does: one gob stream, each value behind a
 // four-byte length.
 func encode[M any](t *testing.T, msgs []M) []byte {
@@ -161,3 +218,58 @@
 		}
 	}
 }
+
+func TestLaterMessages(t *testing.T) {
+	data, err := os.ReadFile("testdata/chains.gob")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, stream := range map[string][]byte{"chains": data, "present": encode(t, versioned()), "later": encode(t, later())} {
+		if got := decode[wire.PeerMessage](t, stream); !reflect.DeepEqual(got, versioned()) {
+			t.Errorf("this version reads of %s %+v, want %+v", name, got, versioned())
+		}
+		if got := decode[LaterMessage](t, stream); !reflect.DeepEqual(got, later()) {
+			t.Errorf("the later version reads of %s %+v, want %+v", name, got, later())
+		}
+		// It may lead a controller of the version in production as well.
+		if got := decode[PeerMessage](t, stream); !reflect.DeepEqual(got, frozen) {
+			t.Errorf("the version in production reads of %s %+v, want %+v", name, got, frozen)
+		}
+	}
+}
+
+// TestGobNames holds the names that cross the links: gob sends those of types
+// and fields, and drops without a word what the receiver's type does not have.
+func TestGobNames(t *testing.T) {
+	for _, tc := range []struct {
+		of   any
+		want string
+	}{
+		{wire.PeerMessage{}, "PeerMessage: From string, Forward *Forward, Reply *Reply, Digest *Digest, Ends *Ends"},
+		{wire.Forward{}, "Forward: ID uint64, Body []uint8"},
+		{wire.Reply{}, "Reply: ID uint64, Status int, Body []uint8"},
+		{wire.Digest{}, "Digest: Version int, Term uint64, Leader bool, HearsLeader bool, StoreOK bool, HasJobs bool, " +
+			"Jobs []JobCount, More bool, Boot uint64, EchoBoot uint64, Clock int64, Echo int64, Kept []Kept, Cancelled []Cancelled"},
+		{wire.Ends{}, "Ends: Over []JobEnd, Gone []string, TermVersion uint64, Held []string"},
+		{wire.JobEnd{}, "JobEnd: ID string, Status string, Tasks int"},
+		{wire.Kept{}, "Kept: Machine string, AgeMS int64"},
+		{wire.Cancelled{}, "Cancelled: ID string, Version uint64"},
+		{wire.JobCount{}, "JobCount: ID string, Done int, Running int"},
+	} {
+		typ := reflect.TypeOf(tc.of)
+		name, fields, _ := strings.Cut(tc.want, ": ")
+		if typ.Name() != name {
+			t.Errorf("type %s, want %s", typ.Name(), name)
+		}
+		var got []string
+		for i := range typ.NumField() {
+			f := typ.Field(i)
+			got = append(got, f.Name+" "+strings.ReplaceAll(f.Type.String(), "wire.", ""))
+		}
+		for _, field := range strings.Split(fields, ", ") {
+			if !slices.Contains(got, field) {
+				t.Errorf("%s has no field %q; it has %q", name, field, got)
+			}
+		}
+	}
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -1,5 +1,10 @@
 package wire
 
+// Controllers of two versions exchange these messages during an upgrade. Gob
+// sends the names of types and fields and drops what the receiver's type lacks:
+// those of the types below never change; fields may be added. compat_test.go
+// holds them.
+
 // PeerMessage is what one controller sends another: a stream of gob values,
 // each behind a four-byte length, over one connection per direction. Exactly
 // one of the pointers is set.
--- a/wire/store.go
+++ b/wire/store.go
@@ -2,6 +2,9 @@
 
 import "encoding/json"
 
+// The JSON names below are the state service's, see compat_test.go of
+// internal/core: they never change when a field is renamed.
+
 // Item is a key of the state service with its value.
 type Item struct {
 	Key     string          `json:"k"`
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -54,7 +54,9 @@
 	VerbForget = "reap"
 )
 
-// Job is a submission, valid and complete.
+// Job is a submission, valid and complete. It is part of the records that
+// versions share in the state service: its JSON names never change when a field
+// is renamed, see compat_test.go of internal/core.
 type Job struct {
 	ID          string   `json:"nameId"`
 	Class       string   `json:"jobclass"`
