Forward reports to an old leader with the present attempts first

A new controller puts the newest attempt first in reports that list a task twice, for a leader that has not said that it knows better: no row is left out and rows have no order by the protocol. Reports that reach an old leader by itself or another old controller, and direct answers of workers, are not helped.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/brookwalk/brookwalk/wire"
@@ -79,8 +82,37 @@
 		c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: status, Body: out})
 	case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
 		f.sentTo = c.elect.leader
-		c.send(f.sentTo, &wire.PeerMessage{Forward: &wire.Forward{ID: id, Body: f.body}})
+		body := f.body
+		if p := c.peers[f.sentTo]; p == nil || p.version == 0 {
+			body = presentFirst(body)
+		}
+		c.send(f.sentTo, &wire.PeerMessage{Forward: &wire.Forward{ID: id, Body: body}})
+	}
+}
+
+// presentFirst puts the rows of a report that lists a task twice in order, the
+// newest attempt at a task first. A leader of a version before PeerVersion 1
+// takes the first row of a task for its present attempt: with an ended earlier
+// one before it, a running task passed for vanished and ran twice. Such a leader
+// sorts the rows by task, which leaves those that are in order as they are. No
+// row is left out, and the protocol gives rows no order; a report that lists no
+// task twice goes on as it came.
+func presentFirst(body []byte) []byte {
+	r, ok := decodeReport(body)
+	if !ok {
+		return body
+	}
+	seen := make(map[string]bool, len(r.Tasks))
+	for _, t := range r.Tasks {
+		seen[t.Task] = true
+	}
+	if len(seen) == len(r.Tasks) {
+		return body
 	}
+	slices.SortFunc(r.Tasks, func(a, b wire.Task) int {
+		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(b.Attempt, a.Attempt))
+	})
+	return encode(r)
 }
 
 func (c *Core) forwardIDs() []uint64 {
--- a/internal/sim/upgrade_test.go
+++ b/internal/sim/upgrade_test.go
@@ -506,6 +506,10 @@
 				t.Parallel()
 				testUpgradeCatches(t, v.program)
 			})
+			t.Run("attempts that have ended beside the present ones", func(t *testing.T) {
+				t.Parallel()
+				testOldLeaderFindsPresent(t, v.program)
+			})
 			if v.chains {
 				playUpgradeFile(t, v, "testdata/upgrade/chains.txtar")
 				playUpgradeDays(t, v, "chains meet troubles", 12, pipelines)
@@ -596,6 +600,60 @@
 	}
 }
 
+// testOldLeaderFindsPresent has workers that report to a new controller list ended
+// attempts beside the present ones while the version in production leads, which
+// takes the first one listed for the present one: the new controller puts that one
+// first, else tasks that run are taken for vanished and start again.
+func testOldLeaderFindsPresent(t *testing.T, program string) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		s, err := ParseScenario(`
+team t
+type small cpus=8 mem=32 boot=10 zones=north
+at 1 submit job-000001 tasks=32 run=90 image_gb=0
+at 3 upgrade node-1
+at 120 upgrade node-2
+at 125 upgrade node-0
+until 150
+expect job-000001 done
+expect starts most=32
+expect leaders old:node-0 new
+`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.seed = seed
+		listed := 0
+		_, faults := playUpgrade(t, program, s, func(n *node, _ *core.Output) {
+			if listed == 0 && n.w.now > 50*time.Second {
+				listed = n.w.listEarlier()
+			}
+		})
+		if listed != 32 {
+			t.Errorf("seed %d: %d tasks have an earlier attempt beside them, want 32", seed, listed)
+		}
+		for _, f := range faults {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+	}
+}
+
+// listEarlier has the workers list an ended earlier attempt at every task that
+// runs, until they are told to forget it.
+func (w *World) listEarlier() (listed int) {
+	for _, name := range w.cloud.names() {
+		m := w.cloud.machines[name]
+		for _, t := range m.sorted() {
+			if t.state == wire.TaskRunning {
+				earlier := *t
+				earlier.attempt, earlier.state, earlier.cause, earlier.on = 0, wire.TaskExited, wire.CauseStopped, false
+				m.tasks[endedKey(t.name, 0)] = &earlier
+				listed++
+			}
+		}
+	}
+	return listed
+}
+
 // upgrades writes the upgrade of a random day.
 func upgrades(seed uint64) string {
 	r := rand.New(rand.NewPCG(seed, 13))
