--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -27,7 +27,6 @@
 	early     bool          // submitted without waiting for those that it names
 	known     time.Duration // was told that it is accepted
 	refused   int
-	told      string // last status
 	final     string
 	asked     time.Duration // to cancel
 	cancelled time.Duration // was told so
