--- /dev/null
+++ b/internal/core/imagecache.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"math"
+)
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// hasImage tells whether a machine is believed to hold an image.
+func (m *machine) hasImage(name string) bool {
+	for _, i := range m.images {
+		if i.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// useImage notes that a machine holds an image, and which older ones its
+// cache must have dropped for it.
+func (l *leader) useImage(m *machine, name string, gb float64) {
+	kept := []image{{name, gb}}
+	sum := gb
+	limit := math.Inf(1)
+	if t := l.c.types[m.typ]; t != nil && t.CacheGB > 0 {
+		limit = t.CacheGB
+	}
+	for _, i := range m.images {
+		if i.name == name {
+			continue
+		}
+		if sum += i.gb; sum > limit {
+			break
+		}
+		kept = append(kept, i)
+	}
+	m.images = kept
+}
--- /dev/null
+++ b/internal/core/inventory.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// list reads the cloud's list, for machines that came or went unnoticed.
+func (l *leader) list() {
+	f := &l.fleet
+	if f.listBusy || l.c.now < f.listNext {
+		return
+	}
+	f.listBusy = true
+	f.listSeen = map[string]bool{}
+	l.listPage("")
+}
+
+func (l *leader) listPage(after string) {
+	f := &l.fleet
+	path := "/machines?limit=500"
+	if after != "" {
+		path += "&since=" + after
+	}
+	l.c.call(Call{Dest: DestCloud, Method: "GET", Path: path, Timeout: 4 * time.Second}, func(r Result) {
+		if l.gone {
+			return
+		}
+		p, ok := parseList(r.Body)
+		if r.Status != 200 || !ok {
+			f.listBusy = false
+			f.listNext = l.c.now + time.Second
+			return
+		}
+		for i := range p.Machines {
+			row := &p.Machines[i]
+			after = row.Name
+			f.listSeen[row.Name] = true
+			l.noteListed(row)
+		}
+		if p.More && len(p.Machines) > 0 {
+			l.listPage(after)
+			return
+		}
+		f.listBusy = false
+		f.listNext = l.c.now + 2*time.Second
+		lag := 3 * time.Duration(l.c.cfg.Deployment.Cloud.ListLagS*float64(time.Second))
+		for _, m := range l.byName {
+			if f.listSeen[m.name] {
+				m.listedAt = l.c.now
+				continue
+			}
+			// A machine stays listed until it is gone, but lists may be old.
+			// Its absence proves nothing, so the return makes it certain.
+			// One that only the records know was there before this leader: an
+			// earlier one may have returned it when it could not record the ends
+			// of its tasks. Taken for cut off, it held up those for minutes.
+			listed := m.listedAt
+			if listed == 0 && m.heard == 0 && len(m.placed) > 0 {
+				listed = l.loadedAt
+			}
+			if listed != 0 && l.c.now-listed > lag && l.c.now-m.heard > 3*l.c.report() && !m.returning {
+				l.giveBack(m, "no longer listed")
+			}
+		}
+	})
+}
+
+func (l *leader) noteListed(row *wire.Machine) {
+	if at, ok := l.returned[row.Name]; ok {
+		// Listed long after its return was confirmed: return it again.
+		if l.c.now-at > 4*time.Duration(l.c.cfg.Deployment.Cloud.ListLagS*float64(time.Second)) {
+			l.returned[row.Name] = l.c.now
+			l.fleet.returns[row.Name] = true
+		}
+		return
+	}
+	m := l.machines[row.Name]
+	if m == nil {
+		m = l.machine(row.Name)
+		m.createdAt = l.c.now - time.Duration(row.AgeS*float64(time.Second))
+		l.c.log.Info("machine listed", "machine", row.Name, "type", row.Type, "zone", row.Zone, "status", row.Status)
+	}
+	if !m.known {
+		l.describe(m, row.Addr, row.Type, row.Zone, row.Spot)
+	} else if m.addr == "" {
+		m.addr = row.Addr
+	}
+	m.listedAs = row.Status
+}
