--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/brookwalk/brookwalk/wire"
 )
 
 // fleet is what the leader keeps of its dealings with the cloud.
@@ -63,70 +61,3 @@
 	}
 	return (l.c.now - m.createdAt).Seconds() / t.BootS
 }
-
-// drainLeaving moves work off a machine that the cloud is about to take, in
-// time for the slowest save.
-func (l *leader) drainLeaving(m *machine) {
-	if m.leaving == 0 && !m.evict || len(m.placed) == 0 {
-		return
-	}
-	for _, p := range m.placed {
-		if t := p.task(); t.m != m || t.stop != nil {
-			continue
-		}
-		grace := 0.0
-		if p.j.CheckpointS > 0 {
-			grace = p.j.SaveS
-		}
-		if p.j.Shape == wire.ShapeGang {
-			// All of a gang has to be told together to save.
-			for i := range p.j.tasks {
-				if p.j.tasks[i].m != nil {
-					l.stopTask(p.j, i, grace, "machine leaves")
-				}
-			}
-			continue
-		}
-		l.stopTask(p.j, p.i, grace, "machine leaves")
-	}
-}
-
-// minCharge is the least time the cloud charges for a machine.
-const minCharge = 60 * time.Second
-
-// returnIdle gives back machines that nothing needs.
-func (l *leader) returnIdle(m *machine) {
-	if m.returning || l.fleet.returns[m.name] {
-		return
-	}
-	if m.heard == 0 {
-		// A new leader has to give a machine that came up under an earlier
-		// term the time to report first.
-		// One that has placements did come up: another controller may keep it.
-		if l.overdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
-			l.giveBack(m, "does not come up")
-		}
-		return
-	}
-	if len(m.placed) > 0 {
-		return
-	}
-	if m.drain != "" {
-		l.giveBack(m, m.drain)
-		return
-	}
-	if m.leaving != 0 {
-		l.giveBack(m, "will be taken")
-		return
-	}
-	idle := 3 * l.c.lease()
-	if s := l.c.op.IdleReturnS; s != nil {
-		idle = time.Duration(*s * float64(time.Second))
-	}
-	if l.fleet.keep[m.name] || l.c.now-l.loadedAt < idle {
-		return
-	}
-	if l.c.now-m.idleSince >= idle && l.c.now-m.createdAt >= minCharge {
-		l.giveBack(m, "idle")
-	}
-}
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
 )
 
 // list reads the cloud's list, for machines that came or went unnoticed.
@@ -89,3 +90,12 @@
 	}
 	m.listedAs = row.Status
 }
+
+// parseList decodes a page of the cloud's list.
+func parseList(body []byte) (*wire.MachineList, bool) {
+	var p wire.MachineList
+	if json.Unmarshal(body, &p) != nil {
+		return nil, false
+	}
+	return &p, true
+}
--- /dev/null
+++ b/internal/core/probes.go
@@ -0,0 +1,78 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// probe asks a silent worker for its state and shows it this term: it may
+// still report to a deposed leader that is cut off from us.
+func (l *leader) probe(m *machine) {
+	// Each probe of a machine that hangs holds a socket: of those for direct
+	// commands no more than half go to probes, however many are silent.
+	if m.addr == "" || m.probeBusy || l.c.now < m.probeAt || m.returning || l.probing >= max(1, l.c.cfg.Deployment.Limits.MaxConnections/16) {
+		return
+	}
+	l.probing++
+	m.probeBusy = true
+	asked := l.c.now
+	m.probeAt = l.c.now + 2*l.c.report()
+	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout()}, func(r Result) {
+		l.probing--
+		rep, ok := decodeReport(r.Body)
+		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
+			m.probeBusy = false
+			switch {
+			case l.gone:
+			case r.Status == 0:
+				m.probeFailed = asked
+				l.control(m.zone)
+			case r.Status == 200:
+				l.directReport(m, r.Body)
+			}
+			return
+		}
+		body := encode(wire.Orders{Token: l.term, Session: rep.Session, Commands: []wire.Command{}})
+		l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
+			m.probeBusy = false
+			if !l.gone && (r.Status == 200 || r.Status == 409) {
+				l.directReport(m, r.Body)
+			}
+		})
+	})
+}
+
+// control asks a machine that is heard for its state when another of its zone
+// does not answer: only if that one answers is the silent machine at fault, and
+// not the way from here to its zone.
+func (l *leader) control(zone string) {
+	var best *machine
+	for _, m := range l.byName {
+		if m.zone == zone && !m.probeBusy && l.c.now >= m.probeAt && !m.returning && m.addr != "" && (best == nil || m.heard > best.heard) {
+			best = m
+		}
+	}
+	if best != nil && l.c.now-best.heard < l.overdueReport() && l.c.now-l.reached[zone] > l.probeTimeout()/2 {
+		l.probe(best)
+	}
+}
+
+// reaches tells whether the way to a silent machine is open: another of its
+// zone has answered since it was asked in vain. Where it is the zone's only one,
+// a machine of any zone counts, unless the zone's controllers are gone too.
+func (l *leader) reaches(m *machine, inZone int) bool {
+	if inZone > 1 {
+		return l.reached[m.zone] > m.probeFailed
+	}
+	for _, at := range l.reached {
+		if at > m.probeFailed {
+			return !l.c.zoneLost(m.zone)
+		}
+	}
+	return false
+}
+
+// probeTimeout is how long a worker that is asked for its state may take: an
+// answer takes milliseconds, or that of a lost packet sent again.
+func (l *leader) probeTimeout() time.Duration { return max(l.c.report()/2, time.Second) }
--- /dev/null
+++ b/internal/core/returns.go
@@ -0,0 +1,140 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// giveBack returns a machine to the cloud. Whatever was on it is gone once
+// the cloud has confirmed.
+func (l *leader) giveBack(m *machine, why string) {
+	if m.drain == "" {
+		m.drain = why
+		l.c.log.Info("return machine", "machine", m.name, "why", why, "tasks", len(m.placed))
+	}
+	l.fleet.returns[m.name] = true
+}
+
+// returnBatch returns machines, once it is sure that this term still holds: a
+// deposed leader that is cut off sees every machine silent, and would take the
+// fleet from its successor.
+func (l *leader) returnBatch() {
+	f := &l.fleet
+	if f.returnBusy || len(f.returns) == 0 || l.c.now < f.returnRetry {
+		return
+	}
+	f.returnBusy = true
+	l.c.commit(&wire.Txn{If: []wire.Cond{l.termCond()}}, true, func(r Result) {
+		f.returnBusy = false
+		switch {
+		case l.gone:
+		case r.Status == 409:
+			l.c.stepDown("the term has changed")
+		case r.Status == 200, l.c.hearsPeer():
+			// During a general outage of the state service nobody is elected;
+			// a peer that knew of a higher term would have told us.
+			l.sendReturns()
+		default:
+			f.returnRetry = l.c.now + time.Second
+		}
+	})
+}
+
+func (l *leader) sendReturns() {
+	f := &l.fleet
+	names := sortedKeys(f.returns)
+	if len(names) > 100 {
+		names = names[:100]
+	}
+	for _, n := range names {
+		if m := l.machines[n]; m != nil {
+			m.returning = true
+		}
+	}
+	f.returnBusy = true
+	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines/return", Body: encode(wire.MachineNames{Machines: names}), Timeout: 4 * time.Second, Urgent: true}, func(r Result) {
+		f.returnBusy = false
+		if l.gone {
+			return
+		}
+		if r.Status != 200 {
+			f.returnRetry = l.c.now + time.Second
+			return
+		}
+		for _, n := range names {
+			delete(f.returns, n)
+			l.returned[n] = l.c.now
+			if m := l.machines[n]; m != nil {
+				l.machineGone(m)
+			}
+		}
+	})
+}
+
+// drainLeaving moves work off a machine that the cloud is about to take, in
+// time for the slowest save.
+func (l *leader) drainLeaving(m *machine) {
+	if m.leaving == 0 && !m.evict || len(m.placed) == 0 {
+		return
+	}
+	for _, p := range m.placed {
+		if t := p.task(); t.m != m || t.stop != nil {
+			continue
+		}
+		grace := 0.0
+		if p.j.CheckpointS > 0 {
+			grace = p.j.SaveS
+		}
+		if p.j.Shape == wire.ShapeGang {
+			// All of a gang has to be told together to save.
+			for i := range p.j.tasks {
+				if p.j.tasks[i].m != nil {
+					l.stopTask(p.j, i, grace, "machine leaves")
+				}
+			}
+			continue
+		}
+		l.stopTask(p.j, p.i, grace, "machine leaves")
+	}
+}
+
+// minCharge is the least time the cloud charges for a machine.
+const minCharge = 60 * time.Second
+
+// returnIdle gives back machines that nothing needs.
+func (l *leader) returnIdle(m *machine) {
+	if m.returning || l.fleet.returns[m.name] {
+		return
+	}
+	if m.heard == 0 {
+		// A new leader has to give a machine that came up under an earlier
+		// term the time to report first.
+		// One that has placements did come up: another controller may keep it.
+		if l.overdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
+			l.giveBack(m, "does not come up")
+		}
+		return
+	}
+	if len(m.placed) > 0 {
+		return
+	}
+	if m.drain != "" {
+		l.giveBack(m, m.drain)
+		return
+	}
+	if m.leaving != 0 {
+		l.giveBack(m, "will be taken")
+		return
+	}
+	idle := 3 * l.c.lease()
+	if s := l.c.op.IdleReturnS; s != nil {
+		idle = time.Duration(*s * float64(time.Second))
+	}
+	if l.fleet.keep[m.name] || l.c.now-l.loadedAt < idle {
+		return
+	}
+	if l.c.now-m.idleSince >= idle && l.c.now-m.createdAt >= minCharge {
+		l.giveBack(m, "idle")
+	}
+}
