core: the rental plan in named steps

The plan's bins, its packing of pending and expected work and the rental requests that follow are separate functions; a machine type's capacity and the kinds of objectives have a name.

--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -12,7 +12,7 @@
 // are up and hold their images, so that it can be returned. A replica that
 // moves is away for the time of a stop and a start. One machine at a time, and
 // only while nothing waits for room.
-func (l *leader) consolidate(spaces []*space, cands []*candidate) {
+func (l *leader) consolidate(bins []*bin, cands []*candidate) {
 	f := &l.fleet
 	if l.c.now < f.moveNext || l.c.now-l.loadedAt < l.c.lease() {
 		return
@@ -24,12 +24,12 @@
 	}
 	var from []*machine
 	free := map[string]topology.Resources{}
-	var targets []*space
-	for _, s := range spaces {
-		if s.want {
+	var targets []*bin
+	for _, s := range bins {
+		if s.toRent {
 			return
 		}
-		m := l.machines[s.name]
+		m := l.machines[s.machine]
 		if m == nil || !l.usable(m) {
 			continue
 		}
@@ -37,7 +37,7 @@
 			from = append(from, m)
 		}
 		targets = append(targets, s)
-		free[s.name] = s.free
+		free[s.machine] = s.free
 	}
 	for _, m := range l.byName {
 		// Condemned machines come first, once their tasks are replicas alone.
@@ -82,7 +82,7 @@
 		}
 		slow, wait := true, l.c.slowFetch(class)
 		for _, t := range l.c.types {
-			if allowed(a.last.Types, t.Name) && (topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(&a.last.Job)) &&
+			if allowed(a.last.Types, t.Name) && capacity(t).Holds(size(&a.last.Job)) &&
 				a.last.ImageGB <= wait*t.FetchGBPS {
 				slow = false
 			}
@@ -107,7 +107,7 @@
 
 // elsewhere finds a machine for each of a machine's replicas, in their order;
 // nil if not all find one.
-func (l *leader) elsewhere(m *machine, targets []*space, free map[string]topology.Resources) []*machine {
+func (l *leader) elsewhere(m *machine, targets []*bin, free map[string]topology.Resources) []*machine {
 	type jobZone struct {
 		j    *job
 		zone string
@@ -124,10 +124,10 @@
 			return nil
 		}
 		room := l.zoneRoom(j)
-		var best *space
+		var best *bin
 		for _, s := range targets {
-			o := l.machines[s.name]
-			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 {
+			o := l.machines[s.machine]
+			if o == m || !left[s.machine].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 {
 				continue
 			}
 			if room != nil {
@@ -139,16 +139,16 @@
 					continue
 				}
 			}
-			if best == nil || left[s.name].Less(left[best.name]) {
+			if best == nil || left[s.machine].Less(left[best.machine]) {
 				best = s
 			}
 		}
 		if best == nil {
 			return nil
 		}
-		left[best.name] = left[best.name].Sub(size(&j.Job))
+		left[best.machine] = left[best.machine].Sub(size(&j.Job))
 		added[jobZone{j, best.key.zone}]++
-		to = append(to, l.machines[best.name])
+		to = append(to, l.machines[best.machine])
 	}
 	return to
 }
--- a/internal/core/forecast.go
+++ b/internal/core/forecast.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
-	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -51,7 +50,7 @@
 	lead, slow := math.Inf(1), math.Inf(1)
 	for _, name := range sortedKeys(l.c.types) {
 		t := l.c.types[name]
-		if !allowed(a.last.Types, name) || !(topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(&a.last.Job)) {
+		if !allowed(a.last.Types, name) || !capacity(t).Holds(size(&a.last.Job)) {
 			continue
 		}
 		fetch := 0.0
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -145,7 +145,7 @@
 	if t == nil || !m.known {
 		return topology.Resources{}, false
 	}
-	return topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}, true
+	return capacity(t), true
 }
 
 // usable tells whether a machine may take tasks. It must have shown that it
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -11,6 +11,12 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
+// Kinds of the deployment's objectives.
+const (
+	objectiveWait     = "wait"
+	objectiveFinished = "finished"
+)
+
 // candidate is a job with tasks to place, and what orders it.
 type candidate struct {
 	j          *job
@@ -115,7 +121,7 @@
 // beginning goes ahead, so that large jobs begin too.
 func (l *leader) work(j *job, pending int) float64 {
 	for _, o := range l.c.cfg.Deployment.Objectives {
-		if o.Kind == "finished" && o.Class == j.Class {
+		if o.Kind == objectiveFinished && o.Class == j.Class {
 			if l.mustBegin(j) {
 				return 0
 			}
@@ -378,7 +384,7 @@
 func (c *Core) slowFetch(class string) float64 {
 	within := math.Inf(1)
 	for _, o := range c.cfg.Deployment.Objectives {
-		if o.Kind == "wait" && o.Class == class {
+		if o.Kind == objectiveWait && o.Class == class {
 			within = min(within, o.WithinS)
 		}
 	}
@@ -391,8 +397,12 @@
 	return !m.hasImage(j.Image) && t != nil && j.ImageGB > wait*t.FetchGBPS
 }
 
+// maxFailedOn is on how many machines a job may fail before the job passes for
+// the cause.
+const maxFailedOn = 3
+
 // avoid keeps a job away from machines on which it failed, until it has
 // failed on so many that the job is the likelier cause.
 func (l *leader) avoid(j *job, m *machine) bool {
-	return len(j.failOn) < 3 && j.failOn[m.name]
+	return len(j.failOn) < maxFailedOn && j.failOn[m.name]
 }
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -1,11 +1,14 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
+// team finds a team of the deployment; nil if there is none of that name.
 func (c *Core) team(name string) *config.Team {
 	for i := range c.cfg.Deployment.Teams {
 		if c.cfg.Deployment.Teams[i].Name == name {
@@ -15,20 +18,19 @@
 	return nil
 }
 
+// capacity is what a machine of a type offers.
+func capacity(t *wire.MachineType) topology.Resources {
+	return topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}
+}
+
+// size is what a task of a job uses.
 func size(j *wire.Job) topology.Resources {
 	return topology.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}
 }
 
+// allowed tells whether a list names something; an empty list names all.
 func allowed(list []string, name string) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, v := range list {
-		if v == name {
-			return true
-		}
-	}
-	return false
+	return len(list) == 0 || slices.Contains(list, name)
 }
 
 // usage adds up, by team, every task that is not certainly gone, and notes on
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -22,6 +21,9 @@
 	retry time.Duration
 }
 
+// key names the offer that is asked for.
+func (r *rent) key() offerKey { return offerKey{r.req.Type, r.req.Zone, r.req.Spot} }
+
 func (l *leader) price(typ string, spot bool) float64 {
 	t := l.c.types[typ]
 	if t == nil {
@@ -35,9 +37,9 @@
 
 // offer picks the type, zone and kind with the least price per task, among
 // those not refused lately; of several zones the one with the fewest machines.
-func (l *leader) offer(spaces []*space, j *wire.Job, zone func(string) bool) (offerKey, bool) {
+func (l *leader) offer(bins []*bin, j *wire.Job, zone func(string) bool) (offerKey, bool) {
 	count := map[string]int{}
-	for _, s := range spaces {
+	for _, s := range bins {
 		count[s.key.zone]++
 	}
 	type choice struct {
@@ -47,7 +49,7 @@
 	var cs []choice
 	for _, name := range sortedKeys(l.c.types) {
 		t := l.c.types[name]
-		fit := (topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Fit(size(j), 1<<20)
+		fit := capacity(t).Fit(size(j), 1<<20)
 		if fit < 1 {
 			continue
 		}
@@ -88,7 +90,7 @@
 	f := &l.fleet
 	r.busy = true
 	asked := l.c.now
-	k := offerKey{r.req.Type, r.req.Zone, r.req.Spot}
+	k := r.key()
 	drop := func() {
 		for i, o := range f.rents {
 			if o == r {
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -8,29 +10,38 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// space is room that demand is packed into: a machine, a booting one, or one
-// to be rented.
-type space struct {
-	name string // of an existing machine
-	key  offerKey
-	free topology.Resources
-	// soft is what work of each priority holds that higher priorities may
-	// stop: it counts as room for work that is only expected.
-	soft [ranks]topology.Resources
-	used bool
-	want bool // to be rented
+// bin is capacity that the rental plan packs tasks into: a machine that is up,
+// one that boots, or one to be rented.
+type bin struct {
+	machine string // name of an existing machine; empty for one that is asked for
+	key     offerKey
+	free    topology.Resources
+	// preemptible is what work of each priority holds that higher priorities
+	// may stop: it counts as room for work that is only expected.
+	preemptible [ranks]topology.Resources
+	used        bool // a task was packed into it
+	toRent      bool
 }
 
 // room is what a task of a priority finds; expected work may count on what it
 // could preempt.
-func (s *space) room(rank int, expected bool) topology.Resources {
-	r := s.free
+func (b *bin) room(rank int, expected bool) topology.Resources {
+	free := b.free
 	if expected {
-		for k := 0; k < rank; k++ {
-			r = r.Add(s.soft[k])
+		for _, held := range b.preemptible[:rank] {
+			free = free.Add(held)
 		}
 	}
-	return r
+	return free
+}
+
+// take packs a task into the bin.
+func (b *bin) take(need topology.Resources, rank int, expected bool) {
+	b.free = b.free.Sub(need)
+	if !expected {
+		b.preemptible[rank] = b.preemptible[rank].Add(need)
+	}
+	b.used = true
 }
 
 // supply tells whether a machine is, or is about to be, of use. One that has
@@ -43,147 +54,200 @@
 	return l.usable(m) || m.token < l.term && l.c.now-m.heard < 3*l.c.report()
 }
 
+// rentalPlan packs the tasks that found no room, and those that are expected
+// while a machine boots, into the machines there are, those asked for and those
+// to be rented.
+type rentalPlan struct {
+	l    *leader
+	bins []*bin
+}
+
+const (
+	maxPlannedTasks = 500 // tasks of one job that a plan rents for
+	maxOpenRents    = 4   // rental requests without an answer
+	maxRentCount    = 50  // machines in one rental request
+)
+
 // plan rents for the tasks that found no room, and keeps or rents some room
 // for the work that is expected while a machine boots.
 func (l *leader) plan(cands []*candidate, usage map[string]topology.Resources) {
-	f := &l.fleet
-	var spaces []*space
-	add := func(name string, k offerKey, free topology.Resources) {
-		spaces = append(spaces, &space{name: name, key: k, free: free})
-	}
+	p := newRentalPlan(l)
+	p.packPending(cands, usage)
+	p.packExpected()
+	l.consolidate(p.bins, cands)
+	l.fleet.keep = p.usedMachines()
+	l.rentPlanned(p.wanted())
+}
+
+// newRentalPlan starts a plan with the machines that are, or are about to be,
+// of use, and with those that have been asked for.
+func newRentalPlan(l *leader) *rentalPlan {
+	p := &rentalPlan{l: l}
 	for _, m := range l.byName {
 		total, ok := l.total(m)
-		if !ok || m.returning || f.returns[m.name] || m.drain != "" || m.leaving != 0 {
-			continue
-		}
-		if !l.supply(m) {
+		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 || !l.supply(m) {
 			continue
 		}
-		add(m.name, offerKey{m.typ, m.zone, m.spot}, total.Sub(m.used))
-		spaces[len(spaces)-1].soft = m.soft
+		key := offerKey{m.typ, m.zone, m.spot}
+		p.bins = append(p.bins, &bin{machine: m.name, key: key, free: total.Sub(m.used), preemptible: m.soft})
 	}
-	for _, r := range f.rents {
+	for _, r := range l.fleet.rents {
 		t := l.c.types[r.req.Type]
 		if t == nil {
 			continue
 		}
-		for k := 0; k < r.req.Count; k++ {
-			add("", offerKey{r.req.Type, r.req.Zone, r.req.Spot}, topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB})
+		for range r.req.Count {
+			p.bins = append(p.bins, &bin{key: r.key(), free: capacity(t)})
 		}
 	}
-	sum := map[string]topology.Resources{}
-	for k, v := range usage {
-		sum[k] = v
-	}
+	return p
+}
+
+// packPending packs the candidates' tasks, within their teams' limits.
+func (p *rentalPlan) packPending(cands []*candidate, usage map[string]topology.Resources) {
+	planned := maps.Clone(usage)
 	for _, c := range cands {
-		if len(c.j.failOn) >= 3 {
-			continue
+		if len(c.j.failOn) < maxFailedOn {
+			p.packCandidate(c, planned)
 		}
-		// Room that is being made for it is not rented as well, also where the
-		// pass did not come to it.
-		c.held = max(c.held, l.heldFor(c.j))
-		room := l.zoneRoom(c.j)
-		added := map[string]int{}
-		var last *space
-		for k := c.held; k < len(c.pending) && k < 500; k++ {
-			if !underLimit(l.c.team(c.j.Team), sum[c.j.Team], size(&c.j.Job), 1) {
-				break
-			}
-			zone := func(z string) bool {
-				if c.j.OneZone && k > c.held {
-					return added[z] > 0
-				}
-				return room == nil || added[z] < room(z)
-			}
-			s := l.pack(&spaces, c.j, zone, false, last)
-			if s == nil {
-				break
+	}
+}
+
+// packCandidate packs a candidate's tasks and adds them to their team's usage.
+func (p *rentalPlan) packCandidate(c *candidate, usage map[string]topology.Resources) {
+	l, j := p.l, c.j
+	// Room that is being made for it is not rented as well, also where the
+	// pass did not come to it.
+	c.held = max(c.held, l.heldFor(j))
+	zoneRoom := l.zoneRoom(j)
+	added := map[string]int{} // by zone
+	var last *bin
+	for k := c.held; k < len(c.pending) && k < maxPlannedTasks; k++ {
+		if !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), 1) {
+			return
+		}
+		zoneAllowed := func(zone string) bool {
+			if j.OneZone && k > c.held {
+				return added[zone] > 0
 			}
-			last = s
-			added[s.key.zone]++
-			sum[c.j.Team] = sum[c.j.Team].Add(size(&c.j.Job))
+			return zoneRoom == nil || added[zone] < zoneRoom(zone)
 		}
+		if last = p.pack(j, zoneAllowed, false, last); last == nil {
+			return
+		}
+		added[last.key.zone]++
+		usage[j.Team] = usage[j.Team].Add(size(&j.Job))
 	}
+}
+
+// packExpected packs the tasks that are expected of the classes which may wait
+// only so long.
+func (p *rentalPlan) packExpected() {
+	l := p.l
 	for _, o := range l.c.cfg.Deployment.Objectives {
-		if o.Kind != "wait" {
-			continue
-		}
 		a := l.arrivals[o.Class]
-		if a == nil || a.last == nil {
+		if o.Kind != objectiveWait || a == nil || a.last == nil {
 			continue
 		}
-		n := l.expected(a, o)
-		var last *space
-		for k := 0; k < n; k++ {
-			if last = l.pack(&spaces, a.last, nil, true, last); last == nil {
+		var last *bin
+		for range l.expected(a, o) {
+			if last = p.pack(a.last, nil, true, last); last == nil {
 				break
 			}
 		}
 	}
-	l.consolidate(spaces, cands)
-	f.keep = map[string]bool{}
-	wants := map[offerKey]int{}
-	var keys []offerKey
-	for _, s := range spaces {
-		switch {
-		case s.want:
-			if wants[s.key] == 0 {
-				keys = append(keys, s.key)
-			}
-			wants[s.key]++
-		case s.used && s.name != "":
-			f.keep[s.name] = true
+}
+
+// pack finds a bin for a task, or adds the cheapest machine that the cloud may
+// still grant; nil if there is none. zoneAllowed may be nil. last is the bin of
+// the job's task before: it was the tightest, so it still is where it has room
+// for one more.
+func (p *rentalPlan) pack(j *job, zoneAllowed func(string) bool, expected bool, last *bin) *bin {
+	need := size(&j.Job)
+	best := last
+	if last == nil || !last.room(j.rank, expected).Holds(need) || zoneAllowed != nil && !zoneAllowed(last.key.zone) {
+		best = p.tightest(j, zoneAllowed, expected)
+	}
+	if best == nil {
+		key, ok := p.l.offer(p.bins, &j.Job, zoneAllowed)
+		if !ok {
+			return nil
+		}
+		best = &bin{key: key, toRent: true, free: capacity(p.l.c.types[key.typ])}
+		p.bins = append(p.bins, best)
+	}
+	best.take(need, j.rank, expected)
+	return best
+}
+
+// tightest finds the bin with the least free room that a task fits into.
+func (p *rentalPlan) tightest(j *job, zoneAllowed func(string) bool, expected bool) *bin {
+	p.l.visits += len(p.bins)
+	need := size(&j.Job)
+	var best *bin
+	for _, b := range p.bins {
+		if !b.room(j.rank, expected).Holds(need) || !eligible(&j.Job, b.key.typ, b.key.zone, b.key.spot) {
+			continue
+		}
+		if best != nil && !b.free.Less(best.free) || zoneAllowed != nil && !zoneAllowed(b.key.zone) {
+			continue
+		}
+		best = b
+	}
+	return best
+}
+
+// usedMachines are the existing machines that the plan has a use for.
+func (p *rentalPlan) usedMachines() map[string]bool {
+	used := map[string]bool{}
+	for _, b := range p.bins {
+		if b.used && b.machine != "" {
+			used[b.machine] = true
+		}
+	}
+	return used
+}
+
+// wantedMachines is how many machines of an offer are to be rented.
+type wantedMachines struct {
+	key   offerKey
+	count int
+}
+
+// wanted lists what is to be rented, the most urgent first.
+func (p *rentalPlan) wanted() []wantedMachines {
+	var out []wantedMachines
+	for _, b := range p.bins {
+		if !b.toRent {
+			continue
+		}
+		at := slices.IndexFunc(out, func(w wantedMachines) bool { return w.key == b.key })
+		if at < 0 {
+			at = len(out)
+			out = append(out, wantedMachines{key: b.key})
 		}
+		out[at].count++
 	}
-	for _, k := range keys {
-		// The cloud takes few calls: what is wanted gathers until the next
-		// one, the most urgent first, instead of going out machine by machine.
-		if l.c.now < f.rentNext || len(f.rents) >= 4 {
+	return out
+}
+
+// rentPlanned sends the rental requests that the cloud's rate allows now. The
+// cloud takes few calls: what is wanted gathers until the next one, the most
+// urgent first, instead of going out machine by machine.
+func (l *leader) rentPlanned(wanted []wantedMachines) {
+	f := &l.fleet
+	for _, w := range wanted {
+		if l.c.now < f.rentNext || len(f.rents) >= maxOpenRents {
 			l.schedule = true
-			break
+			return
 		}
 		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
 		f.rentSeq++
 		r := &rent{req: wire.RentRequest{
 			Request: "r-" + strconv.FormatUint(l.term, 10) + "-" + strconv.Itoa(f.rentSeq),
-			Type:    k.typ, Zone: k.zone, Spot: k.spot, Count: min(wants[k], 50),
+			Type:    w.key.typ, Zone: w.key.zone, Spot: w.key.spot, Count: min(w.count, maxRentCount),
 		}}
 		f.rents = append(f.rents, r)
 		l.rent(r)
 	}
 }
-
-// pack finds a space for a task, or adds the cheapest machine that the cloud
-// may still grant. last is the space of the job's task before: it was the
-// tightest, so it still is where it has room for one more.
-func (l *leader) pack(spaces *[]*space, j *job, zone func(string) bool, expected bool, last *space) *space {
-	need, rank := size(&j.Job), j.rank
-	var best *space
-	if last != nil && last.room(rank, expected).Holds(need) && (zone == nil || zone(last.key.zone)) {
-		best = last
-	} else {
-		l.visits += len(*spaces)
-		for _, s := range *spaces {
-			if !s.room(rank, expected).Holds(need) || !eligible(&j.Job, s.key.typ, s.key.zone, s.key.spot) ||
-				best != nil && !s.free.Less(best.free) || zone != nil && !zone(s.key.zone) {
-				continue
-			}
-			best = s
-		}
-	}
-	if best == nil {
-		k, ok := l.offer(*spaces, &j.Job, zone)
-		if !ok {
-			return nil
-		}
-		t := l.c.types[k.typ]
-		best = &space{key: k, want: true, free: topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}}
-		*spaces = append(*spaces, best)
-	}
-	best.free = best.free.Sub(need)
-	if !expected {
-		best.soft[rank] = best.soft[rank].Add(need)
-	}
-	best.used = true
-	return best
-}
