--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -14,61 +15,75 @@
 // only while nothing waits for room.
 func (l *leader) consolidate(bins []*bin, cands []*candidate) {
 	f := &l.fleet
-	if l.c.now < f.moveNext || l.c.now-l.loadedAt < l.c.lease() {
+	if l.c.now < f.moveNext || l.c.now-l.loadedAt < l.c.lease() || anyPending(cands) {
 		return
 	}
-	for _, c := range cands {
-		if len(c.pending) > 0 {
+	if slices.ContainsFunc(bins, func(b *bin) bool { return b.toRent }) {
+		return
+	}
+	sources, targets := l.moveSources(bins), l.moveTargets(bins)
+	// Whether all find room changes slowly, and finding out costs a walk over
+	// machines times replicas.
+	f.moveNext = l.c.now + l.c.report()
+	for _, m := range sources {
+		if to := l.elsewhere(m, targets); to != nil {
+			l.moveReplicas(m, to)
+			f.moveNext = l.c.now + l.movePace()
 			return
 		}
 	}
-	var from []*machine
-	free := map[string]topology.Resources{}
+}
+
+func anyPending(cands []*candidate) bool {
+	return slices.ContainsFunc(cands, func(c *candidate) bool { return len(c.pending) > 0 })
+}
+
+// moveTargets lists the bins of the machines that replicas may move to.
+func (l *leader) moveTargets(bins []*bin) []*bin {
 	var targets []*bin
-	for _, s := range bins {
-		if s.toRent {
-			return
-		}
-		m := l.machines[s.machine]
-		if m == nil || !l.usable(m) {
-			continue
+	for _, b := range bins {
+		if m := l.machines[b.machine]; m != nil && l.usable(m) {
+			targets = append(targets, b)
 		}
-		if !s.used && l.c.now-m.createdAt > minCharge && m.movable() {
-			from = append(from, m)
+	}
+	return targets
+}
+
+// moveSources lists the machines that may be emptied: condemned ones first, once
+// their tasks are replicas alone, then those of the highest price.
+func (l *leader) moveSources(bins []*bin) []*machine {
+	var sources []*machine
+	for _, b := range bins {
+		m := l.machines[b.machine]
+		if m != nil && l.usable(m) && !b.used && l.c.now-m.createdAt > minCharge && m.movable() {
+			sources = append(sources, m)
 		}
-		targets = append(targets, s)
-		free[s.machine] = s.free
 	}
 	for _, m := range l.byName {
-		// Condemned machines come first, once their tasks are replicas alone.
 		if m.drain != "" && !m.evict && !m.returning && m.movable() {
-			from = append(from, m)
+			sources = append(sources, m)
 		}
 	}
-	sort.SliceStable(from, func(a, b int) bool {
-		if ca, cb := from[a].drain != "", from[b].drain != ""; ca != cb {
-			return ca
+	sort.SliceStable(sources, func(a, b int) bool {
+		x, y := sources[a], sources[b]
+		if cx, cy := x.drain != "", y.drain != ""; cx != cy {
+			return cx
 		}
-		pa, pb := l.price(from[a].typ, from[a].spot), l.price(from[b].typ, from[b].spot)
-		if pa != pb {
-			return pa > pb
+		if px, py := l.price(x.typ, x.spot), l.price(y.typ, y.spot); px != py {
+			return px > py
 		}
-		return len(from[a].placed) < len(from[b].placed)
+		return len(x.placed) < len(y.placed)
 	})
-	// Whether all find room changes slowly, and finding out costs a walk over
-	// machines times replicas.
-	f.moveNext = l.c.now + l.c.report()
-	for _, m := range from {
-		if to := l.elsewhere(m, targets, free); to != nil {
-			for k, p := range m.placed {
-				p.j.moveTo[p.i] = to[k]
-			}
-			f.moveNext = l.c.now + l.movePace()
-			l.condemn(m, "its replicas fit on other machines")
-			m.evict = true
-			return
-		}
+	return sources
+}
+
+// moveReplicas has a machine's replicas move to others, given in their order.
+func (l *leader) moveReplicas(m *machine, to []*machine) {
+	for k, p := range m.placed {
+		p.j.moveTo[p.i] = to[k]
 	}
+	l.condemn(m, "its replicas fit on other machines")
+	m.evict = true
 }
 
 // movePace is the time between two machines that are emptied. A machine that
@@ -80,20 +95,25 @@
 		if a.last == nil || len(a.at) == 0 || l.c.now-a.at[len(a.at)-1] > arrivalWindow {
 			continue
 		}
-		slow, wait := true, l.c.slowFetch(class)
-		for _, t := range l.c.types {
-			if allowed(a.last.Types, t.Name) && capacity(t).Holds(size(&a.last.Job)) &&
-				a.last.ImageGB <= wait*t.FetchGBPS {
-				slow = false
-			}
-		}
-		if slow {
+		if l.fetchedSlowly(a.last) {
 			return l.c.lease()
 		}
 	}
 	return 2 * l.c.report()
 }
 
+// fetchedSlowly tells whether a job's image comes too late on every type of
+// machine that the job may use.
+func (l *leader) fetchedSlowly(j *job) bool {
+	wait := l.c.slowFetch(j.Class)
+	for _, t := range l.c.types {
+		if allowed(j.Types, t.Name) && capacity(t).Holds(size(&j.Job)) && j.ImageGB <= wait*t.FetchGBPS {
+			return false
+		}
+	}
+	return true
+}
+
 // movable tells whether all that a machine does is to run settled replicas.
 func (m *machine) movable() bool {
 	for _, p := range m.placed {
@@ -105,50 +125,58 @@
 	return len(m.placed) > 0
 }
 
+// jobZone names a job in a zone.
+type jobZone struct {
+	j    *job
+	zone string
+}
+
 // elsewhere finds a machine for each of a machine's replicas, in their order;
 // nil if not all find one.
-func (l *leader) elsewhere(m *machine, targets []*bin, free map[string]topology.Resources) []*machine {
-	type jobZone struct {
-		j    *job
-		zone string
-	}
-	left := map[string]topology.Resources{}
-	for k, v := range free {
-		left[k] = v
+func (l *leader) elsewhere(m *machine, targets []*bin) []*machine {
+	free := make(map[*bin]topology.Resources, len(targets))
+	for _, b := range targets {
+		free[b] = b.free
 	}
 	added := map[jobZone]int{}
 	var to []*machine
 	for _, p := range m.placed {
-		j := p.j
-		if j.OneZone {
+		if p.j.OneZone {
 			return nil
 		}
-		room := l.zoneRoom(j)
-		var best *bin
-		for _, s := range targets {
-			o := l.machines[s.machine]
-			if o == m || !left[s.machine].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 {
-				continue
-			}
-			if room != nil {
-				n := room(o.zone) - added[jobZone{j, o.zone}]
-				if o.zone == m.zone {
-					n++ // its own place there becomes free
-				}
-				if n < 1 {
-					continue
-				}
-			}
-			if best == nil || left[s.machine].Less(left[best.machine]) {
-				best = s
-			}
-		}
+		best := l.moveTarget(m, p.j, targets, free, added)
 		if best == nil {
 			return nil
 		}
-		left[best.machine] = left[best.machine].Sub(size(&j.Job))
-		added[jobZone{j, best.key.zone}]++
+		free[best] = free[best].Sub(size(&p.j.Job))
+		added[jobZone{p.j, best.key.zone}]++
 		to = append(to, l.machines[best.machine])
 	}
 	return to
 }
+
+// moveTarget finds the tightest target that may take a job's replica from a
+// machine, given what is free and what was added by the moves before it.
+func (l *leader) moveTarget(from *machine, j *job, targets []*bin, free map[*bin]topology.Resources, added map[jobZone]int) *bin {
+	zoneRoom := l.zoneRoom(j)
+	var best *bin
+	for _, b := range targets {
+		m := l.machines[b.machine]
+		if m == from || !free[b].Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || !m.hasImage(j.Image) || len(m.failed) > 0 {
+			continue
+		}
+		if zoneRoom != nil {
+			n := zoneRoom(m.zone) - added[jobZone{j, m.zone}]
+			if m.zone == from.zone {
+				n++ // its own place there becomes free
+			}
+			if n < 1 {
+				continue
+			}
+		}
+		if best == nil || free[b].Less(free[best]) {
+			best = b
+		}
+	}
+	return best
+}
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -1,12 +1,18 @@
 package core
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
 
+const (
+	listPeriod = 2 * time.Second // between two readings of the list
+	listLimit  = 500             // machines in a page
+)
+
 // list reads the cloud's list, for machines that came or went unnoticed.
 func (l *leader) list() {
 	f := &l.fleet
@@ -18,60 +24,71 @@
 	l.listPage("")
 }
 
+// listPage reads the page of the list that follows a machine's name.
 func (l *leader) listPage(after string) {
 	f := &l.fleet
-	path := "/machines?limit=500"
+	path := "/machines?limit=" + strconv.Itoa(listLimit)
 	if after != "" {
 		path += "&since=" + after
 	}
-	l.c.call(Call{Dest: DestCloud, Method: "GET", Path: path, Timeout: 4 * time.Second}, func(r Result) {
+	l.c.call(Call{Dest: DestCloud, Method: "GET", Path: path, Timeout: cloudTimeout}, func(r Result) {
 		if l.gone {
 			return
 		}
-		p, ok := parseList(r.Body)
+		page, ok := parseList(r.Body)
 		if r.Status != 200 || !ok {
 			f.listBusy = false
-			f.listNext = l.c.now + time.Second
+			f.listNext = l.c.now + cloudRetry
 			return
 		}
-		for i := range p.Machines {
-			row := &p.Machines[i]
+		for i := range page.Machines {
+			row := &page.Machines[i]
 			after = row.Name
 			f.listSeen[row.Name] = true
 			l.noteListed(row)
 		}
-		if p.More && len(p.Machines) > 0 {
+		if page.More && len(page.Machines) > 0 {
 			l.listPage(after)
 			return
 		}
 		f.listBusy = false
-		f.listNext = l.c.now + 2*time.Second
-		lag := 3 * time.Duration(l.c.cfg.Deployment.Cloud.ListLagS*float64(time.Second))
-		for _, m := range l.byName {
-			if f.listSeen[m.name] {
-				m.listedAt = l.c.now
-				continue
-			}
-			// A machine stays listed until it is gone, but lists may be old.
-			// Its absence proves nothing, so the return makes it certain.
-			// One that only the records know was there before this leader: an
-			// earlier one may have returned it when it could not record the ends
-			// of its tasks. Taken for cut off, it held up those for minutes.
-			listed := m.listedAt
-			if listed == 0 && m.heard == 0 && len(m.placed) > 0 {
-				listed = l.loadedAt
-			}
-			if listed != 0 && l.c.now-listed > lag && l.c.now-m.heard > 3*l.c.report() && !m.returning {
-				l.giveBack(m, "no longer listed")
-			}
-		}
+		f.listNext = l.c.now + listPeriod
+		l.returnUnlisted()
 	})
 }
 
+// listLag is how old the cloud's list may be.
+func (l *leader) listLag() time.Duration {
+	return time.Duration(l.c.cfg.Deployment.Cloud.ListLagS * float64(time.Second))
+}
+
+// returnUnlisted returns machines that a whole reading of the list did not
+// name. A machine stays listed until it is gone, but lists may be old. Its
+// absence proves nothing, so the return makes it certain.
+func (l *leader) returnUnlisted() {
+	for _, m := range l.byName {
+		if l.fleet.listSeen[m.name] {
+			m.listedAt = l.c.now
+			continue
+		}
+		// One that only the records know was there before this leader: an
+		// earlier one may have returned it when it could not record the ends
+		// of its tasks. Taken for cut off, it held up those for minutes.
+		listed := m.listedAt
+		if listed == 0 && m.heard == 0 && len(m.placed) > 0 {
+			listed = l.loadedAt
+		}
+		if listed != 0 && l.c.now-listed > 3*l.listLag() && l.c.now-m.heard > 3*l.c.report() && !m.returning {
+			l.giveBack(m, "no longer listed")
+		}
+	}
+}
+
+// noteListed takes in a machine that the cloud lists.
 func (l *leader) noteListed(row *wire.Machine) {
 	if at, ok := l.returned[row.Name]; ok {
 		// Listed long after its return was confirmed: return it again.
-		if l.c.now-at > 4*time.Duration(l.c.cfg.Deployment.Cloud.ListLagS*float64(time.Second)) {
+		if l.c.now-at > 4*l.listLag() {
 			l.returned[row.Name] = l.c.now
 			l.fleet.returns[row.Name] = true
 		}
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -8,6 +9,8 @@
 	"github.com/segmentio/encoding/json"
 )
 
+// offerKey names what the cloud rents: a type of machine in a zone, as a spot
+// machine or not.
 type offerKey struct {
 	typ, zone string
 	spot      bool
@@ -24,6 +27,7 @@
 // key names the offer that is asked for.
 func (r *rent) key() offerKey { return offerKey{r.req.Type, r.req.Zone, r.req.Spot} }
 
+// price is the hourly price of a type of machine.
 func (l *leader) price(typ string, spot bool) float64 {
 	t := l.c.types[typ]
 	if t == nil {
@@ -35,47 +39,58 @@
 	return t.Price
 }
 
+// pricedOffer is an offer and its price per task.
+type pricedOffer struct {
+	key  offerKey
+	cost float64
+}
+
 // offer picks the type, zone and kind with the least price per task, among
 // those not refused lately; of several zones the one with the fewest machines.
-func (l *leader) offer(bins []*bin, j *wire.Job, zone func(string) bool) (offerKey, bool) {
-	count := map[string]int{}
-	for _, s := range bins {
-		count[s.key.zone]++
+// zoneAllowed may be nil.
+func (l *leader) offer(bins []*bin, j *wire.Job, zoneAllowed func(string) bool) (offerKey, bool) {
+	offers := l.offers(j, zoneAllowed)
+	if len(offers) == 0 {
+		return offerKey{}, false
 	}
-	type choice struct {
-		k    offerKey
-		cost float64
+	inZone := map[string]int{}
+	for _, b := range bins {
+		inZone[b.key.zone]++
 	}
-	var cs []choice
+	sort.SliceStable(offers, func(a, b int) bool {
+		if offers[a].cost != offers[b].cost {
+			return offers[a].cost < offers[b].cost
+		}
+		return inZone[offers[a].key.zone] < inZone[offers[b].key.zone]
+	})
+	return offers[0].key, true
+}
+
+// maxTasksPerMachine bounds how many tasks a price is divided by.
+const maxTasksPerMachine = 1 << 20
+
+// offers lists what may be rented for a job, by type, zone and kind.
+func (l *leader) offers(j *wire.Job, zoneAllowed func(string) bool) []pricedOffer {
+	var out []pricedOffer
 	for _, name := range sortedKeys(l.c.types) {
 		t := l.c.types[name]
-		fit := capacity(t).Fit(size(j), 1<<20)
+		fit := capacity(t).Fit(size(j), maxTasksPerMachine)
 		if fit < 1 {
 			continue
 		}
-		for _, z := range t.Zones {
-			if zone != nil && !zone(z) || l.cutOff(z) {
+		for _, zone := range t.Zones {
+			if zoneAllowed != nil && !zoneAllowed(zone) || l.cutOff(zone) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
-				k := offerKey{name, z, spot}
-				if !eligible(j, name, z, spot) || l.c.now < l.fleet.refused[k] {
-					continue
+				key := offerKey{name, zone, spot}
+				if eligible(j, name, zone, spot) && l.c.now >= l.fleet.refused[key] {
+					out = append(out, pricedOffer{key, l.price(name, spot) / float64(fit)})
 				}
-				cs = append(cs, choice{k, l.price(name, spot) / float64(fit)})
 			}
 		}
 	}
-	if len(cs) == 0 {
-		return offerKey{}, false
-	}
-	sort.SliceStable(cs, func(a, b int) bool {
-		if cs[a].cost != cs[b].cost {
-			return cs[a].cost < cs[b].cost
-		}
-		return count[cs[a].k.zone] < count[cs[b].k.zone]
-	})
-	return cs[0].k, true
+	return out
 }
 
 // cutOff tells whether a zone is, or was a moment ago, out of reach: what is
@@ -85,68 +100,79 @@
 	return ok && l.c.now-at < l.c.report()
 }
 
+const (
+	cloudTimeout = 4 * time.Second // of a call to the cloud
+	cloudRetry   = time.Second     // between a call that failed and the next one
+)
+
+// noCapacity is the cloud's error for an offer that it has no machine of.
+const noCapacity = "no capacity"
+
 // rent sends a rental request; a shortage closes the offer for a while.
 func (l *leader) rent(r *rent) {
-	f := &l.fleet
 	r.busy = true
 	asked := l.c.now
-	k := r.key()
-	drop := func() {
-		for i, o := range f.rents {
-			if o == r {
-				f.rents = append(f.rents[:i:i], f.rents[i+1:]...)
-				return
-			}
-		}
-	}
-	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines", Body: encode(r.req), Timeout: 4 * time.Second}, func(res Result) {
+	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines", Body: encode(r.req), Timeout: cloudTimeout}, func(res Result) {
 		r.busy = false
 		if l.gone {
 			return
 		}
-		switch res.Status {
-		case 200:
-			drop()
-			var names wire.MachineNames
-			json.Unmarshal(res.Body, &names)
-			l.c.log.Info("rented", "type", k.typ, "zone", k.zone, "spot", k.spot, "asked", r.req.Count, "got", len(names.Machines))
-			for _, n := range names.Machines {
-				if _, ok := l.returned[n]; ok {
-					continue
-				}
-				m := l.machine(n)
-				if !m.known {
-					l.describe(m, "", k.typ, k.zone, k.spot)
-				}
-				m.createdAt = asked
-			}
-			if len(names.Machines) < r.req.Count {
-				f.refused[k] = l.c.now + l.refusedFor()
-			}
+		key := r.key()
+		switch {
+		case res.Status == 200:
+			l.dropRent(r)
+			l.noteRented(r, asked, res.Body)
+		case res.Status == 503 && cloudError(res.Body) == noCapacity:
+			l.dropRent(r)
+			l.c.log.Debug("no capacity", "type", key.typ, "zone", key.zone, "spot", key.spot)
+			l.fleet.refused[key] = l.c.now + l.refusedFor()
 			l.schedule = true
-		case 503:
-			var e struct {
-				Error string `json:"error"`
-			}
-			json.Unmarshal(res.Body, &e)
-			if e.Error == "no capacity" {
-				l.c.log.Debug("no capacity", "type", k.typ, "zone", k.zone, "spot", k.spot)
-				drop()
-				f.refused[k] = l.c.now + l.refusedFor()
-				l.schedule = true
-				return
-			}
-			r.retry = l.c.now + time.Second
-		case 400:
-			drop()
-			f.refused[k] = l.c.now + 10*l.refusedFor()
-			l.c.log.Error("rental refused as malformed", "type", k.typ, "zone", k.zone)
+		case res.Status == 400:
+			l.dropRent(r)
+			l.c.log.Error("rental refused as malformed", "type", key.typ, "zone", key.zone)
+			l.fleet.refused[key] = l.c.now + 10*l.refusedFor()
 		default:
-			r.retry = l.c.now + time.Second
+			r.retry = l.c.now + cloudRetry
 		}
 	})
 }
 
+// dropRent forgets a rental request that is answered.
+func (l *leader) dropRent(r *rent) {
+	l.fleet.rents = slices.DeleteFunc(slices.Clone(l.fleet.rents), func(o *rent) bool { return o == r })
+}
+
+// noteRented takes in the machines that a request made at a time has rented.
+func (l *leader) noteRented(r *rent, asked time.Duration, body []byte) {
+	var names wire.MachineNames
+	json.Unmarshal(body, &names)
+	key := r.key()
+	l.c.log.Info("rented", "type", key.typ, "zone", key.zone, "spot", key.spot, "asked", r.req.Count, "got", len(names.Machines))
+	for _, name := range names.Machines {
+		if _, ok := l.returned[name]; ok {
+			continue
+		}
+		m := l.machine(name)
+		if !m.known {
+			l.describe(m, "", key.typ, key.zone, key.spot)
+		}
+		m.createdAt = asked
+	}
+	if len(names.Machines) < r.req.Count {
+		l.fleet.refused[key] = l.c.now + l.refusedFor()
+	}
+	l.schedule = true
+}
+
+// cloudError is the error that an answer of the cloud names.
+func cloudError(body []byte) string {
+	var e struct {
+		Error string `json:"error"`
+	}
+	json.Unmarshal(body, &e)
+	return e.Error
+}
+
 // refusedFor is how long an offer without capacity is not asked again: long
 // enough that all offers together stay well under the cloud's rate.
 func (l *leader) refusedFor() time.Duration {
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -36,16 +36,20 @@
 			// a peer that knew of a higher term would have told us.
 			l.sendReturns()
 		default:
-			f.returnRetry = l.c.now + time.Second
+			f.returnRetry = l.c.now + cloudRetry
 		}
 	})
 }
 
+// maxReturns is how many machines go into one return.
+const maxReturns = 100
+
+// sendReturns asks the cloud to take machines back.
 func (l *leader) sendReturns() {
 	f := &l.fleet
 	names := sortedKeys(f.returns)
-	if len(names) > 100 {
-		names = names[:100]
+	if len(names) > maxReturns {
+		names = names[:maxReturns]
 	}
 	for _, n := range names {
 		if m := l.machines[n]; m != nil {
@@ -53,13 +57,13 @@
 		}
 	}
 	f.returnBusy = true
-	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines/return", Body: encode(wire.MachineNames{Machines: names}), Timeout: 4 * time.Second, Urgent: true}, func(r Result) {
+	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines/return", Body: encode(wire.MachineNames{Machines: names}), Timeout: cloudTimeout, Urgent: true}, func(r Result) {
 		f.returnBusy = false
 		if l.gone {
 			return
 		}
 		if r.Status != 200 {
-			f.returnRetry = l.c.now + time.Second
+			f.returnRetry = l.c.now + cloudRetry
 			return
 		}
 		for _, n := range names {
