--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -205,38 +205,29 @@
 	return &wire.Command{Verb: wire.VerbStop, Task: name, Attempt: t.attempt, GraceS: &grace}
 }
 
+// stopGang asks all of a gang to end: it has to be told together, or its save
+// fails.
+func (l *leader) stopGang(j *job, grace float64, why string) {
+	for i := range j.tasks {
+		if j.tasks[i].m != nil {
+			l.stopTask(j, i, grace, why)
+		}
+	}
+}
+
 // tickStops repeats stops that had no effect, ends saves that take too long,
 // and returns machines on which cancelled work cannot be confirmed gone.
 func (l *leader) tickStops() {
 	for _, m := range l.byName {
 		for _, p := range m.placed {
 			t := p.task()
-			if t.m != m {
-				continue
-			}
-			if t.stop == nil {
-				if p.j.cancelled {
-					l.stopTask(p.j, p.i, 0, "cancelled")
-				} else if p.j.ended || t.done {
-					l.stopTask(p.j, p.i, 0, "over")
-				}
-				if t.m != nil && t.ours && t.recorded && !t.seen && m.deafSince == 0 && l.c.now-m.heard < 2*l.c.report() &&
-					l.c.now-max(t.placedAt, m.heardFrom) > 4*l.c.report() {
-					// Reports arrive all the while but the start never shows:
-					// the worker does not hear us. Reports that were held back
-					// and come all at once do not tell that.
-					l.c.log.Info("machine does not hear", "machine", m.name)
-					m.deafSince = l.c.now
-				}
-				continue
-			}
-			if !t.stop.hard && l.c.now-t.stop.at > 2*time.Duration(t.stop.grace*float64(time.Second)) {
-				t.stop.hard = true
-				t.stop.grace = 0
-				l.fleet.urge[m.name] = true
-			}
-			if l.cancelLate(p.j) {
-				l.giveBack(m, "cancelled work is not confirmed gone")
+			switch {
+			case t.m != m: // released by an earlier one
+			case t.stop == nil:
+				l.stopIfOver(p)
+				l.checkDeaf(m, t)
+			default:
+				l.repeatStop(m, p)
 			}
 		}
 	}
@@ -247,3 +238,40 @@
 		}
 	}
 }
+
+// stopIfOver stops a task of a job that is cancelled or over.
+func (l *leader) stopIfOver(p ref) {
+	if p.j.cancelled {
+		l.stopTask(p.j, p.i, 0, "cancelled")
+	} else if p.j.ended || p.task().done {
+		l.stopTask(p.j, p.i, 0, "over")
+	}
+}
+
+// checkDeaf notes a machine that does not hear us: its reports arrive all the
+// while but a task's start never shows. Reports that were held back and come
+// all at once do not tell that.
+func (l *leader) checkDeaf(m *machine, t *task) {
+	if t.m == nil || !t.ours || !t.recorded || t.seen || m.deafSince != 0 {
+		return
+	}
+	reports := l.c.now-m.heard < 2*l.c.report()
+	if reports && l.c.now-max(t.placedAt, m.heardFrom) > 4*l.c.report() {
+		l.c.log.Info("machine does not hear", "machine", m.name)
+		m.deafSince = l.c.now
+	}
+}
+
+// repeatStop ends a save that takes too long, and returns the machine if the
+// end of cancelled work is not confirmed in time.
+func (l *leader) repeatStop(m *machine, p ref) {
+	s := p.task().stop
+	if !s.hard && l.c.now-s.at > 2*time.Duration(s.grace*float64(time.Second)) {
+		s.hard = true
+		s.grace = 0
+		l.fleet.urge[m.name] = true
+	}
+	if l.cancelLate(p.j) {
+		l.giveBack(m, "cancelled work is not confirmed gone")
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -143,13 +143,13 @@
 			in[t.zone]++
 		}
 	}
-	cap := (len(j.tasks) + 1) / 2
+	limit := (len(j.tasks) + 1) / 2
 	return func(zone string) int {
 		if j.OneZone && len(in) > 0 && in[zone] == 0 {
 			return 0
 		}
 		if j.Spread {
-			return max(0, cap-in[zone])
+			return max(0, limit-in[zone])
 		}
 		return len(j.tasks)
 	}
@@ -160,8 +160,46 @@
 	return allowed(j.Types, typ) && (j.Zone == "" || j.Zone == zone) && (!spot || j.Spot)
 }
 
-// place starts what fits.
+// placementPass is one walk over the jobs that wait for room.
+type placementPass struct {
+	l     *leader
+	tree  *topology.Tree
+	usage map[string]topology.Resources // by team
+	// What is found not to fit in a pass is not tried again: room only shrinks.
+	full       map[shape]bool // no room for tasks of this shape
+	noVictims  map[shape]bool // nobody to stop for tasks of this shape
+	noMachine  map[needs]bool // no machine at all has room for a task
+	visitLimit int            // of the leader's count
+}
+
+// place starts what fits, makes room for what does not by preemption, and rents
+// for the rest.
 func (l *leader) place() {
+	before := l.visits
+	tree := l.placementTree()
+	p := &placementPass{
+		l: l, tree: tree, usage: l.usage(),
+		full: map[shape]bool{}, noVictims: map[shape]bool{}, noMachine: map[needs]bool{},
+		visitLimit: before + l.passVisits(),
+	}
+	cands := l.candidates()
+	for _, c := range l.resumed(cands) {
+		if l.c.now < c.j.retryAt {
+			continue
+		}
+		if l.visits > p.visitLimit {
+			l.resume, l.schedule = c.j, true
+			break
+		}
+		p.placeCandidate(c)
+	}
+	l.plan(cands, p.usage)
+	l.schedNext = max(l.schedNext, l.c.now+2*l.timeFor(l.visits-before))
+}
+
+// placementTree is the tree of the machines that may take tasks; it notes them
+// as the pass's leaves.
+func (l *leader) placementTree() *topology.Tree {
 	var leaves []*topology.Machine
 	l.leaves = l.leaves[:0]
 	for _, m := range l.byName {
@@ -172,49 +210,37 @@
 		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used), Key: len(l.leaves)})
 		l.leaves = append(l.leaves, m)
 	}
-	tree := topology.New(leaves)
-	usage := l.usage()
-	cands := l.candidates()
-	full := map[shape]bool{} // found not to fit in this pass, in which room only shrinks
-	firm := map[shape]bool{} // found nobody to stop for
-	bare := map[needs]bool{} // no machine at all has room for a task of it
-	before := l.visits
-	for _, c := range l.resumed(cands) {
-		j := c.j
-		if l.c.now < j.retryAt {
-			continue
-		}
-		if l.visits-before > l.passVisits() {
-			l.resume, l.schedule = j, true
-			break
-		}
-		key := shapeOf(c)
-		plain := len(j.failOn) == 0 && !j.Spread
-		if wait := l.c.slowFetch(j.Class); !math.IsInf(wait, 1) {
-			// First where it can start in time, making room there if need be.
-			if !bare[key.needs] {
-				l.fill(tree, c, usage, true)
-			}
-			if len(c.pending) > 0 && !firm[key] {
-				l.preempt(c, usage, true)
-			}
+	return topology.New(leaves)
+}
+
+// placeCandidate starts a candidate's tasks and makes room for those that find
+// none. A job whose class may wait only so long starts where its image comes in
+// time, if there is room or room can be made there.
+func (p *placementPass) placeCandidate(c *candidate) {
+	l, j := p.l, c.j
+	key := shapeOf(c)
+	plain := len(j.failOn) == 0 && !j.Spread
+	if !math.IsInf(l.c.slowFetch(j.Class), 1) {
+		if !p.noMachine[key.needs] {
+			l.fill(p.tree, c, p.usage, true)
 		}
-		if len(c.pending) > c.held && !full[key] && !bare[key.needs] {
-			l.fill(tree, c, usage, false)
-			if len(c.pending) > c.held && l.heldFor(j) == 0 {
-				full[key] = plain
-				// Whether a spread job finds room depends on where its other
-				// tasks are; that none has room, on the machines alone.
-				bare[key.needs] = !l.anyRoom(tree, j)
-			}
+		if len(c.pending) > 0 && !p.noVictims[key] {
+			l.preempt(c, p.usage, true)
 		}
-		if len(c.pending) > c.held && !firm[key] {
-			nobody := l.preempt(c, usage, false)
-			firm[key] = c.held == 0 && (plain || nobody)
+	}
+	if len(c.pending) > c.held && !p.full[key] && !p.noMachine[key.needs] {
+		l.fill(p.tree, c, p.usage, false)
+		if len(c.pending) > c.held && l.heldFor(j) == 0 {
+			p.full[key] = plain
+			// Whether a spread job finds room depends on where its other
+			// tasks are; that none has room, on the machines alone.
+			p.noMachine[key.needs] = !l.anyRoom(p.tree, j)
 		}
 	}
-	l.plan(cands, usage)
-	l.schedNext = max(l.schedNext, l.c.now+2*l.timeFor(l.visits-before))
+	if len(c.pending) > c.held && !p.noVictims[key] {
+		nobody := l.preempt(c, p.usage, false)
+		p.noVictims[key] = c.held == 0 && (plain || nobody)
+	}
 }
 
 // visitTime is about what a look at a machine takes on a whole processor.
@@ -290,6 +316,7 @@
 	spot  bool
 }
 
+// shapeOf is the shape of a candidate's tasks.
 func shapeOf(c *candidate) shape {
 	j := c.j
 	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
@@ -302,6 +329,7 @@
 	return s
 }
 
+// times is the size of n tasks.
 func times(r topology.Resources, n int) topology.Resources {
 	f := float64(n)
 	return topology.Resources{CPUs: r.CPUs * f, GPUs: r.GPUs * f, MemGB: r.MemGB * f}
@@ -310,54 +338,89 @@
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
-	j := c.j
+	req := l.placementRequest(c.j, tasks, quick)
+	l.visits += len(l.leaves)
+	where := tree.Place(req)
+	if where == nil {
+		return false
+	}
+	machines := make([]*machine, len(where))
+	for k, leaf := range where {
+		machines[k] = l.leaves[leaf.Key]
+	}
+	l.bindTasks(c.j, tasks, machines)
+	return true
+}
+
+// placementRequest asks for room for tasks of a job that start together. quick
+// leaves out machines on which the image would come too late.
+func (l *leader) placementRequest(j *job, tasks []int, quick bool) topology.Request {
 	wait := l.c.slowFetch(j.Class)
 	req := topology.Request{
 		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
-			m := l.leaves[t.Key]
-			if !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) {
-				return false
-			}
-			if m.reserved != nil && l.c.now < m.reservedUntil {
-				// Room that was made for it is taken though the image is slow
-				// there: left out, the job waited for three reports, until the
-				// machine was not kept for it any more.
-				return m.reserved == j
-			}
-			return !(quick && l.slow(j, m, wait))
+			return l.mayPlaceOn(j, l.leaves[t.Key], quick, wait)
 		},
 		Rank: func(t *topology.Machine) int {
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
-				return -1
-			}
-			m := l.leaves[t.Key]
-			rank := 0
-			if len(m.failed) > 0 {
-				rank = 3
+				return rankMoveTarget
 			}
-			if !m.hasImage(j.Image) {
-				rank++
-				if l.slow(j, m, wait) {
-					rank++
-				}
-			}
-			return rank
+			return l.machineRank(j, l.leaves[t.Key], wait)
 		},
 	}
 	if j.OneZone {
 		req.Required = topology.LevelZone
 	}
-	l.visits += len(l.leaves)
-	where := tree.Place(req)
-	if where == nil {
+	return req
+}
+
+// mayPlaceOn tells whether a machine in use may take a job's tasks, if it has
+// room. wait is how long the image's fetch may take.
+func (l *leader) mayPlaceOn(j *job, m *machine, quick bool, wait float64) bool {
+	if !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) {
 		return false
 	}
+	if m.reserved != nil && l.c.now < m.reservedUntil {
+		// Room that was made for it is taken though the image is slow
+		// there: left out, the job waited for three reports, until the
+		// machine was not kept for it any more.
+		return m.reserved == j
+	}
+	return !(quick && l.slow(j, m, wait))
+}
+
+// Ranks of machines for a task, lower first. Those without the image add up.
+const (
+	rankMoveTarget = -1
+	rankNoImage    = 1
+	rankSlowImage  = 1
+	rankFailed     = 3
+)
+
+// machineRank ranks a machine for a job's tasks: one that fails tasks comes
+// last, one that holds the image first.
+func (l *leader) machineRank(j *job, m *machine, wait float64) int {
+	rank := 0
+	if len(m.failed) > 0 {
+		rank = rankFailed
+	}
+	if m.hasImage(j.Image) {
+		return rank
+	}
+	rank += rankNoImage
+	if l.slow(j, m, wait) {
+		rank += rankSlowImage
+	}
+	return rank
+}
+
+// bindTasks binds tasks that start together to machines, given in their order.
+// The tasks of a gang share an attempt.
+func (l *leader) bindTasks(j *job, tasks []int, machines []*machine) {
 	attempt := j.next
 	for k, i := range tasks {
-		m := l.leaves[where[k].Key]
-		t := &j.tasks[i]
+		m, t := machines[k], &j.tasks[i]
 		if j.Shape != wire.ShapeGang {
 			attempt = j.next
 			j.next++
@@ -376,7 +439,6 @@
 	if j.Shape == wire.ShapeGang {
 		j.next++
 	}
-	return true
 }
 
 // slowFetch is how long a fetch may take, in seconds, before the class's wait
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -41,68 +41,91 @@
 	}
 	_, offered := l.offer(nil, &j.Job, nil)
 	c.cornered = !offered
-	want := min(len(c.pending), maxSeats)
-	if j.Shape == wire.ShapeGang {
-		want = len(c.pending)
-	}
-	for want > 0 && !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), want) {
-		if j.Shape == wire.ShapeGang {
-			return false
-		}
-		want--
-	}
+	want := l.seatsWanted(c, usage)
 	if want == 0 {
 		return false
 	}
 	if !l.anySeat(c) {
 		return true
 	}
-	seats := func(zone string) []seat { return l.seats(c, want, zone, quick) }
-	var best []seat
-	if j.OneZone {
-		for _, zone := range l.zones() {
-			if s := seats(zone); len(s) > len(best) || len(s) == len(best) && total(s) < total(best) {
-				best = s
-			}
-		}
-	} else {
-		best = seats("")
-	}
+	best := l.bestSeats(c, want, quick)
 	if len(best) == 0 || j.Shape == wire.ShapeGang && len(best) < want {
 		return false
 	}
 	c.held = len(best)
+	l.reserve(j, best, l.stopVictims(j, best))
+	return false
+}
+
+// seatsWanted is for how many of a candidate's tasks room is to be made, within
+// its team's limit.
+func (l *leader) seatsWanted(c *candidate, usage map[string]topology.Resources) int {
+	j := c.j
+	fits := func(n int) bool { return underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) }
+	if j.Shape == wire.ShapeGang {
+		if !fits(len(c.pending)) {
+			return 0
+		}
+		return len(c.pending)
+	}
+	want := min(len(c.pending), maxSeats)
+	for want > 0 && !fits(want) {
+		want--
+	}
+	return want
+}
+
+// bestSeats finds room for up to want tasks: for a job that is bound to one
+// zone, in the zone with the most of it, at the least loss.
+func (l *leader) bestSeats(c *candidate, want int, quick bool) []seat {
+	if !c.j.OneZone {
+		return l.seats(c, want, "", quick)
+	}
+	var best []seat
+	for _, zone := range l.zones() {
+		s := l.seats(c, want, zone, quick)
+		if len(s) > len(best) || len(s) == len(best) && total(s) < total(best) {
+			best = s
+		}
+	}
+	return best
+}
+
+// stopVictims stops the tasks that go for seats, and returns the longest time
+// that one of them gets to save, in seconds.
+func (l *leader) stopVictims(j *job, seats []seat) float64 {
 	wait := 0.0
-	for _, s := range best {
+	for _, s := range seats {
 		for _, v := range s.victims {
 			grace := l.preemptGrace(v.j)
 			wait = max(wait, grace)
 			l.c.log.Info("preempt", "task", v.name, "machine", s.m.name, "for", j.ID, "grace_s", grace)
-			if v.j.Shape != wire.ShapeGang {
+			if v.j.Shape == wire.ShapeGang {
+				v.j.preempted++
+				l.stopGang(v.j, grace, "preempted")
+			} else {
 				l.stopTask(v.j, v.i, grace, "preempted")
-				continue
-			}
-			v.j.preempted++
-			// A gang has to be told together, or its save fails.
-			for i := range v.j.tasks {
-				if v.j.tasks[i].m != nil {
-					l.stopTask(v.j, i, grace, "preempted")
-				}
 			}
 		}
 	}
+	return wait
+}
+
+// reserve keeps the seats' machines for a job until the room is there, wait
+// seconds from now.
+func (l *leader) reserve(j *job, seats []seat, wait float64) {
 	j.held = nil
-	for _, s := range best {
+	for _, s := range seats {
 		s.m.reserved, s.m.seats = j, 0
 		if !slices.Contains(j.held, s.m) {
 			j.held = append(j.held, s.m)
 		}
 	}
-	for _, s := range best {
+	until := l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
+	for _, s := range seats {
 		s.m.seats++
-		s.m.reservedUntil = l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
+		s.m.reservedUntil = until
 	}
-	return false
 }
 
 // preemptGrace is the time that preempted work gets to save. A stop without it
@@ -148,6 +171,7 @@
 	return (l.stopLoss(j, t) + 1) * share * float64(n) * rank * rank * float64(1+j.preempted)
 }
 
+// total is the cost of seats.
 func total(seats []seat) float64 {
 	sum := 0.0
 	for _, s := range seats {
@@ -206,43 +230,52 @@
 // seats finds room for up to want tasks, in one zone or anywhere, at the least
 // loss: free room first.
 func (l *leader) seats(c *candidate, want int, zone string, quick bool) []seat {
-	j := c.j
-	wait := l.c.slowFetch(j.Class)
-	room := l.zoneRoom(j)
+	wait := l.c.slowFetch(c.j.Class)
+	zoneRoom := l.zoneRoom(c.j)
 	var all []seat
 	l.visits += len(l.leaves)
 	for _, m := range l.leaves {
-		if zone != "" && m.zone != zone || !l.emptied(c, m).Holds(size(&j.Job)) || !l.mayTake(j, m) ||
-			m.reserved != nil && l.c.now < m.reservedUntil || quick && l.slow(j, m, wait) {
+		if zone != "" && m.zone != zone || !l.maySeat(c, m) || quick && l.slow(c.j, m, wait) {
 			continue
 		}
-		if room != nil && room(m.zone) < 1 {
+		if zoneRoom != nil && zoneRoom(m.zone) < 1 {
 			continue
 		}
-		cap, _ := l.total(m)
-		all = append(all, l.seatsOn(c, m, cap.Sub(m.used), want, quick)...)
+		whole, _ := l.total(m)
+		all = append(all, l.seatsOn(c, m, whole.Sub(m.used), want, quick)...)
 	}
 	// The seats of one machine build on each other: a later one never costs
 	// less, see seatsOn, so the order by cost keeps theirs.
 	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
+	return chooseSeats(all, want, zoneRoom)
+}
+
+// maySeat tells whether room for a candidate's task can be made on a machine.
+func (l *leader) maySeat(c *candidate, m *machine) bool {
+	return l.emptied(c, m).Holds(size(&c.j.Job)) && l.mayTake(c.j, m) && (m.reserved == nil || l.c.now >= m.reservedUntil)
+}
+
+// chooseSeats takes the first seats that the zones' bounds allow. A gang is a
+// victim of the first seat only that it goes for.
+func chooseSeats(all []seat, want int, zoneRoom func(string) int) []seat {
 	var out []seat
 	inZone := map[string]int{}
-	gone := map[*job]bool{} // gangs that are stopped already
+	stopped := map[*job]bool{} // gangs
 	for _, s := range all {
 		if len(out) == want {
 			break
 		}
-		if room != nil && inZone[s.m.zone] >= room(s.m.zone) {
+		if zoneRoom != nil && inZone[s.m.zone] >= zoneRoom(s.m.zone) {
 			continue
 		}
 		inZone[s.m.zone]++
 		var victims []ref
 		for _, v := range s.victims {
 			if v.j.Shape == wire.ShapeGang {
-				if gone[v.j] {
+				if stopped[v.j] {
 					continue
 				}
-				gone[v.j] = true
+				stopped[v.j] = true
 			}
 			victims = append(victims, v)
 		}
@@ -252,46 +285,34 @@
 	return out
 }
 
+// victim is a task that may be stopped, and what that loses.
+type victim struct {
+	r    ref
+	loss float64
+}
+
 // seatsOn lists the seats on one machine, cheapest first; each needs those
-// before it.
+// before it. free is what nobody uses there.
 func (l *leader) seatsOn(c *candidate, m *machine, free topology.Resources, want int, quick bool) []seat {
-	type victim struct {
-		r    ref
-		loss float64
-	}
-	j := c.j
-	need := size(&j.Job)
-	whole, _ := l.total(m)
-	var vs []victim
+	need := size(&c.j.Job)
+	var victims []victim
 	counted := false
 	var out []seat
 	for len(out) < want {
-		var s seat
-		s.m = m
+		s := seat{m: m}
+		if !counted && !free.Holds(need) {
+			counted = true
+			victims, free = l.victimsOn(c, m, free, quick)
+		}
 		for !free.Holds(need) {
-			if !counted {
-				counted = true
-				for _, p := range m.placed {
-					t := p.task()
-					if t.stop != nil {
-						free = free.Add(size(&p.j.Job)) // already on its way out
-						continue
-					}
-					if !l.mayPreempt(c, p.j) || quick && p.j.rank == c.power {
-						continue
-					}
-					vs = append(vs, victim{p, l.victimCost(p.j, t, whole)})
-				}
-				sort.SliceStable(vs, func(a, b int) bool { return vs[a].loss < vs[b].loss })
-				continue
-			}
-			if len(vs) == 0 {
+			if len(victims) == 0 {
 				return out
 			}
-			free = free.Add(size(&vs[0].r.j.Job))
-			s.victims = append(s.victims, vs[0].r)
-			s.cost += vs[0].loss
-			vs = vs[1:]
+			v := victims[0]
+			victims = victims[1:]
+			free = free.Add(size(&v.r.j.Job))
+			s.victims = append(s.victims, v.r)
+			s.cost += v.loss
 		}
 		free = free.Sub(need)
 		if len(out) > 0 {
@@ -302,6 +323,26 @@
 	return out
 }
 
+// victimsOn lists the tasks on a machine that may be stopped for a candidate,
+// the least loss first, and adds what is already on its way out to what is free.
+func (l *leader) victimsOn(c *candidate, m *machine, free topology.Resources, quick bool) ([]victim, topology.Resources) {
+	whole, _ := l.total(m)
+	var victims []victim
+	for _, p := range m.placed {
+		t := p.task()
+		if t.stop != nil {
+			free = free.Add(size(&p.j.Job))
+			continue
+		}
+		if !l.mayPreempt(c, p.j) || quick && p.j.rank == c.power {
+			continue
+		}
+		victims = append(victims, victim{p, l.victimCost(p.j, t, whole)})
+	}
+	sort.SliceStable(victims, func(a, b int) bool { return victims[a].loss < victims[b].loss })
+	return victims, free
+}
+
 // mayTake tells whether a machine may take a job's tasks, were there room.
 func (l *leader) mayTake(j *job, m *machine) bool {
 	return l.usable(m) && eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m)
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -91,12 +91,7 @@
 			grace = p.j.SaveS
 		}
 		if p.j.Shape == wire.ShapeGang {
-			// All of a gang has to be told together to save.
-			for i := range p.j.tasks {
-				if p.j.tasks[i].m != nil {
-					l.stopTask(p.j, i, grace, "machine leaves")
-				}
-			}
+			l.stopGang(p.j, grace, "machine leaves")
 			continue
 		}
 		l.stopTask(p.j, p.i, grace, "machine leaves")
