--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -3,134 +3,12 @@
 import (
 	"math"
 	"slices"
-	"sort"
-	"strings"
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// Kinds of the deployment's objectives.
-const (
-	objectiveWait     = "wait"
-	objectiveFinished = "finished"
-)
-
-// candidate is a job with tasks to place, and what orders it.
-type candidate struct {
-	j          *job
-	guaranteed bool
-	slack      float64
-	work       float64
-	pending    []int
-	held       int  // tasks for which room is being made
-	cornered   bool // no machine can be rented for it just now
-	power      int  // the rank by which it may stop other work
-}
-
-// pendingTasks lists the tasks that may be placed now. A gang is placed as a
-// whole, once nothing of its last attempt is left.
-func (j *job) pendingTasks() []int {
-	if !j.loaded || j.waits || j.cancelled || j.final || j.ended || j.stale || j.done == len(j.tasks) {
-		return nil
-	}
-	if j.placed == len(j.tasks) || j.Shape == wire.ShapeGang && j.placed > 0 {
-		return nil
-	}
-	var out []int
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.m == nil && !t.done {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
-// candidates lists the jobs with work to place: within a guarantee first, then
-// by priority, deadline slack and submission.
-func (l *leader) candidates() []*candidate {
-	l.guarantee()
-	var out []*candidate
-	for _, j := range l.order {
-		p := j.pendingTasks()
-		if len(p) == 0 {
-			continue
-		}
-		c := &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p, power: l.power(j)}
-		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
-			// One task makes a job begin. Where more jobs wait than there is
-			// room for, all tasks of one ahead of the next kept every job of
-			// a class from beginning for six minutes.
-			out = append(out, &candidate{j: j, guaranteed: j.within, slack: c.slack, work: c.work - 1, pending: p[:1:1], power: c.power})
-			c.pending = p[1:]
-		}
-		out = append(out, c)
-	}
-	sort.SliceStable(out, func(a, b int) bool {
-		x, y := out[a], out[b]
-		if x.guaranteed != y.guaranteed {
-			return x.guaranteed
-		}
-		if x.j.rank != y.j.rank {
-			return x.j.rank > y.j.rank
-		}
-		if x.slack != y.slack {
-			return x.slack < y.slack
-		}
-		if x.work != y.work {
-			return x.work < y.work
-		}
-		return x.j.order < y.j.order
-	})
-	return out
-}
-
-// power is the rank by which a job may stop other work. That of a dependent
-// counts once the chain would be late without it.
-func (l *leader) power(j *job) int {
-	if own := priorityRank[j.Priority]; j.rank > own && l.slack(j) > l.runEstimate(j) {
-		return own
-	}
-	return j.rank
-}
-
-// noDeadline is the slack of a job without a deadline: behind all others.
-const noDeadline = 1e9
-
-// slack is how long a job can still wait, in seconds.
-func (l *leader) slack(j *job) float64 {
-	if math.IsInf(j.due, 1) {
-		return noDeadline
-	}
-	return j.due - float64(l.c.wall)/1000 - l.runEstimate(j)
-}
-
-// beginWithin is half the time within which the protocol has the largest jobs
-// begin.
-const beginWithin = 120 * time.Second
-
-// mustBegin tells whether a job has waited long without a beginning.
-func (l *leader) mustBegin(j *job) bool {
-	return j.done+j.placed == 0 && time.Duration(l.c.wall-j.since)*time.Millisecond > beginWithin
-}
-
-// work is what a job of a class that is to be finished within a time still has
-// to run, in seconds of a task. When not all can be done in time, the least
-// work first gets the most jobs done; one that has waited long without a
-// beginning goes ahead, so that large jobs begin too.
-func (l *leader) work(j *job, pending int) float64 {
-	for _, o := range l.c.cfg.Deployment.Objectives {
-		if o.Kind == objectiveFinished && o.Class == j.Class {
-			if l.mustBegin(j) {
-				return 0
-			}
-			return float64(pending) * l.runEstimate(j)
-		}
-	}
-	return 0
-}
-
 // zoneRoom returns how many more tasks of a job each zone may take, counting
 // every task that is not certainly gone; nil if nothing bounds it.
 func (l *leader) zoneRoom(j *job) func(string) int {
@@ -297,44 +175,6 @@
 	}
 }
 
-// shape is what decides whether a job's tasks find room, apart from spread and
-// failures: many jobs of a class share it.
-type shape struct {
-	needs
-	oneZone    bool
-	gang       int // tasks that start together
-	rank       int
-	guaranteed bool
-	team       string
-}
-
-// needs is what a task of a job asks of a machine.
-type needs struct {
-	size  topology.Resources
-	types string
-	zone  string
-	spot  bool
-}
-
-// shapeOf is the shape of a candidate's tasks.
-func shapeOf(c *candidate) shape {
-	j := c.j
-	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
-		rank: c.power, guaranteed: c.guaranteed, team: j.Team}
-	if j.Shape == wire.ShapeGang {
-		s.gang, s.oneZone = len(c.pending), j.OneZone
-	} else if j.OneZone {
-		s.zone = j.ID // bound to the zone of its other tasks
-	}
-	return s
-}
-
-// times is the size of n tasks.
-func times(r topology.Resources, n int) topology.Resources {
-	f := float64(n)
-	return topology.Resources{CPUs: r.CPUs * f, GPUs: r.GPUs * f, MemGB: r.MemGB * f}
-}
-
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
--- /dev/null
+++ b/internal/core/shape.go
@@ -0,0 +1,46 @@
+package core
+
+import (
+	"strings"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// shape is what decides whether a job's tasks find room, apart from spread and
+// failures: many jobs of a class share it.
+type shape struct {
+	needs
+	oneZone    bool
+	gang       int // tasks that start together
+	rank       int
+	guaranteed bool
+	team       string
+}
+
+// needs is what a task of a job asks of a machine.
+type needs struct {
+	size  topology.Resources
+	types string
+	zone  string
+	spot  bool
+}
+
+// shapeOf is the shape of a candidate's tasks.
+func shapeOf(c *candidate) shape {
+	j := c.j
+	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
+		rank: c.power, guaranteed: c.guaranteed, team: j.Team}
+	if j.Shape == wire.ShapeGang {
+		s.gang, s.oneZone = len(c.pending), j.OneZone
+	} else if j.OneZone {
+		s.zone = j.ID // bound to the zone of its other tasks
+	}
+	return s
+}
+
+// times is the size of n tasks.
+func times(r topology.Resources, n int) topology.Resources {
+	f := float64(n)
+	return topology.Resources{CPUs: r.CPUs * f, GPUs: r.GPUs * f, MemGB: r.MemGB * f}
+}
