--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -8,6 +8,7 @@
 // Resources are amounts of a machine's resources.
 type Resources struct{ CPUs, GPUs, MemGB float64 }
 
+// eps is the error of sums that is put up with.
 const eps = 1e-6
 
 // Add returns r+o.
@@ -115,6 +116,7 @@
 	Rank func(*Machine) int
 }
 
+// domain is a part of the tree that may hold a whole request.
 type domain struct {
 	level    Level
 	name     string
@@ -125,6 +127,7 @@
 	machines []*leaf
 }
 
+// leaf is a machine that may take tasks of a request.
 type leaf struct {
 	m    *Machine
 	fit  int
@@ -137,27 +140,31 @@
 	if r.Count < 1 {
 		return nil
 	}
-	root := &domain{level: LevelRoot}
-	var zones []*domain
+	zones, machine := t.domains(r)
+	if machine != nil {
+		return t.assign(r, machine.machines, "")
+	}
+	if r.Required == LevelMachine {
+		return nil
+	}
+	if zone := tightestZone(zones, r.Count); zone != nil {
+		return t.assign(r, zone.machines, "")
+	}
+	if r.Required < LevelRoot {
+		return nil
+	}
+	return t.placeOverZones(r, zones)
+}
+
+// domains counts what of a request fits into each zone, the zones by name, and
+// finds the tightest machine that holds all of it, if there is one.
+func (t *Tree) domains(r Request) (zones []*domain, machine *domain) {
 	byName := map[string]*domain{}
-	var best *domain
 	for _, m := range t.machines {
-		if !m.Free.Holds(r.Task) || r.Allowed != nil && !r.Allowed(m) {
-			continue
-		}
-		fit := m.Free.Fit(r.Task, r.Count)
-		if r.ZoneRoom != nil {
-			if room := r.ZoneRoom(m.Zone); room < fit {
-				fit = room
-			}
-		}
-		if fit < 1 {
+		l := r.leaf(m)
+		if l == nil {
 			continue
 		}
-		l := &leaf{m: m, fit: fit}
-		if r.Rank != nil {
-			l.rank = r.Rank(m)
-		}
 		z := byName[m.Zone]
 		if z == nil {
 			z = &domain{level: LevelZone, name: m.Zone}
@@ -166,51 +173,76 @@
 		}
 		z.machines = append(z.machines, l)
 		z.free = z.free.Add(m.Free)
-		z.fit += fit
-		if fit >= r.Count {
-			d := &domain{level: LevelMachine, name: m.Name, free: m.Free, fit: fit, rank: l.rank, price: m.Price, machines: []*leaf{l}}
-			if best == nil || tighter(d, best) {
-				best = d
+		z.fit += l.fit
+		if l.fit >= r.Count {
+			d := &domain{level: LevelMachine, name: m.Name, free: m.Free, fit: l.fit, rank: l.rank, price: m.Price, machines: []*leaf{l}}
+			if machine == nil || tighter(d, machine) {
+				machine = d
 			}
 		}
 	}
 	sort.Slice(zones, func(i, j int) bool { return zones[i].name < zones[j].name })
-	for _, z := range zones {
-		if r.ZoneRoom != nil {
+	if r.ZoneRoom != nil {
+		for _, z := range zones {
 			z.fit = min(z.fit, r.ZoneRoom(z.name))
 		}
-		root.free = root.free.Add(z.free)
-		root.fit += z.fit
-		root.machines = append(root.machines, z.machines...)
 	}
-	if best != nil {
-		return t.assign(r, best.machines, "")
+	return zones, machine
+}
+
+// leaf counts how many of a request's tasks a machine may take; nil if none.
+func (r *Request) leaf(m *Machine) *leaf {
+	if !m.Free.Holds(r.Task) || r.Allowed != nil && !r.Allowed(m) {
+		return nil
 	}
-	if r.Required == LevelMachine {
+	fit := m.Free.Fit(r.Task, r.Count)
+	if r.ZoneRoom != nil {
+		fit = min(fit, r.ZoneRoom(m.Zone))
+	}
+	if fit < 1 {
 		return nil
 	}
+	l := &leaf{m: m, fit: fit}
+	if r.Rank != nil {
+		l.rank = r.Rank(m)
+	}
+	return l
+}
+
+// tightestZone finds the tightest zone that holds a number of tasks.
+func tightestZone(zones []*domain, count int) *domain {
+	var best *domain
 	for _, z := range zones {
-		if z.fit >= r.Count && (best == nil || tighter(z, best)) {
+		if z.fit >= count && (best == nil || tighter(z, best)) {
 			best = z
 		}
 	}
-	if best != nil {
-		return t.assign(r, best.machines, "")
+	return best
+}
+
+// placeOverZones places a request that no zone holds: the zone that fits most
+// comes first, the other machines follow by their distance from it.
+func (t *Tree) placeOverZones(r Request, zones []*domain) []*Machine {
+	fit := 0
+	var leaves []*leaf
+	for _, z := range zones {
+		fit += z.fit
+		leaves = append(leaves, z.machines...)
 	}
-	if r.Required < LevelRoot || root.fit < r.Count {
+	if fit < r.Count {
 		return nil
 	}
-	// No zone holds all: the zone that fits most comes first, the other
-	// machines follow by their distance from it.
 	most := zones[0]
 	for _, z := range zones[1:] {
 		if z.fit > most.fit || z.fit == most.fit && tighter(z, most) {
 			most = z
 		}
 	}
-	return t.assign(r, root.machines, most.name)
+	return t.assign(r, leaves, most.name)
 }
 
+// tighter orders domains of which each holds a request: smaller levels first,
+// then machines of a lower rank, then the least free room.
 func tighter(a, b *domain) bool {
 	if a.level != b.level {
 		return a.level < b.level
@@ -269,6 +301,7 @@
 	return out
 }
 
+// closer orders leaves for assign; fa and fb are how many tasks they would take.
 func closer(a *leaf, fa int, b *leaf, fb int, near string) bool {
 	if na, nb := a.m.Zone == near, b.m.Zone == near; na != nb {
 		return na
