--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -17,11 +17,13 @@
 	keyTerm   = "term"
 )
 
+// leaderValue is what the leader key holds.
 type leaderValue struct {
 	Name string `json:"name"`
 	Term uint64 `json:"term"`
 }
 
+// election is what a controller knows of who leads.
 type election struct {
 	busy     bool
 	nextPoll time.Duration
@@ -36,6 +38,7 @@
 // another controller must all fit within one worker lease.
 func (c *Core) ttl() time.Duration { return c.lease() / 5 }
 
+// tickElection renews this controller's leadership, or looks at who leads.
 func (c *Core) tickElection() {
 	e := &c.elect
 	if e.busy || c.now < e.nextPoll {
@@ -55,32 +58,7 @@
 		}
 		switch r.Status {
 		case 200:
-			var it wire.Item
-			var v leaderValue
-			if json.Unmarshal(r.Body, &it) != nil || json.Unmarshal(it.Value, &v) != nil {
-				c.log.Error("leader key is not readable", "body", string(r.Body))
-				return
-			}
-			first := !e.asked
-			e.asked = true
-			if v.Name == c.cfg.Name {
-				// Our own key, of an earlier process or of an election
-				// whose answer got lost: nobody else acts under it.
-				if first || v.Term >= e.term {
-					c.campaign(it.Version)
-				}
-				return
-			}
-			c.learn(v.Term, v.Name)
-			e.keyAt = c.now
-			if c.leaderLost() {
-				// It still holds its key, but neither we nor another
-				// controller hear it, so the workers' reports do not reach
-				// it and their leases run out. Its key gives way; its writes
-				// and commands do by the term.
-				c.log.Info("take over", "from", v.Name, "term", v.Term)
-				c.campaign(it.Version)
-			}
+			c.onLeaderKey(r.Body)
 		case 404:
 			e.asked = true
 			c.campaign(0)
@@ -88,6 +66,45 @@
 	})
 }
 
+// onLeaderKey takes in the leader key, on a controller that does not lead. It
+// campaigns where nobody leads under the key, or where the leader is lost.
+func (c *Core) onLeaderKey(body []byte) {
+	e := &c.elect
+	version, v, ok := decodeLeader(body)
+	if !ok {
+		c.log.Error("leader key is not readable", "body", string(body))
+		return
+	}
+	first := !e.asked
+	e.asked = true
+	if v.Name == c.cfg.Name {
+		// Our own key, of an earlier process or of an election whose answer got
+		// lost: nobody else acts under it.
+		if first || v.Term >= e.term {
+			c.campaign(version)
+		}
+		return
+	}
+	c.learn(v.Term, v.Name)
+	e.keyAt = c.now
+	if c.leaderLost() {
+		// It still holds its key, but neither we nor another controller hear
+		// it, so the workers' reports do not reach it and their leases run out.
+		// Its key gives way; its writes and commands do by the term.
+		c.log.Info("take over", "from", v.Name, "term", v.Term)
+		c.campaign(version)
+	}
+}
+
+// decodeLeader parses the leader key's record.
+func decodeLeader(body []byte) (version uint64, v leaderValue, ok bool) {
+	var it wire.Item
+	if json.Unmarshal(body, &it) != nil || json.Unmarshal(it.Value, &v) != nil {
+		return 0, leaderValue{}, false
+	}
+	return it.Version, v, true
+}
+
 // learn takes in that a controller leads under a term.
 func (c *Core) learn(term uint64, name string) {
 	e := &c.elect
@@ -108,57 +125,75 @@
 	c.flushForwards()
 }
 
-// campaign tries to win the next term, given the version of the leader key.
+// campaign tries to win the next term, given the version of the leader key: it
+// reads the term, takes a lease for the key, and writes both.
 func (c *Core) campaign(leaderVersion uint64) {
-	e := &c.elect
-	e.busy = true
-	fail := func() { e.busy = false }
+	c.elect.busy = true
 	c.get(keyTerm, func(r Result) {
-		var version, term uint64
-		switch r.Status {
-		case 200:
-			var it wire.Item
-			if json.Unmarshal(r.Body, &it) != nil || json.Unmarshal(it.Value, &term) != nil {
-				c.log.Error("term key is not readable", "body", string(r.Body))
-				fail()
-				return
-			}
-			version = it.Version
-		case 404:
-		default:
-			fail()
+		term, version, ok := c.decodeTerm(r)
+		if !ok {
+			c.elect.busy = false
 			return
 		}
-		c.call(Call{Dest: DestStore, Method: "POST", Path: "/grants", Urgent: true, Timeout: c.storeTimeout(),
-			Body: encode(wire.GrantRequest{TTLMs: int(c.ttl() / time.Millisecond)})}, func(r Result) {
-			var g wire.Grant
-			if r.Status != 200 || json.Unmarshal(r.Body, &g) != nil {
-				fail()
-				return
-			}
-			term++
-			txn := &wire.Txn{
-				If: []wire.Cond{{Key: keyLeader, Version: leaderVersion}, {Key: keyTerm, Version: version}},
-				Writes: []wire.Write{
-					{Put: keyLeader, Value: encode(leaderValue{c.cfg.Name, term}), Lease: g.Lease},
-					{Put: keyTerm, Value: encode(term)},
-				},
-			}
-			c.commit(txn, true, func(r Result) {
-				fail()
-				if r.Status != 200 {
-					return
-				}
-				var tr wire.TxnResult
-				if json.Unmarshal(r.Body, &tr) != nil {
-					return
-				}
-				c.becomeLeader(term, tr.Revision, g.Lease)
-			})
-		})
+		c.takeGrant(func(grant uint64) { c.claimTerm(leaderVersion, term+1, version, grant) })
+	})
+}
+
+// decodeTerm parses the answer to a read of the term key. There is none before
+// the first election.
+func (c *Core) decodeTerm(r Result) (term, version uint64, ok bool) {
+	switch r.Status {
+	case 200:
+		var it wire.Item
+		if json.Unmarshal(r.Body, &it) != nil || json.Unmarshal(it.Value, &term) != nil {
+			c.log.Error("term key is not readable", "body", string(r.Body))
+			return 0, 0, false
+		}
+		return term, it.Version, true
+	case 404:
+		return 0, 0, true
+	}
+	return 0, 0, false
+}
+
+// takeGrant asks the state service for a lease, for an election that goes on
+// with it.
+func (c *Core) takeGrant(next func(grant uint64)) {
+	c.call(Call{Dest: DestStore, Method: "POST", Path: "/grants", Urgent: true, Timeout: c.storeTimeout(),
+		Body: encode(wire.GrantRequest{TTLMs: int(c.ttl() / time.Millisecond)})}, func(r Result) {
+		var g wire.Grant
+		if r.Status != 200 || json.Unmarshal(r.Body, &g) != nil {
+			c.elect.busy = false
+			return
+		}
+		next(g.Lease)
+	})
+}
+
+// claimTerm writes the leader key and the next term, on the condition that
+// neither has changed.
+func (c *Core) claimTerm(leaderVersion, term, termVersion, grant uint64) {
+	txn := &wire.Txn{
+		If: []wire.Cond{{Key: keyLeader, Version: leaderVersion}, {Key: keyTerm, Version: termVersion}},
+		Writes: []wire.Write{
+			{Put: keyLeader, Value: encode(leaderValue{c.cfg.Name, term}), Lease: grant},
+			{Put: keyTerm, Value: encode(term)},
+		},
+	}
+	c.commit(txn, true, func(r Result) {
+		c.elect.busy = false
+		if r.Status != 200 {
+			return
+		}
+		var tr wire.TxnResult
+		if json.Unmarshal(r.Body, &tr) != nil {
+			return
+		}
+		c.becomeLeader(term, tr.Revision, grant)
 	})
 }
 
+// renew extends the lease of this controller's leader key.
 func (c *Core) renew() {
 	l := c.lead
 	c.call(Call{Dest: DestStore, Method: "POST", Path: "/grants/" + strconv.FormatUint(l.grant, 10) + "/extend", Urgent: true,
@@ -177,15 +212,17 @@
 		}
 		// Nobody is heard: another controller may have taken the key over.
 		c.get(keyLeader, func(r Result) {
-			var it wire.Item
-			var v leaderValue
-			if c.lead == l && r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && json.Unmarshal(it.Value, &v) == nil {
+			if c.lead != l || r.Status != 200 {
+				return
+			}
+			if _, v, ok := decodeLeader(r.Body); ok {
 				c.learn(v.Term, v.Name)
 			}
 		})
 	})
 }
 
+// becomeLeader starts to lead under a term that was won.
 func (c *Core) becomeLeader(term, termVersion, grant uint64) {
 	if term <= c.elect.term && c.elect.leader != "" && c.elect.leader != c.cfg.Name {
 		return
@@ -199,6 +236,7 @@
 	c.flushForwards()
 }
 
+// stepDown ends this controller's leadership.
 func (c *Core) stepDown(why string) {
 	c.log.Info("step down", "term", c.lead.term, "why", why)
 	c.lead.gone = true
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -16,52 +16,73 @@
 	sentTo string
 }
 
+// forwardTimeout is how long a report waits for the leader's answer. The worker
+// waits 4 s; it gets ours well before.
+const forwardTimeout = 2500 * time.Millisecond
+
 // onReport takes a worker's report. Only the leader answers one; another
-// controller hands it to the leader, and holds it for a moment while there is
+// controller forwards it to the leader, and holds it for a moment while there is
 // none.
 func (c *Core) onReport(req uint64, body []byte) {
 	v, home := c.visit(body)
 	if home != "" {
-		c.answer(req, 421, wire.Redirect{ReportTo: home}, 0)
+		c.redirect(req, home)
 		return
 	}
 	if c.lead != nil {
 		v.answered = c.now
-		status, out := c.lead.handleReport(body, c.cfg.Name)
-		c.out.Answers = append(c.out.Answers, Answer{ID: req, Status: status, Body: out})
+		c.answerReport(req, body)
 		return
 	}
-	if !c.hearsLeader() {
-		if to := c.bridge(); to != "" {
-			c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
-			return
-		}
-		if c.leaderAlive() && v.maySend(c) && (v.idle || !c.mayKeep()) {
-			// Only the controllers may be apart: the worker asks the leader
-			// itself, and comes back if it does not reach it either. One that
-			// has tasks is not risked while its lease can be kept.
-			v.sent, v.toLeader = c.now, c.elect.leader
-			c.answer(req, 421, wire.Redirect{ReportTo: c.elect.leader}, 0)
-			return
-		}
-		if v.toLeader == c.elect.leader && c.now-v.sent < 2*c.lease() {
-			v.back = c.now
-		}
-		if c.keepLease(req, body) {
-			return
-		}
-		if !c.storeOK() && !c.hearsPeer() {
-			// There is nobody to wait for; another controller may know more.
-			c.answer(req, 503, nil, 0)
-			return
-		}
+	if !c.hearsLeader() && c.answerWithoutLeader(req, v, body) {
+		return
 	}
 	c.nextForward++
-	// The worker waits 4 s for an answer; it gets ours well before.
-	c.forwards[c.nextForward] = &forward{req: req, from: v, body: body, until: c.now + 2500*time.Millisecond}
+	c.forwards[c.nextForward] = &forward{req: req, from: v, body: body, until: c.now + forwardTimeout}
 	c.pass(c.nextForward)
 }
 
+// redirect tells a worker to report to another controller.
+func (c *Core) redirect(req uint64, to string) {
+	c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
+}
+
+// answerReport answers a report as the leader.
+func (c *Core) answerReport(req uint64, body []byte) {
+	status, out := c.lead.handleReport(body, c.cfg.Name)
+	c.out.Answers = append(c.out.Answers, Answer{ID: req, Status: status, Body: out})
+}
+
+// answerWithoutLeader answers a report while the leader is not heard, if there
+// is an answer: where else to report to, an extension of the worker's lease, or
+// that nobody is there to wait for.
+func (c *Core) answerWithoutLeader(req uint64, v *visitor, body []byte) bool {
+	if to := c.bridge(); to != "" {
+		c.redirect(req, to)
+		return true
+	}
+	if c.leaderAlive() && v.maySend(c) && (v.idle || !c.mayKeep()) {
+		// Only the controllers may be apart: the worker asks the leader
+		// itself, and comes back if it does not reach it either. One that
+		// has tasks is not risked while its lease can be kept.
+		v.sent, v.toLeader = c.now, c.elect.leader
+		c.redirect(req, c.elect.leader)
+		return true
+	}
+	if v.toLeader == c.elect.leader && c.now-v.sent < 2*c.lease() {
+		v.back = c.now
+	}
+	if c.keepLease(req, body) {
+		return true
+	}
+	if !c.storeOK() && !c.hearsPeer() {
+		// There is nobody to wait for; another controller may know more.
+		c.answer(req, 503, nil, 0)
+		return true
+	}
+	return false
+}
+
 // flushForwards passes on all reports that wait, to a leader that is known now.
 func (c *Core) flushForwards() {
 	for _, id := range c.forwardIDs() {
@@ -75,14 +96,14 @@
 	switch {
 	case c.lead != nil:
 		delete(c.forwards, id)
-		status, out := c.lead.handleReport(f.body, c.cfg.Name)
-		c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: status, Body: out})
+		c.answerReport(f.req, f.body)
 	case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
 		f.sentTo = c.elect.leader
 		c.send(f.sentTo, &wire.PeerMessage{Forward: &wire.Forward{ID: id, Body: f.body}})
 	}
 }
 
+// forwardIDs lists the reports that wait, in their order.
 func (c *Core) forwardIDs() []uint64 {
 	ids := make([]uint64, 0, len(c.forwards))
 	for id := range c.forwards {
@@ -92,6 +113,7 @@
 	return ids
 }
 
+// tickForwards answers the reports that waited too long.
 func (c *Core) tickForwards() {
 	for _, id := range c.forwardIDs() {
 		if f := c.forwards[id]; c.now >= f.until {
@@ -104,11 +126,13 @@
 	}
 }
 
+// send sends another controller a message.
 func (c *Core) send(to string, m *wire.PeerMessage) {
 	m.From = c.cfg.Name
 	c.out.Sends = append(c.out.Sends, Send{To: to, Msg: m})
 }
 
+// onPeer takes another controller's message.
 func (c *Core) onPeer(m *wire.PeerMessage) {
 	p := c.peers[m.From]
 	if p == nil {
@@ -117,49 +141,73 @@
 	p.heard, p.ever = c.now, true
 	switch {
 	case m.Forward != nil:
-		r := &wire.Reply{ID: m.Forward.ID, Status: 503, Body: []byte("{}")}
-		if c.lead != nil {
-			r.Status, r.Body = c.lead.handleReport(m.Forward.Body, m.From)
-		}
-		c.send(m.From, &wire.PeerMessage{Reply: r})
+		c.onForward(m.From, m.Forward)
 	case m.Reply != nil:
-		if f := c.forwards[m.Reply.ID]; f != nil && f.sentTo == m.From {
-			delete(c.forwards, m.Reply.ID)
-			if m.Reply.Status == 200 {
-				f.from.answered = c.now
-			}
-			c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: m.Reply.Status, Body: m.Reply.Body})
-		}
+		c.onReply(m.From, m.Reply)
 	case m.Ends != nil:
 		c.onEnds(m.Ends)
 	case m.Digest != nil:
-		d := m.Digest
-		c.noteTestimony(p, d)
-		p.version = max(p.version, d.Version)
-		p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
-		if c.lead != nil {
-			c.lead.noteCancelled(m.From, d.Cancelled)
-		}
-		if d.Leader {
-			c.learn(d.Term, m.From)
-			if c.lead == nil && c.elect.leader == m.From {
-				c.elect.heard = c.now
-				c.noteEcho(d)
-			}
-			if c.lead == nil && c.elect.leader == m.From && d.HasJobs {
-				if !d.More || c.counts == nil {
-					c.counts = make(map[string]wire.JobCount, len(d.Jobs))
-				}
-				for _, j := range d.Jobs {
-					c.counts[j.ID] = j
-				}
-			}
-		} else if c.lead != nil && d.Term > c.lead.term {
-			c.stepDown("a peer knows a higher term")
-		}
+		c.onDigest(m.From, p, m.Digest)
+	}
+}
+
+// onForward answers a report that another controller forwards.
+func (c *Core) onForward(from string, f *wire.Forward) {
+	r := &wire.Reply{ID: f.ID, Status: 503, Body: []byte("{}")}
+	if c.lead != nil {
+		r.Status, r.Body = c.lead.handleReport(f.Body, from)
+	}
+	c.send(from, &wire.PeerMessage{Reply: r})
+}
+
+// onReply hands the leader's answer to the worker whose report was forwarded.
+func (c *Core) onReply(from string, r *wire.Reply) {
+	f := c.forwards[r.ID]
+	if f == nil || f.sentTo != from {
+		return
+	}
+	delete(c.forwards, r.ID)
+	if r.Status == 200 {
+		f.from.answered = c.now
+	}
+	c.out.Answers = append(c.out.Answers, Answer{ID: f.req, Status: r.Status, Body: r.Body})
+}
+
+// onDigest takes in what another controller says of itself.
+func (c *Core) onDigest(from string, p *peerState, d *wire.Digest) {
+	c.noteTestimony(p, d)
+	p.version = max(p.version, d.Version)
+	p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
+	if c.lead != nil {
+		c.lead.noteCancelled(from, d.Cancelled)
+	}
+	if d.Leader {
+		c.onLeaderDigest(from, d)
+	} else if c.lead != nil && d.Term > c.lead.term {
+		c.stepDown("a peer knows a higher term")
+	}
+}
+
+// onLeaderDigest takes in the digest of a controller that leads.
+func (c *Core) onLeaderDigest(from string, d *wire.Digest) {
+	c.learn(d.Term, from)
+	if c.lead != nil || c.elect.leader != from {
+		return
+	}
+	c.elect.heard = c.now
+	c.noteEcho(d)
+	if !d.HasJobs {
+		return
+	}
+	if !d.More || c.counts == nil {
+		c.counts = make(map[string]wire.JobCount, len(d.Jobs))
+	}
+	for _, j := range d.Jobs {
+		c.counts[j.ID] = j
 	}
 }
 
+// sendDigest tells the other controllers of this one.
 func (c *Core) sendDigest() {
 	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.keep.list(c.now)}
 	for _, id := range sortedKeys(c.users.cancels) {
@@ -183,6 +231,8 @@
 // digestJobs is how many jobs' counts go into one message.
 const digestJobs = 1000
 
+// sendDigestPart sends a digest with a part of the jobs' counts, with each
+// peer's own clock echoed to it.
 func (c *Core) sendDigestPart(d wire.Digest, jobs []wire.JobCount) {
 	d.Jobs = jobs
 	for _, p := range c.cfg.Peers {
@@ -302,6 +352,7 @@
 	return false
 }
 
+// decodeReport parses a worker's report.
 func decodeReport(body []byte) (*wire.Report, bool) {
 	var r wire.Report
 	if json.Unmarshal(body, &r) != nil || r.Machine == "" {
