--- /dev/null
+++ b/internal/core/consolidation.go
@@ -0,0 +1,182 @@
+package core
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// consolidate empties a machine whose replicas all find room on others that
+// are up and hold their images, so that it can be returned. A replica that
+// moves is away for the time of a stop and a start. One machine at a time, and
+// only while nothing waits for room.
+func (l *leader) consolidate(bins []*bin, cands []*candidate) {
+	f := &l.fleet
+	if l.c.now < f.moveNext || l.c.now-l.loadedAt < l.c.lease() || anyPending(cands) {
+		return
+	}
+	if slices.ContainsFunc(bins, func(b *bin) bool { return b.toRent }) {
+		return
+	}
+	sources, targets := l.moveSources(bins), l.moveTargets(bins)
+	// Whether all find room changes slowly, and finding out costs a walk over
+	// machines times replicas.
+	f.moveNext = l.c.now + l.c.report()
+	for _, m := range sources {
+		if to := l.elsewhere(m, targets); to != nil {
+			l.moveReplicas(m, to)
+			f.moveNext = l.c.now + l.movePace()
+			return
+		}
+	}
+}
+
+func anyPending(cands []*candidate) bool {
+	return slices.ContainsFunc(cands, func(c *candidate) bool { return len(c.pending) > 0 })
+}
+
+// moveTargets lists the bins of the machines that replicas may move to.
+func (l *leader) moveTargets(bins []*bin) []*bin {
+	var targets []*bin
+	for _, b := range bins {
+		if m := l.machines[b.machine]; m != nil && l.usable(m) {
+			targets = append(targets, b)
+		}
+	}
+	return targets
+}
+
+// moveSources lists the machines that may be emptied: condemned ones first, once
+// their tasks are replicas alone, then those of the highest price.
+func (l *leader) moveSources(bins []*bin) []*machine {
+	var sources []*machine
+	for _, b := range bins {
+		m := l.machines[b.machine]
+		if m != nil && l.usable(m) && !b.used && l.c.now-m.createdAt > minCharge && m.movable() {
+			sources = append(sources, m)
+		}
+	}
+	for _, m := range l.byName {
+		if m.drain != "" && !m.evict && !m.returning && m.movable() {
+			sources = append(sources, m)
+		}
+	}
+	sort.SliceStable(sources, func(a, b int) bool {
+		x, y := sources[a], sources[b]
+		if cx, cy := x.drain != "", y.drain != ""; cx != cy {
+			return cx
+		}
+		if px, py := l.price(x.typ, x.spot), l.price(y.typ, y.spot); px != py {
+			return px > py
+		}
+		return len(x.placed) < len(y.placed)
+	})
+	return sources
+}
+
+// moveReplicas has a machine's replicas move to others, given in their order.
+func (l *leader) moveReplicas(m *machine, to []*machine) {
+	for k, p := range m.placed {
+		p.j.moveTo[p.i] = to[k]
+	}
+	l.condemn(m, "its replicas fit on other machines")
+	m.evict = true
+}
+
+// movePace is the time between two machines that are emptied. A machine that
+// goes takes its images with it: while a class arrives whose image is fetched
+// too slowly everywhere, they go seldom.
+func (l *leader) movePace() time.Duration {
+	for _, class := range sortedKeys(l.arrivals) {
+		a := l.arrivals[class]
+		if a.last == nil || len(a.at) == 0 || l.c.now-a.at[len(a.at)-1] > arrivalWindow {
+			continue
+		}
+		if l.fetchedSlowly(a.last) {
+			return l.c.lease()
+		}
+	}
+	return 2 * l.c.report()
+}
+
+// fetchedSlowly tells whether a job's image comes too late on every type of
+// machine that the job may use.
+func (l *leader) fetchedSlowly(j *job) bool {
+	wait := l.c.slowFetch(j.Class)
+	for _, t := range l.c.types {
+		if allowed(j.Types, t.Name) && capacity(t).Holds(size(&j.Job)) && j.ImageGB <= wait*t.FetchGBPS {
+			return false
+		}
+	}
+	return true
+}
+
+// movable tells whether all that a machine does is to run settled replicas.
+func (m *machine) movable() bool {
+	for _, p := range m.placed {
+		t := &p.j.tasks[p.i]
+		if p.j.Shape != wire.ShapeService || t.state != wire.TaskRunning || t.stop != nil {
+			return false
+		}
+	}
+	return len(m.placed) > 0
+}
+
+// jobZone names a job in a zone.
+type jobZone struct {
+	j    *job
+	zone string
+}
+
+// elsewhere finds a machine for each of a machine's replicas, in their order;
+// nil if not all find one.
+func (l *leader) elsewhere(m *machine, targets []*bin) []*machine {
+	free := make(map[*bin]topology.Resources, len(targets))
+	for _, b := range targets {
+		free[b] = b.free
+	}
+	added := map[jobZone]int{}
+	var to []*machine
+	for _, p := range m.placed {
+		if p.j.OneZone {
+			return nil
+		}
+		best := l.moveTarget(m, p.j, targets, free, added)
+		if best == nil {
+			return nil
+		}
+		free[best] = free[best].Sub(size(&p.j.Job))
+		added[jobZone{p.j, best.key.zone}]++
+		to = append(to, l.machines[best.machine])
+	}
+	return to
+}
+
+// moveTarget finds the tightest target that may take a job's replica from a
+// machine, given what is free and what was added by the moves before it.
+func (l *leader) moveTarget(from *machine, j *job, targets []*bin, free map[*bin]topology.Resources, added map[jobZone]int) *bin {
+	zoneRoom := l.zoneRoom(j)
+	var best *bin
+	for _, b := range targets {
+		m := l.machines[b.machine]
+		if m == from || !free[b].Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || !m.hasImage(j.Image) || len(m.failed) > 0 {
+			continue
+		}
+		if zoneRoom != nil {
+			n := zoneRoom(m.zone) - added[jobZone{j, m.zone}]
+			if m.zone == from.zone {
+				n++ // its own place there becomes free
+			}
+			if n < 1 {
+				continue
+			}
+		}
+		if best == nil || free[b].Less(free[best]) {
+			best = b
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/rentalplan.go
@@ -0,0 +1,253 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// bin is capacity that the rental plan packs tasks into: a machine that is up,
+// one that boots, or one to be rented.
+type bin struct {
+	machine string // name of an existing machine; empty for one that is asked for
+	key     offerKey
+	free    topology.Resources
+	// preemptible is what work of each priority holds that higher priorities
+	// may stop: it counts as room for work that is only expected.
+	preemptible [ranks]topology.Resources
+	used        bool // a task was packed into it
+	toRent      bool
+}
+
+// room is what a task of a priority finds; expected work may count on what it
+// could preempt.
+func (b *bin) room(rank int, expected bool) topology.Resources {
+	free := b.free
+	if expected {
+		for _, held := range b.preemptible[:rank] {
+			free = free.Add(held)
+		}
+	}
+	return free
+}
+
+// take packs a task into the bin.
+func (b *bin) take(need topology.Resources, rank int, expected bool) {
+	b.free = b.free.Sub(need)
+	if !expected {
+		b.preemptible[rank] = b.preemptible[rank].Add(need)
+	}
+	b.used = true
+}
+
+// supply tells whether a machine is, or is about to be, of use. One that has
+// just reported and will hear this term with its next report counts: leaving
+// it out for that moment rented a second machine for the same work.
+func (l *leader) supply(m *machine) bool {
+	if m.heard == 0 {
+		return l.overdue(m) <= bootLate
+	}
+	return l.usable(m) || m.token < l.term && l.c.now-m.heard < 3*l.c.report()
+}
+
+// rentalPlan packs the tasks that found no room, and those that are expected
+// while a machine boots, into the machines there are, those asked for and those
+// to be rented.
+type rentalPlan struct {
+	l    *leader
+	bins []*bin
+}
+
+const (
+	maxPlannedTasks = 500 // tasks of one job that a plan rents for
+	maxOpenRents    = 4   // rental requests without an answer
+	maxRentCount    = 50  // machines in one rental request
+)
+
+// plan rents for the tasks that found no room, and keeps or rents some room
+// for the work that is expected while a machine boots.
+func (l *leader) plan(cands []*candidate, usage map[string]topology.Resources) {
+	p := newRentalPlan(l)
+	p.packPending(cands, usage)
+	p.packExpected()
+	l.consolidate(p.bins, cands)
+	l.fleet.keep = p.usedMachines()
+	l.rentPlanned(p.wanted())
+}
+
+// newRentalPlan starts a plan with the machines that are, or are about to be,
+// of use, and with those that have been asked for.
+func newRentalPlan(l *leader) *rentalPlan {
+	p := &rentalPlan{l: l}
+	for _, m := range l.byName {
+		total, ok := l.total(m)
+		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 || !l.supply(m) {
+			continue
+		}
+		key := offerKey{m.typ, m.zone, m.spot}
+		p.bins = append(p.bins, &bin{machine: m.name, key: key, free: total.Sub(m.used), preemptible: m.soft})
+	}
+	for _, r := range l.fleet.rents {
+		t := l.c.types[r.req.Type]
+		if t == nil {
+			continue
+		}
+		for range r.req.Count {
+			p.bins = append(p.bins, &bin{key: r.key(), free: capacity(t)})
+		}
+	}
+	return p
+}
+
+// packPending packs the candidates' tasks, within their teams' limits.
+func (p *rentalPlan) packPending(cands []*candidate, usage map[string]topology.Resources) {
+	planned := maps.Clone(usage)
+	for _, c := range cands {
+		if len(c.j.failOn) < maxFailedOn {
+			p.packCandidate(c, planned)
+		}
+	}
+}
+
+// packCandidate packs a candidate's tasks and adds them to their team's usage.
+func (p *rentalPlan) packCandidate(c *candidate, usage map[string]topology.Resources) {
+	l, j := p.l, c.j
+	// Room that is being made for it is not rented as well, also where the
+	// pass did not come to it.
+	c.held = max(c.held, l.heldFor(j))
+	zoneRoom := l.zoneRoom(j)
+	added := map[string]int{} // by zone
+	var last *bin
+	for k := c.held; k < len(c.pending) && k < maxPlannedTasks; k++ {
+		if !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), 1) {
+			return
+		}
+		zoneAllowed := func(zone string) bool {
+			if j.OneZone && k > c.held {
+				return added[zone] > 0
+			}
+			return zoneRoom == nil || added[zone] < zoneRoom(zone)
+		}
+		if last = p.pack(j, zoneAllowed, false, last); last == nil {
+			return
+		}
+		added[last.key.zone]++
+		usage[j.Team] = usage[j.Team].Add(size(&j.Job))
+	}
+}
+
+// packExpected packs the tasks that are expected of the classes which may wait
+// only so long.
+func (p *rentalPlan) packExpected() {
+	l := p.l
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		a := l.arrivals[o.Class]
+		if o.Kind != objectiveWait || a == nil || a.last == nil {
+			continue
+		}
+		var last *bin
+		for range l.expected(a, o) {
+			if last = p.pack(a.last, nil, true, last); last == nil {
+				break
+			}
+		}
+	}
+}
+
+// pack finds a bin for a task, or adds the cheapest machine that the cloud may
+// still grant; nil if there is none. zoneAllowed may be nil. last is the bin of
+// the job's task before: it was the tightest, so it still is where it has room
+// for one more.
+func (p *rentalPlan) pack(j *job, zoneAllowed func(string) bool, expected bool, last *bin) *bin {
+	need := size(&j.Job)
+	best := last
+	if last == nil || !last.room(j.rank, expected).Holds(need) || zoneAllowed != nil && !zoneAllowed(last.key.zone) {
+		best = p.tightest(j, zoneAllowed, expected)
+	}
+	if best == nil {
+		key, ok := p.l.offer(p.bins, &j.Job, zoneAllowed)
+		if !ok {
+			return nil
+		}
+		best = &bin{key: key, toRent: true, free: capacity(p.l.c.types[key.typ])}
+		p.bins = append(p.bins, best)
+	}
+	best.take(need, j.rank, expected)
+	return best
+}
+
+// tightest finds the bin with the least free room that a task fits into.
+func (p *rentalPlan) tightest(j *job, zoneAllowed func(string) bool, expected bool) *bin {
+	p.l.visits += len(p.bins)
+	need := size(&j.Job)
+	var best *bin
+	for _, b := range p.bins {
+		if !b.room(j.rank, expected).Holds(need) || !eligible(&j.Job, b.key.typ, b.key.zone, b.key.spot) {
+			continue
+		}
+		if best != nil && !b.free.Less(best.free) || zoneAllowed != nil && !zoneAllowed(b.key.zone) {
+			continue
+		}
+		best = b
+	}
+	return best
+}
+
+// usedMachines are the existing machines that the plan has a use for.
+func (p *rentalPlan) usedMachines() map[string]bool {
+	used := map[string]bool{}
+	for _, b := range p.bins {
+		if b.used && b.machine != "" {
+			used[b.machine] = true
+		}
+	}
+	return used
+}
+
+// wantedMachines is how many machines of an offer are to be rented.
+type wantedMachines struct {
+	key   offerKey
+	count int
+}
+
+// wanted lists what is to be rented, the most urgent first.
+func (p *rentalPlan) wanted() []wantedMachines {
+	var out []wantedMachines
+	for _, b := range p.bins {
+		if !b.toRent {
+			continue
+		}
+		at := slices.IndexFunc(out, func(w wantedMachines) bool { return w.key == b.key })
+		if at < 0 {
+			at = len(out)
+			out = append(out, wantedMachines{key: b.key})
+		}
+		out[at].count++
+	}
+	return out
+}
+
+// rentPlanned sends the rental requests that the cloud's rate allows now. The
+// cloud takes few calls: what is wanted gathers until the next one, the most
+// urgent first, instead of going out machine by machine.
+func (l *leader) rentPlanned(wanted []wantedMachines) {
+	f := &l.fleet
+	for _, w := range wanted {
+		if l.c.now < f.rentNext || len(f.rents) >= maxOpenRents {
+			l.schedule = true
+			return
+		}
+		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
+		f.rentSeq++
+		r := &rent{req: wire.RentRequest{
+			Request: "r-" + strconv.FormatUint(l.term, 10) + "-" + strconv.Itoa(f.rentSeq),
+			Type:    w.key.typ, Zone: w.key.zone, Spot: w.key.spot, Count: min(w.count, maxRentCount),
+		}}
+		f.rents = append(f.rents, r)
+		l.rent(r)
+	}
+}
