Chains: cost by what changes, ends of a chain in one transaction

Priority and deadline went from job to job by way of each path: in a layered graph as often as there are paths. Each job is now looked at once, dependents first. A cancelled chain ended one job a transaction, and would take longer than cancel_s where the state service answers slowly; what fits goes into one.

The tests count edges looked at and transactions, not time. The test of the graph asks for the levels to be gone in the end as well.

--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -238,6 +238,9 @@
 		if rec.AskedAt != 0 {
 			j.askedAt = ago(rec.AskedAt, 0)
 		}
+		var before []string
+		l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
+		l.reclaim(before)
 		l.cancelAfter(j.ID)
 	}
 	if rec.told() && !j.told {
@@ -256,6 +259,7 @@
 	j.cancelled = true
 	j.askedAt = l.c.now
 	l.cancelled[j.ID] = j
+	l.ending = append(l.ending, j)
 	for i := range j.tasks {
 		if j.tasks[i].m != nil {
 			l.stopTask(j, i, 0, "cancelled")
--- /dev/null
+++ b/internal/core/chains_test.go
@@ -0,0 +1,285 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	stdjson "encoding/json"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// graph is what jobs await, by job, in the order in which they are submitted.
+type graph struct {
+	order  []string
+	awaits map[string][]string
+}
+
+func (g *graph) add(id string, awaits ...string) string {
+	if g.awaits == nil {
+		g.awaits = map[string][]string{}
+	}
+	g.order = append(g.order, id)
+	g.awaits[id] = awaits
+	return id
+}
+
+func (g *graph) edges() int {
+	n := 0
+	for _, a := range g.awaits {
+		n += len(a)
+	}
+	return n
+}
+
+// graphs returns the shapes that cost the most: long, wide either way, and
+// layered, where the paths are many more than the jobs.
+func graphs() map[string]*graph {
+	chain, needed, needing, layers := &graph{}, &graph{}, &graph{}, &graph{}
+	last := chain.add("job-1000")
+	root := needed.add("job-1000")
+	var all []string
+	for n := range 400 {
+		id := fmt.Sprintf("job-%d", 1001+n)
+		last = chain.add(id, last)
+		needed.add(id, root)
+		all = append(all, needing.add(id))
+	}
+	needing.add("job-9999", all...)
+	before := []string{layers.add("job-1000")}
+	for n := range 100 {
+		var layer []string
+		for k := range 3 {
+			layer = append(layer, layers.add(fmt.Sprintf("job-%d", 1001+3*n+k), before...))
+		}
+		before = layer
+	}
+	layers.add("job-9999", before...)
+	return map[string]*graph{"a chain": chain, "one that all need": needed, "one that needs all": needing, "layers": layers}
+}
+
+// recordGraph has a leader learn of a graph's jobs, with estimates that differ.
+func recordGraph(b *harness, l *leader, g *graph) {
+	for n, id := range g.order {
+		record(b, l, wire.Job{ID: id, Awaits: g.awaits[id]}, func(r *openRecord) { r.Job.EstimateS = float64(1 + n%3) })
+	}
+}
+
+// TestClaimsCost submits a deadline and a priority behind large graphs, and takes
+// them away again. What it costs goes by the jobs and what they await, not by the
+// paths: of these, layers have more than can ever be followed.
+func TestClaimsCost(t *testing.T) {
+	due := 1e6
+	for name, g := range graphs() {
+		t.Run(name, func(t *testing.T) {
+			b, l := leading(t, func(*config.Settings) {})
+			recordGraph(b, l, g)
+			before := l.deps.steps
+			if most := 20 * (len(g.order) + g.edges()); before > most {
+				t.Errorf("%d steps for %d jobs that await %d, want at most %d", before, len(g.order), g.edges(), most)
+			}
+			tail := g.order[len(g.order)-1]
+			record(b, l, wire.Job{ID: "job-10000", Awaits: []string{tail}}, func(r *openRecord) {
+				r.Job.Priority, r.Job.DeadlineS, r.Job.EstimateS = wire.PriorityUrgent, &due, 20
+			})
+			want := wantClaims(b, l, g, tail, due)
+			for _, id := range g.order {
+				j := l.jobs[id]
+				w, claimed := want[id]
+				if claimed != (j.rank == priorityRank[wire.PriorityUrgent]) || claimed && math.Abs(j.due-w) > 1e-3 {
+					t.Fatalf("%s: rank %d, due %f, want %v %f", id, j.rank, j.due, claimed, w)
+				}
+			}
+			if steps, most := l.deps.steps-before, 3*(len(g.order)+g.edges()); steps > most {
+				t.Errorf("the claim took %d steps, want at most %d", steps, most)
+			}
+			before = l.deps.steps
+			record(b, l, wire.Job{ID: "job-10000", Awaits: []string{tail}}, func(r *openRecord) { r.Cancelled, r.AskedAt = true, b.c.wall })
+			for _, id := range g.order {
+				if j := l.jobs[id]; j.rank != 0 || !math.IsInf(j.due, 1) {
+					t.Fatalf("%s without the claim: rank %d, due %f", id, j.rank, j.due)
+				}
+			}
+			if steps, most := l.deps.steps-before, 5*(len(g.order)+g.edges()); steps > most {
+				t.Errorf("to take it back took %d steps, want at most %d", steps, most)
+			}
+		})
+	}
+}
+
+// wantClaims works out by when the jobs before a job have to be done.
+func wantClaims(b *harness, l *leader, g *graph, tail string, due float64) map[string]float64 {
+	want := map[string]float64{tail: float64(b.c.wall)/1000 + due - 20}
+	for n := len(g.order) - 1; n >= 0; n-- {
+		id := g.order[n]
+		if w, ok := want[id]; ok {
+			for _, a := range g.awaits[id] {
+				if have, ok := want[a]; !ok || w-l.jobs[id].EstimateS < have {
+					want[a] = w - l.jobs[id].EstimateS
+				}
+			}
+		}
+	}
+	return want
+}
+
+// TestCancelCost cancels the root of large graphs, also under a leader that finds
+// the wish on record. Every job that needs it is over before the root is, in as
+// few transactions as the ends fill: a chain that took one for each job would
+// take longer than cancel_s where the state service answers slowly.
+func TestCancelCost(t *testing.T) {
+	for name, g := range graphs() {
+		for _, next := range []bool{false, true} {
+			for _, ops := range []int{16, 5, 2} {
+				t.Run(fmt.Sprintf("%s/%d changes/next leader %v", name, ops, next), func(t *testing.T) {
+					b, l := leading(t, func(s *config.Settings) { s.Deployment.State.Next = &config.State{TxnOps: ops} })
+					recordGraph(b, l, g)
+					root := g.order[0]
+					before := l.deps.steps
+					needs := map[string]bool{root: true}
+					for _, id := range g.order {
+						for _, a := range g.awaits[id] {
+							needs[id] = needs[id] || needs[a]
+						}
+					}
+					b.watch = func() {
+						if b.store[prefixFinal+root].Key == "" {
+							return
+						}
+						for id := range needs {
+							if b.store[prefixFinal+id].Key == "" {
+								t.Fatalf("%s is over before %s", root, id)
+							}
+						}
+					}
+					b.commits = nil
+					if next {
+						l = nextLeader(b, l, root)
+						before = 0
+					} else {
+						record(b, l, wire.Job{ID: root}, func(r *openRecord) { r.Cancelled, r.AskedAt = true, b.c.wall })
+					}
+					b.run(5 * time.Second)
+					for _, id := range g.order {
+						if over := b.store[prefixFinal+id].Key != ""; over != needs[id] {
+							t.Fatalf("%s is over: %v, want %v", id, over, needs[id])
+						}
+					}
+					ends := 0
+					for _, c := range b.commits {
+						if strings.Contains(c, `"put":"f/`) {
+							ends++
+						}
+					}
+					if most := (len(needs)+ops/2-1)/(ops/2) + 1; ends > most {
+						t.Errorf("%d transactions for %d ends, want at most %d", ends, len(needs), most)
+					}
+					if steps, most := l.deps.steps-before, 20*(len(g.order)+g.edges()); steps > most {
+						t.Errorf("%d steps for %d jobs that await %d, want at most %d", steps, len(g.order), g.edges(), most)
+					}
+				})
+			}
+		}
+	}
+}
+
+// nextLeader has a new leader load the records, of which one tells that its user
+// wants it cancelled.
+func nextLeader(b *harness, old *leader, cancelled string) *leader {
+	old.gone = true
+	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
+	b.c.lead = l
+	for _, key := range sortedKeys(b.store) {
+		id, open := strings.CutPrefix(key, prefixOpen)
+		if !open {
+			continue
+		}
+		var rec openRecord
+		stdjson.Unmarshal(b.store[key].Value, &rec)
+		if id == cancelled {
+			rec.Cancelled, rec.AskedAt = true, b.c.wall
+			b.write(key, "", encode(rec))
+		}
+		l.noteOpen(id, b.store[key].Version, rec)
+	}
+	l.becomeReady()
+	return l
+}
+
+// TestEndsCost has the jobs that one needs end one by one, and the one that many
+// need: each end costs what hangs on it.
+func TestEndsCost(t *testing.T) {
+	for name, g := range graphs() {
+		t.Run(name, func(t *testing.T) {
+			b, l := leading(t, func(*config.Settings) {})
+			recordGraph(b, l, g)
+			before := l.deps.steps
+			for _, id := range g.order {
+				if j := l.jobs[id]; j.waits && !j.free {
+					t.Fatalf("%s still waits though all before it are done", id)
+				}
+				j := l.jobs[id]
+				j.waits, j.free = false, false // as when its record says that it goes on
+				l.deps.drop(id)
+				delete(l.jobs, id)
+				l.awaitedOver(id, wire.StatusDone)
+			}
+			if steps, most := l.deps.steps-before, 3*(len(g.order)+g.edges()); steps > most {
+				t.Errorf("%d steps, want at most %d", steps, most)
+			}
+			if n := len(l.deps.awaited) + len(l.deps.dependents) + len(l.deps.level); n > 0 {
+				t.Errorf("%d entries left behind", n)
+			}
+		})
+	}
+}
+
+// TestEndsAgain cancels a chain while the state service turns transactions away,
+// or carries them out without an answer: every job is over in the end, and none
+// before its dependents.
+func TestEndsAgain(t *testing.T) {
+	for name, answer := range map[string]func(carryOut func() int) int{
+		"429":                  func(func() int) int { return 429 },
+		"503":                  func(func() int) int { return 503 },
+		"no answer":            func(func() int) int { return 0 },
+		"done without answer":  func(carryOut func() int) int { carryOut(); return 0 },
+		"done, then a failure": func(carryOut func() int) int { carryOut(); return 503 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, l := leading(t, func(*config.Settings) {})
+			g := &graph{}
+			last := g.add("job-1000")
+			for n := range 40 {
+				last = g.add(fmt.Sprintf("job-%d", 1001+n), last)
+			}
+			recordGraph(b, l, g)
+			sent := 0
+			b.answer = func(_ *wire.Txn, carryOut func() int) int {
+				if sent++; sent%3 != 0 {
+					return answer(carryOut)
+				}
+				return carryOut()
+			}
+			b.watch = func() {
+				for id, awaits := range g.awaits {
+					for _, a := range awaits {
+						if b.store[prefixFinal+a].Key != "" && b.store[prefixFinal+id].Key == "" {
+							t.Fatalf("%s is over before %s", a, id)
+						}
+					}
+				}
+			}
+			record(b, l, wire.Job{ID: "job-1000"}, func(r *openRecord) { r.Cancelled, r.AskedAt = true, b.c.wall })
+			b.run(30 * time.Second)
+			for _, id := range g.order {
+				if b.store[prefixFinal+id].Key == "" {
+					t.Fatalf("%s is not over", id)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -47,6 +47,7 @@
 	schedNext time.Duration
 
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
+	ending    []*job          // of them, those that may be without dependents
 	deps      *dependencies
 	looking   map[string]time.Duration // awaited jobs that are being looked up; when next
 	shed      []string                 // placement records of jobs that are over, to be deleted
@@ -198,7 +199,14 @@
 		j.loaded = true
 		l.resolve(j)
 	}
-	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "machines", len(l.machines))
+	l.raise(l.order...)
+	waiting := 0
+	for _, j := range l.order {
+		if j.waits {
+			waiting++
+		}
+	}
+	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
 	l.schedule = true
 	l.watch()
 }
@@ -397,23 +405,12 @@
 	var ends []wire.JobEnd
 	more := false
 	room := func(n int) bool { return len(txn.Writes)+n <= ops && bytes < 44<<10 }
-	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !(j.finished() || j.over()) {
-			continue
-		}
-		if j.staleChunk() {
-			continue
-		}
-		if j.cancelled && l.awaitedStill(j.ID) {
-			// Nobody is told that it is cancelled before its dependents are.
-			more = true
-			continue
-		}
+	end := func(j *job) bool {
 		keys := j.placeKeys()
 		n := min(2+len(keys), ops) // long jobs shed the rest afterwards
 		if !room(n) {
 			more = true
-			break
+			return false
 		}
 		f := finalRecord{Status: wire.StatusDone, Tasks: len(j.tasks)}
 		if j.cancelled {
@@ -429,6 +426,9 @@
 		after = append(after, func(v uint64) {
 			j.final = false
 			if v == 0 {
+				if j.cancelled {
+					l.ending = append(l.ending, j)
+				}
 				return
 			}
 			l.c.log.Info("job over", "job", j.ID, "status", f.Status)
@@ -440,7 +440,14 @@
 			l.forget(j)
 			l.awaitedOver(j.ID, f.Status)
 		})
+		return true
+	}
+	for _, j := range l.order {
+		if !j.cancelled && j.mayEnd() && !end(j) {
+			break
+		}
 	}
+	l.endCancelled(end)
 	named := 0 // conditions on awaited jobs
 	for _, j := range l.order {
 		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence {
@@ -576,6 +583,48 @@
 	})
 }
 
+// mayEnd tells whether nothing on record keeps a job's end from being recorded.
+func (j *job) mayEnd() bool {
+	return !j.ended && !j.stale && !j.final && !j.writing && (j.finished() || j.over()) && !j.staleChunk()
+}
+
+// endCancelled has the ends of cancelled jobs recorded as far as there is room:
+// nobody is told of one before its dependents are over, so these come first. A
+// chain goes into one transaction where it fits: job by job, each after the
+// answer for the one before, a long one would take longer than cancel_s. A job
+// with dependents is looked at again when the last of them is over.
+func (l *leader) endCancelled(end func(*job) bool) {
+	list := l.ending
+	l.ending = nil
+	for k, j := range list {
+		switch {
+		case l.jobs[j.ID] != j || j.ended || j.final || l.deps.needed(j.ID):
+		case !j.mayEnd():
+			l.ending = append(l.ending, j)
+		case !l.endWithAwaited(j, end):
+			l.ending = append(l.ending, list[k:]...)
+			return
+		}
+	}
+}
+
+// endWithAwaited has the end of a cancelled job recorded, and those of cancelled
+// jobs that nothing but it needs. It is false if there is no room for the job.
+func (l *leader) endWithAwaited(j *job, end func(*job) bool) bool {
+	if !end(j) {
+		return false
+	}
+	for at := []*job{j}; len(at) > 0; at = at[1:] {
+		l.deps.eachAwaited(at[0].ID, func(a string) {
+			x := l.jobs[a]
+			if x != nil && x.cancelled && x.mayEnd() && !l.awaitedStill(a) && end(x) {
+				at = append(at, x)
+			}
+		})
+	}
+	return true
+}
+
 func (j *job) staleChunk() bool {
 	for i := range j.chunks {
 		if j.chunks[i].stale || j.chunks[i].busy {
@@ -644,15 +693,23 @@
 func (l *leader) forget(j *job) {
 	delete(l.jobs, j.ID)
 	delete(l.cancelled, j.ID)
+	var before []string
+	l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
 	l.deps.drop(j.ID)
-	if j.waits {
-		for _, a := range j.Awaits {
-			l.claim(a)
+	for _, a := range before {
+		if x := l.jobs[a]; x != nil && x.cancelled && !l.deps.needed(a) {
+			l.ending = append(l.ending, x)
+			l.dirty = true
 		}
 	}
-	for i, o := range l.order {
-		if o == j {
-			l.order = append(l.order[:i:i], l.order[i+1:]...)
+	if !j.cancelled { // else they were told when it was cancelled
+		l.reclaim(before)
+	}
+	at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order >= j.order })
+	for ; at < len(l.order) && l.order[at].order == j.order; at++ {
+		if l.order[at] == j {
+			// Copied, for somebody may go through it.
+			l.order = append(l.order[:at:at], l.order[at+1:]...)
 			break
 		}
 	}
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -26,6 +26,9 @@
 	answers  map[uint64]Answer
 	commits  []string // transactions, as they were sent
 	watch    func()   // called after each
+	// answer changes the answer to a transaction, carried out or, where it
+	// refuses it beforehand, not.
+	answer func(txn *wire.Txn, carryOut func() int) int
 }
 
 // small is in the zones a and b, large in b and c, lone in c.
@@ -65,7 +68,7 @@
 			r.Status, r.Body = 200, []byte(b.types)
 		case k.Dest == DestStore && k.Path == "/commit":
 			b.commits = append(b.commits, string(k.Body))
-			r.Status, r.Body = b.commit(k.Body)
+			r.Status, r.Body = b.answered(k.Body)
 			if b.watch != nil {
 				b.watch()
 			}
@@ -78,6 +81,23 @@
 	}
 }
 
+// answered is the answer to a transaction.
+func (b *harness) answered(body []byte) (status int, answer []byte) {
+	if b.answer == nil {
+		return b.commit(body)
+	}
+	var txn wire.Txn
+	if err := stdjson.Unmarshal(body, &txn); err != nil {
+		b.t.Fatalf("transaction %s: %v", body, err)
+	}
+	status = b.answer(&txn, func() int {
+		var carriedOut int
+		carriedOut, answer = b.commit(body)
+		return carriedOut
+	})
+	return status, answer
+}
+
 func (b *harness) commit(body []byte) (int, []byte) {
 	var txn wire.Txn
 	if err := stdjson.Unmarshal(body, &txn); err != nil {
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -27,9 +27,12 @@
 	}
 	j.waits = true
 	l.deps.add(j.ID, j.Awaits)
-	l.c.log.Debug("job waits", "job", j.ID, "for", j.Awaits)
+	l.c.log.Debug("job waits for", "job", j.ID, "awaited", j.Awaits)
 	if l.ready {
+		// A leader that takes over tells how many wait with the records loaded.
+		l.c.log.Info("job waits", "job", j.ID, "for", len(j.Awaits))
 		l.resolve(j)
+		l.raise(j)
 	}
 }
 
@@ -42,17 +45,18 @@
 		switch x := l.jobs[a]; {
 		case x == nil:
 			l.lookAwaited(a)
-		case x.cancelled:
-			l.cancelAfter(a)
+		case x.cancelled && !j.cancelled:
+			// Not all that needs the cancelled one: each of them comes here.
+			l.cancelWaiting([]string{j.ID}, a)
+			l.cancelAfter(j.ID)
 		}
-		l.raise(a, j)
 	}
 }
 
 // lookAwaited looks up an awaited job that is not among the open ones: its end
 // is on record.
 func (l *leader) lookAwaited(id string) {
-	if _, ok := l.looking[id]; ok || len(l.deps.dependents[id]) == 0 {
+	if _, ok := l.looking[id]; ok || !l.deps.needed(id) {
 		return
 	}
 	l.looking[id] = math.MaxInt64
@@ -84,6 +88,9 @@
 // awaitedOver takes in that a job's end is on record: its dependents go on, or
 // end with it.
 func (l *leader) awaitedOver(id, status string) {
+	if l.deps.needed(id) {
+		l.c.log.Debug("awaited job over", "job", id, "status", status)
+	}
 	if status != wire.StatusDone {
 		l.cancelAfter(id)
 		return
@@ -101,7 +108,7 @@
 	if !j.waits || j.rec.ReadyAt == 0 {
 		return
 	}
-	l.c.log.Debug("job goes on", "job", j.ID)
+	l.c.log.Info("job goes on", "job", j.ID)
 	j.waits, j.free = false, false
 	j.since = j.rec.ReadyAt
 	l.deps.drop(j.ID)
@@ -109,24 +116,32 @@
 	l.schedule = true
 }
 
-// cancelAfter cancels all jobs that need a cancelled one.
+// cancelAfter cancels all jobs that need a cancelled one. What a job needs that
+// was cancelled before is cancelled already.
 func (l *leader) cancelAfter(id string) {
-	for _, y := range l.deps.after(id) {
-		if j := l.jobs[y]; j != nil && !j.cancelled {
-			l.c.log.Info("job cancelled", "job", y, "with", id)
-			l.markCancelled(j)
-		}
+	l.cancelWaiting(l.deps.after(id, func(y string) bool {
+		j := l.jobs[y]
+		return j != nil && !j.cancelled
+	}), id)
+}
+
+// cancelWaiting cancels jobs with one that they need.
+func (l *leader) cancelWaiting(ids []string, with string) {
+	var before []string
+	for _, id := range ids {
+		l.c.log.Info("job cancelled", "job", id, "with", with)
+		l.markCancelled(l.jobs[id])
+		l.deps.eachAwaited(id, func(a string) { before = append(before, a) })
 	}
+	l.reclaim(before)
 }
 
 // awaitedStill tells whether any dependent of a job is not over.
 func (l *leader) awaitedStill(id string) bool {
-	for _, y := range l.deps.dependents[id] {
-		if j := l.jobs[y]; j != nil && !j.ended && !j.final {
-			return true
-		}
-	}
-	return false
+	return l.deps.anyDependent(id, func(y string) bool {
+		j := l.jobs[y]
+		return j != nil && !j.ended && !j.final
+	})
 }
 
 // ownDue is when a job's user wants it done, as a time of day in seconds.
@@ -137,49 +152,81 @@
 	return float64(rec.At)/1000 + *rec.Job.DeadlineS
 }
 
-// raise gives a job the priority of one that needs it, and the time by which it
-// has to be done so that the rest of the chain can be, if either is more urgent
-// than its own: users name both on the last job only.
-func (l *leader) raise(id string, dependent *job) {
-	j := l.jobs[id]
-	if j == nil {
-		return
+// raise gives the jobs that others need the highest priority among these, and the
+// time by which they have to be done so that the rest of the chain can be, if
+// either is more urgent than their own: users name both on the last job only. A
+// job is looked at after all of its dependents that change, and so once: taken up
+// by way of each path, a job of a layered graph would be looked at as often as
+// there are paths.
+func (l *leader) raise(dependents ...*job) {
+	var changed worklist
+	for _, j := range dependents {
+		changed.add(j.ID, l.deps.level[j.ID])
+	}
+	for id, ok := changed.next(); ok; id, ok = changed.next() {
+		j := l.jobs[id]
+		if j == nil || j.cancelled || !j.waits {
+			continue
+		}
+		due := j.due - l.runEstimate(j)
+		l.deps.eachAwaited(id, func(a string) {
+			x := l.jobs[a]
+			if x == nil || x.cancelled || x.rank >= j.rank && x.due <= due {
+				return
+			}
+			l.claim(x, max(x.rank, j.rank), min(x.due, due))
+			l.further(&changed, id, a)
+		})
 	}
-	rank, due := max(j.rank, dependent.rank), min(j.due, dependent.due-l.runEstimate(dependent))
-	if rank != j.rank || due != j.due {
-		l.claimed(j, rank, due, func(a string) { l.raise(a, j) })
+}
+
+// reclaim finds out what jobs are left with when one that needed them is not
+// there any more, or is cancelled.
+func (l *leader) reclaim(ids []string) {
+	var changed worklist
+	for _, id := range ids {
+		changed.add(id, l.deps.level[id])
+	}
+	for id, ok := changed.next(); ok; id, ok = changed.next() {
+		j := l.jobs[id]
+		if j == nil || j.cancelled || j.rank == priorityRank[j.Priority] && j.due == ownDue(&j.rec) {
+			continue
+		}
+		rank, due := l.claims(j)
+		if rank == j.rank && due == j.due {
+			continue
+		}
+		l.claim(j, rank, due)
+		l.deps.eachAwaited(id, func(a string) { l.further(&changed, id, a) })
 	}
 }
 
-// claim finds out what a job is left with when one that needed it is not there
-// any more.
-func (l *leader) claim(id string) {
-	j := l.jobs[id]
-	if j == nil {
-		return
+// further has an awaited job looked at after a job that has changed.
+func (l *leader) further(changed *worklist, id, awaited string) {
+	if level := l.deps.level[awaited]; level < l.deps.level[id] {
+		changed.add(awaited, level)
 	}
-	rank, due := priorityRank[j.Priority], ownDue(&j.rec)
-	for _, y := range l.deps.dependents[id] {
+}
+
+// claims returns the rank of a job and the time by which it has to be done, as its
+// user and its dependents want it.
+func (l *leader) claims(j *job) (rank int, due float64) {
+	rank, due = priorityRank[j.Priority], ownDue(&j.rec)
+	l.deps.eachDependent(j.ID, func(y string) {
 		if o := l.jobs[y]; o != nil && !o.cancelled {
 			rank, due = max(rank, o.rank), min(due, o.due-l.runEstimate(o))
 		}
-	}
-	if rank != j.rank || due != j.due {
-		l.claimed(j, rank, due, l.claim)
-	}
+	})
+	return rank, due
 }
 
-// claimed changes a job's rank and the time by which it has to be done, and goes
-// on to the jobs that it awaits.
-func (l *leader) claimed(j *job, rank int, due float64, next func(string)) {
-	l.setRank(j, rank)
+// claim changes a job's rank and the time by which it has to be done.
+func (l *leader) claim(j *job, rank int, due float64) {
+	if rank != j.rank {
+		l.setRank(j, rank)
+	}
 	j.due = due
 	l.schedule = true
-	if j.waits {
-		for _, a := range j.Awaits {
-			next(a)
-		}
-	}
 }
 
 // setRank changes a job's rank, and with it what machines count by rank.
