--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -85,7 +85,7 @@
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
 	// Next are the limits from some later moment on, which comes without
-	// notice. What it leaves out stays as it is.
+	// notice. What it leaves out, and has as 0 here, stays as it is.
 	Next *State `toml:"next"`
 }
 
@@ -134,16 +134,19 @@
 // Parse reads and checks settings.
 func Parse(text string) (*Settings, error) {
 	var s Settings
-	if _, err := toml.Decode(text, &s); err != nil {
+	md, err := toml.Decode(text, &s)
+	if err != nil {
 		return nil, fmt.Errorf("parse settings: %w", err)
 	}
-	if err := s.check(); err != nil {
+	if err := s.check(md.IsDefined); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &s, nil
 }
 
-func (s *Settings) check() error {
+// check names all that is missing or impossible; given tells whether a key is in
+// the file, for a limit of 0 is not one that is left out.
+func (s *Settings) check(given func(key ...string) bool) error {
 	var faults []string
 	bad := func(format string, a ...any) { faults = append(faults, fmt.Sprintf(format, a...)) }
 	addr := func(name, v string) {
@@ -201,17 +204,20 @@
 			name string
 			v    float64
 		}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}, {"txn_ops", float64(n.TxnOps)}} {
-			if !(f.v >= 0) { // 0: left out
-				bad("deployment.state.next.%s: must be greater than 0, is %v", f.name, f.v)
+			if given("deployment", "state", "next", f.name) {
+				positive("deployment.state.next."+f.name, f.v)
 			}
 		}
-		if n.Next != nil {
+		if given("deployment", "state", "next", "next") {
 			bad("deployment.state.next.next: unexpected")
 		}
 	}
 	// An end of a job takes two changes.
-	if d.State.TxnOps > 0 && d.State.Bound().TxnOps < 2 {
-		bad("deployment.state.txn_ops: must be at least 2")
+	if d.State.TxnOps == 1 {
+		bad("deployment.state.txn_ops: must be at least 2, is 1")
+	}
+	if n := d.State.Next; n != nil && n.TxnOps == 1 {
+		bad("deployment.state.next.txn_ops: must be at least 2, is 1")
 	}
 	positive("deployment.cloud.rps", d.Cloud.RPS)
 	if d.Cloud.ListLagS < 0 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -89,15 +89,36 @@
 		{"", State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 16}, ""},
 		{"value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 70.0", State{RPS: 250, WriteRPS: 70, ValueKB: 2, TxnOps: 5}, ""},
 		{"value_kb = 32.0\ntxn_ops = 40\nrps = 50.0\nlater = 1", State{RPS: 50, WriteRPS: 100, ValueKB: 16, TxnOps: 16}, ""},
-		{"value_kb = -1.0", State{}, "deployment.state.next.value_kb"},
-		{"write_rps = nan", State{}, "deployment.state.next.write_rps"},
-		{"txn_ops = 1", State{}, "txn_ops"},
-		{"txn_ops = \"five\"", State{}, "txn_ops"},
+		{"value_kb = 2", State{RPS: 250, WriteRPS: 100, ValueKB: 2, TxnOps: 16}, ""},
+		{"value_kb = inf", State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 16}, ""},
+		{"value_kb = -1.0", State{}, "deployment.state.next.value_kb: must be greater than 0, is -1"},
+		{"value_kb = 0.0", State{}, "deployment.state.next.value_kb: must be greater than 0, is 0"},
+		{"rps = 0", State{}, "deployment.state.next.rps: must be greater than 0, is 0"},
+		{"write_rps = 0.0", State{}, "deployment.state.next.write_rps: must be greater than 0, is 0"},
+		{"txn_ops = 0", State{}, "deployment.state.next.txn_ops: must be greater than 0, is 0"},
+		{"txn_ops = -5", State{}, "deployment.state.next.txn_ops: must be greater than 0, is -5"},
+		{"rps = -0.5", State{}, "deployment.state.next.rps: must be greater than 0, is -0.5"},
+		{"rps = nan", State{}, "deployment.state.next.rps: must be greater than 0, is NaN"},
+		{"write_rps = nan", State{}, "deployment.state.next.write_rps: must be greater than 0, is NaN"},
+		{"value_kb = -inf", State{}, "deployment.state.next.value_kb: must be greater than 0, is -Inf"},
+		{"txn_ops = 1", State{}, "deployment.state.next.txn_ops: must be at least 2"},
+		{"txn_ops = \"five\"", State{}, "deployment.state.next.txn_ops|destination has type integer"},
+		{"txn_ops = 5.0", State{}, "deployment.state.next.txn_ops|destination has type integer"},
+		{"txn_ops = [5]", State{}, "deployment.state.next.txn_ops|destination has type integer"},
+		{"value_kb = \"2\"", State{}, "deployment.state.next.value_kb|destination has type float"},
+		{"value_kb = true", State{}, "deployment.state.next.value_kb|destination has type float"},
+		{"rps = {a = 1}", State{}, "deployment.state.next.rps|destination has type float"},
+		{"write_rps = 2026-12-02", State{}, "deployment.state.next.write_rps|destination has type float"},
+		{"txn_ops = 5\nrps = \"x\"\nvalue_kb = 0", State{}, "deployment.state.next.rps|destination has type float"},
+		{"next = 1", State{}, "deployment.state.next.next|expected table"},
+		{"[deployment.state.next.next]", State{}, "deployment.state.next.next: unexpected"},
 	} {
 		s, err := Parse(with(tc.next))
 		if tc.bad != "" {
-			if err == nil || !strings.Contains(err.Error(), tc.bad) {
-				t.Errorf("%q: error %v, want one that names %s", tc.next, err, tc.bad)
+			for _, part := range strings.Split(tc.bad, "|") {
+				if err == nil || !strings.Contains(err.Error(), part) {
+					t.Errorf("%q: error %v, want one that names %s", tc.next, err, part)
+				}
 			}
 			continue
 		}
@@ -109,6 +130,12 @@
 			t.Errorf("%q: bound by %+v, want %+v", tc.next, got, tc.want)
 		}
 	}
+	for _, next := range []string{"5", "\"low\"", "[1]", "true"} {
+		_, err := Parse(strings.Replace(good, "txn_ops = 16", "txn_ops = 16\nnext = "+next, 1))
+		if err == nil || !strings.Contains(err.Error(), "deployment.state.next") || !strings.Contains(err.Error(), "expected table") {
+			t.Errorf("next = %s: error %v", next, err)
+		}
+	}
 	s, err := Parse(good)
 	if err != nil || s.Deployment.State.Bound() != s.Deployment.State {
 		t.Errorf("without next limits: %+v, %v", s, err)
