--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -427,6 +427,8 @@
 		} else {
 			w.cloud.outage = w.now + d
 		}
+	case "slow": // the state service takes its time over every request but watches
+		w.store.slow, w.store.slowUntil = seconds(l.num("by", 0.3)), w.now+d
 	case "refuse": // the state service refuses one controller
 		w.store.refuse[w.endpoint(l.arg(0))] = w.now + d
 	case "late_writes": // transactions without an answer, carried out late
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -34,22 +34,25 @@
 
 // stateService stands in for the state service.
 type stateService struct {
-	w        *World
-	rev      uint64
-	keys     map[string]*entry
-	log      []change
-	leases   map[uint64]time.Duration // end
-	ttl      map[uint64]time.Duration
-	next     uint64
-	watchers []*watcher
-	outage   time.Duration
-	refuse   map[string]time.Duration // by node
-	reqs     *budget.Bucket
-	writes   *budget.Bucket
-	busy     int // requests turned away for the rates
-	late     late
-	down     time.Duration // how long it has been out in all
-	limits   *config.State // the limits that it has come to have, or nil
+	w         *World
+	rev       uint64
+	keys      map[string]*entry
+	log       []change
+	leases    map[uint64]time.Duration // end
+	ttl       map[uint64]time.Duration
+	next      uint64
+	watchers  []*watcher
+	outage    time.Duration
+	refuse    map[string]time.Duration // by node
+	reqs      *budget.Bucket
+	writes    *budget.Bucket
+	busy      int // requests turned away for the rates
+	late      late
+	slow      time.Duration // what it takes over a request
+	slowUntil time.Duration
+	refused   int           // transactions beyond its limits that were turned away
+	down      time.Duration // how long it has been out in all
+	limits    *config.State // the limits that it has come to have, or nil
 }
 
 func newStore(w *World) *stateService {
@@ -176,6 +179,7 @@
 		}
 		s.judge(&t)
 		if s.tooLarge(&t) {
+			s.refused++
 			send(400, map[string]string{"error": "too large"})
 			return
 		}
@@ -209,6 +213,15 @@
 	}
 }
 
+// slowly carries a request out after the time that the service takes over it.
+func (s *stateService) slowly(f func()) {
+	if s.w.now < s.slowUntil {
+		s.w.after(s.slow, f)
+		return
+	}
+	f()
+}
+
 // judge holds a transaction to the limits in the settings: of those that come
 // later, to the number of operations at all times.
 func (s *stateService) judge(t *wire.Txn) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -348,12 +348,14 @@
 	}
 	w.after(wait, func() {
 		w.deliver(n.name, "state", func() {
-			w.store.handle(n.name, k.Method, k.Path, k.Body, func(status int, body []byte) {
-				if status == 429 && deadline-w.now >= store.Last {
-					w.after(store.Retry, func() { n.callStore(k, deadline, reply, finish) })
-					return
-				}
-				reply(status, body)
+			w.store.slowly(func() {
+				w.store.handle(n.name, k.Method, k.Path, k.Body, func(status int, body []byte) {
+					if status == 429 && deadline-w.now >= store.Last {
+						w.after(store.Retry, func() { n.callStore(k, deadline, reply, finish) })
+						return
+					}
+					reply(status, body)
+				})
 			})
 		})
 	})
