Lower limits without notice: placement records shrink, long open records do no harm

The number of changes was lowered for ever where a value was too large, and the record sent again for ever, with all that was behind it: nothing was placed any more under limits that the settings don't name. Of two changes it can only be a value; placement records are then kept to 1 KiB, which later leaders learn from the records. An open record that is too large is not written again: the job goes on by the final records, and a wish to cancel is recorded without what only a job that is to run needs. A job whose records are refused for another reason is tried less and less often and alone.

The harness gives all changes of a transaction one revision, as the service does.

--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -76,18 +76,29 @@
 		case f.open.rec.Cancelled:
 			c.awaitGone(req, id, f.open)
 		default:
-			rec := f.open.rec
-			rec.Cancelled, rec.AskedAt = true, c.wall
-			c.writeOpen(id, f.open.version, rec, nil, func(k *known, status int) {
-				switch {
-				case k != nil:
-					c.awaitGone(req, id, k)
-				case status == 409:
-					c.cancel(req, id, tries+1)
-				default:
-					c.answer(req, 503, errorBody("the state service does not answer"), 1)
-				}
-			})
+			c.wish(req, id, f.open, tries, false)
+		}
+	})
+}
+
+// wish records that a user wants a job cancelled; least if the service does not
+// take the job's whole description any more.
+func (c *Core) wish(req uint64, id string, k *known, tries int, least bool) {
+	rec := k.rec
+	rec.Cancelled, rec.AskedAt = true, c.wall
+	if least || len(encode(rec)) > c.maxValue() {
+		rec, least = rec.least(), true
+	}
+	c.writeOpen(id, k.version, rec, nil, func(now *known, status int) {
+		switch {
+		case now != nil:
+			c.awaitGone(req, id, now)
+		case status == 409:
+			c.cancel(req, id, tries+1)
+		case status == 400 && !least:
+			c.wish(req, id, k, tries, true)
+		default:
+			c.answer(req, 503, errorBody("the state service does not answer"), 1)
 		}
 	})
 }
@@ -194,6 +205,9 @@
 	x.busy = true
 	rec := k.rec
 	rec.CancelledAt = c.wall
+	if len(encode(rec)) > c.maxValue() {
+		rec = rec.least()
+	}
 	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: keyTerm, Version: termVersion}}, func(k *known, status int) {
 		x.busy = false
 		if c.users.cancels[id] != x {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,7 +105,8 @@
 	users users
 	elect election
 
-	fewerOps int // changes in a transaction, if fewer than announced; 0 unknown
+	fewerOps    int  // changes in a transaction, if fewer than announced; 0 unknown
+	smallValues bool // values that the settings allow were refused
 
 	peers map[string]*peerState
 	lead  *leader // nil on a follower
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -51,7 +51,8 @@
 	deps      *dependencies
 	looking   map[string]time.Duration // awaited jobs that are being looked up; when next
 	shed      []string                 // placement records of jobs that are over, to be deleted
-	limited   bool                     // the state service refused a value for its size
+	limited   bool                     // the state service refused a transaction as malformed
+	single    bool                     // one job a transaction, to find out whose record is refused
 	fleet     fleet
 	arrivals  map[string]*arrivals
 	estimate  map[string]*estimate
@@ -76,10 +77,13 @@
 	goneSaid  bool          // the other controllers were told so
 	told      bool          // the user may have been told so
 	toldAt    time.Duration
-	stale     bool // the open record must be read again
-	numbered  bool // its placement records are numbered, see placements.go
-	tried     bool // a placement record was sent under this term
-	fence     bool // the open record is to be written before others, see mayWrite
+	stale     bool          // the open record must be read again
+	oversize  bool          // the open record is larger than what the state service takes now
+	refusals  int           // of its records, in a row
+	writeNot  time.Duration // its records are not to be sent before
+	numbered  bool          // its placement records are numbered, see placements.go
+	tried     bool          // a placement record was sent under this term
+	fence     bool          // the open record is to be written before others, see mayWrite
 
 	tasks     []task
 	next      uint64   // next attempt number
@@ -404,7 +408,10 @@
 	var after []func(version uint64)
 	var ends []wire.JobEnd
 	more := false
-	room := func(n int) bool { return len(txn.Writes)+n <= ops && bytes < 44<<10 }
+	room := func(n int) bool {
+		return len(txn.Writes)+n <= ops && bytes < 44<<10 && !(l.single && len(txn.Writes) > 0)
+	}
+	var writers []*job // whose records are in the transaction
 	end := func(j *job) bool {
 		keys := j.placeKeys()
 		n := min(2+len(keys), ops) // long jobs shed the rest afterwards
@@ -423,6 +430,7 @@
 		}
 		bytes += 400
 		j.final = true
+		writers = append(writers, j)
 		after = append(after, func(v uint64) {
 			j.final = false
 			if v == 0 {
@@ -443,14 +451,14 @@
 		return true
 	}
 	for _, j := range l.order {
-		if !j.cancelled && j.mayEnd() && !end(j) {
+		if !j.cancelled && l.mayEnd(j) && !end(j) {
 			break
 		}
 	}
 	l.endCancelled(end)
 	named := 0 // conditions on awaited jobs
 	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence {
+		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence || !l.mayWriteOpen(j) {
 			continue
 		}
 		if !room(1) {
@@ -473,6 +481,7 @@
 		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
 		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + j.ID, Value: body})
 		j.writing = true
+		writers = append(writers, j)
 		after = append(after, func(v uint64) {
 			j.writing = false
 			if v == 0 {
@@ -491,7 +500,7 @@
 		})
 	}
 	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !j.loaded {
+		if j.ended || j.stale || j.final || j.writing || !j.loaded || l.putOffWrite(j) {
 			continue
 		}
 		if ranges && !l.mayWrite(j) {
@@ -514,6 +523,7 @@
 			}
 			if !cond {
 				cond = true
+				writers = append(writers, j)
 				txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
 			}
 			body, starts := encodeChunk(j, ch)
@@ -565,12 +575,15 @@
 		switch r.Status {
 		case 200:
 			version = tr.Revision
+			l.single = false
+			for _, j := range writers {
+				j.refusals = 0
+			}
 		case 409:
 			l.conflict(tr.Failed)
 		default:
 			if r.Status == 400 {
-				l.limited = true
-				l.c.refusedTxn(len(txn.Writes))
+				l.refused(txn, writers)
 			}
 			l.txnRetry = l.c.now + l.c.ttl()/20
 		}
@@ -584,8 +597,8 @@
 }
 
 // mayEnd tells whether nothing on record keeps a job's end from being recorded.
-func (j *job) mayEnd() bool {
-	return !j.ended && !j.stale && !j.final && !j.writing && (j.finished() || j.over()) && !j.staleChunk()
+func (l *leader) mayEnd(j *job) bool {
+	return !j.ended && !j.stale && !j.final && !j.writing && (j.finished() || j.over()) && !j.staleChunk() && !l.putOffWrite(j)
 }
 
 // endCancelled has the ends of cancelled jobs recorded as far as there is room:
@@ -599,7 +612,7 @@
 	for k, j := range list {
 		switch {
 		case l.jobs[j.ID] != j || j.ended || j.final || l.deps.needed(j.ID):
-		case !j.mayEnd():
+		case !l.mayEnd(j):
 			l.ending = append(l.ending, j)
 		case !l.endWithAwaited(j, end):
 			l.ending = append(l.ending, list[k:]...)
@@ -617,7 +630,7 @@
 	for at := []*job{j}; len(at) > 0; at = at[1:] {
 		l.deps.eachAwaited(at[0].ID, func(a string) {
 			x := l.jobs[a]
-			if x != nil && x.cancelled && x.mayEnd() && !l.awaitedStill(a) && end(x) {
+			if x != nil && x.cancelled && l.mayEnd(x) && !l.awaitedStill(a) && end(x) {
 				at = append(at, x)
 			}
 		})
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -89,7 +89,7 @@
 
 // ranges tells whether records that name their range are to be written.
 func (l *leader) ranges() bool {
-	smaller := l.c.limits().ValueKB < l.c.cfg.Deployment.State.ValueKB
+	smaller := l.c.limits().ValueKB < l.c.cfg.Deployment.State.ValueKB || l.c.smallValues
 	return smaller && (l.limited || l.c.allUpgraded())
 }
 
@@ -109,7 +109,7 @@
 
 // fillRanges adds chunks that name their range for the tasks that none covers.
 func (l *leader) fillRanges(j *job) {
-	per := max(1, l.c.maxValue()/entryBytes)
+	per := max(1, l.c.placeBytes()/entryBytes)
 	var add []chunk
 	from := 0
 	gap := func(to int) {
@@ -262,6 +262,11 @@
 			covered[i] = true
 		}
 	}
+	if named && l.c.limits().ValueKB >= l.c.cfg.Deployment.State.ValueKB {
+		// A leader before this one found out that the service takes less than the
+		// settings say.
+		l.c.smallValues, l.limited = true, true
+	}
 	j.chunks = nil
 	for _, f := range found {
 		f.to = min(f.to, len(j.tasks))
--- /dev/null
+++ b/internal/core/refused.go
@@ -0,0 +1,108 @@
+package core
+
+import (
+	"strings"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// This file deals with records that the state service does not take any more: its
+// limits may fall at any moment, without notice and below what the settings say.
+// What it holds stays readable, but a record that is too large cannot be written
+// again, and in a transaction with others it would hold these up for ever.
+
+// smallValue is the size in bytes to which placement records are kept once a value
+// was refused that the settings allow: how far the limit fell is not known.
+const smallValue = 1 << 10
+
+// placeBytes is how large a placement record may become.
+func (c *Core) placeBytes() int {
+	if c.smallValues {
+		return min(c.maxValue(), smallValue)
+	}
+	return c.maxValue()
+}
+
+// refused takes in that the state service found a transaction malformed. Either
+// it has too many operations, or a value is too large: of two changes, which any
+// service takes, it can only be a value. Then all that was concluded on the number
+// of operations is in doubt.
+func (l *leader) refused(txn *wire.Txn, writers []*job) {
+	l.limited = true
+	switch {
+	case len(txn.Writes) > 2:
+		l.c.refusedTxn(len(txn.Writes))
+	case !l.c.smallValues && hasLarge(txn, prefixPlace):
+		l.c.smallValues, l.c.fewerOps = true, 0
+		l.c.log.Info("the state service takes smaller values only", "bytes", smallValue)
+	case len(writers) > 1:
+		l.single = true
+	default:
+		l.single = false
+		for _, j := range writers {
+			if hasLarge(txn, prefixOpen) && !j.oversize {
+				j.oversize, l.c.fewerOps = true, 0
+			}
+			j.refusals++
+			j.writeNot = l.c.now + l.c.ttl()<<min(j.refusals, 8)/8
+			l.c.log.Info("the state service refuses a job's records", "job", j.ID, "times", j.refusals)
+		}
+	}
+}
+
+// hasLarge tells whether a transaction writes a large record of a kind.
+func hasLarge(txn *wire.Txn, prefix string) bool {
+	for _, w := range txn.Writes {
+		if strings.HasPrefix(w.Put, prefix) && len(w.Value) > smallValue/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// putOffWrite tells whether a job's records were refused a moment ago.
+func (l *leader) putOffWrite(j *job) bool {
+	if l.c.now >= j.writeNot {
+		return false
+	}
+	l.writeBy(j.writeNot)
+	return true
+}
+
+// mayWriteOpen tells whether a job's open record is to be written. One that is too
+// large is left as it is, and the job goes on without:
+//   - that all it awaited is done stands in the final records, which never change.
+//     The next leader reads them again; only the time of the last end is lost.
+//   - a copy of a numbered placement record that is still under way can have an
+//     effect until the records that take its place are written, which they are at
+//     once: whatever was sent without an answer counts as changed.
+func (l *leader) mayWriteOpen(j *job) bool {
+	rec := j.rec
+	rec.ReadyAt = max(rec.ReadyAt, l.c.wall)
+	if !j.oversize && len(encode(rec)) <= l.c.maxValue() {
+		return !l.putOffWrite(j)
+	}
+	if j.free {
+		j.rec = rec
+		l.noteReady(j)
+	}
+	if j.fence {
+		j.fence, l.dirty = false, true
+		l.relay(j)
+	}
+	return false
+}
+
+// least is an open record of a cancelled job without what only matters to one that
+// is to run: so that a wish to cancel can be recorded where the service has come
+// to take less than the description.
+func (r openRecord) least() openRecord {
+	j := r.Job
+	if len(j.Class) > 64 {
+		j.Class = ""
+	}
+	r.Job = wire.Job{ID: j.ID, Class: j.Class, Team: j.Team, Shape: j.Shape, Priority: j.Priority, Tasks: j.Tasks, CPUs: j.CPUs, GPUs: j.GPUs,
+		MemGB: j.MemGB, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, EstimateS: j.EstimateS, CheckpointS: j.CheckpointS,
+		SaveS: j.SaveS, DeadlineS: j.DeadlineS}
+	return r
+}
--- /dev/null
+++ b/internal/core/refused_test.go
@@ -0,0 +1,324 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	stdjson "encoding/json"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// lower has the state service take no more than so many changes in a transaction
+// and bytes in a value from now on, and returns how often it refused one.
+func lower(b *harness, ops, bytes int) *int {
+	refused := new(int)
+	b.answer = func(txn *wire.Txn, carryOut func() int) int {
+		if len(txn.Writes) > ops || len(txn.If) > 4*ops || largest(txn) > bytes {
+			*refused++
+			return 400
+		}
+		return carryOut()
+	}
+	return refused
+}
+
+func largest(txn *wire.Txn) int {
+	n := 0
+	for _, w := range txn.Writes {
+		n = max(n, len(w.Value))
+	}
+	return n
+}
+
+// announced names limits to come in the settings.
+func announced(ops int, kb float64) func(*config.Settings) {
+	return func(s *config.Settings) { s.Deployment.State.Next = &config.State{TxnOps: ops, ValueKB: kb} }
+}
+
+func silent(*config.Settings) {}
+
+// placeTasks places tasks of a job on machines of its own and has them recorded.
+func placeTasks(l *leader, j *job, from, to int) {
+	for i := from; i < to; i++ {
+		j.tasks[i] = task{attempt: j.next, zone: "a", session: 1, ours: true}
+		j.next++
+		l.bind(j, i, l.machine(fmt.Sprintf("n-%s-%06d", j.ID, i)))
+		l.touch(j, i, false)
+	}
+}
+
+// recordedTasks counts the tasks of a job that a next leader would find placed.
+func recordedTasks(b *harness, id string, tasks int) int {
+	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
+	var rec openRecord
+	stdjson.Unmarshal(b.store[prefixOpen+id].Value, &rec)
+	l.noteOpen(id, b.store[prefixOpen+id].Version, rec)
+	var found []loadedPlace
+	for _, key := range sortedKeys(b.store) {
+		if of, from, to, numbered, ok := b.c.rangeOf(key); strings.HasPrefix(key, prefixPlace) && ok && of == id {
+			var rec placeRecord
+			stdjson.Unmarshal(b.store[key].Value, &rec)
+			found = append(found, loadedPlace{key, b.store[key].Version, from, to, numbered, rec})
+		}
+	}
+	l.adopt(l.jobs[id], found)
+	n := 0
+	for i := range tasks {
+		if l.jobs[id].tasks[i].m != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLimitsFall lowers the limits under jobs with placement records of 10 KiB and
+// open records of many sizes. All is recorded in the end, and no transaction that
+// is beyond the limits is sent more than a few times.
+func TestLimitsFall(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		settings   func(*config.Settings)
+		ops, bytes int
+		most       int // transactions refused
+	}{
+		{"announced", announced(5, 2), 5, 2048, 1},
+		{"announced, two changes", announced(2, 2), 2, 2048, 1},
+		{"silent, fewer changes", silent, 5, 16384, 6},
+		{"silent, two changes", silent, 2, 16384, 8},
+		{"silent, smaller values", silent, 16, 2048, 12},
+		{"silent, smaller values yet", silent, 16, 1024, 12},
+		{"silent, both", silent, 5, 2048, 16},
+		{"silent, both lowest", silent, 2, 1024, 20},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, l := leading(t, tc.settings)
+			for n := range 6 {
+				record(b, l, wire.Job{ID: jobID(n), Tasks: 300}, nil)
+				j := l.jobs[jobID(n)]
+				// As an earlier version records: numbered, as large as they are now.
+				j.chunks, j.numbered = nil, true
+				for from := 0; from < 300; from += 128 {
+					j.chunks = append(j.chunks, chunk{key: numberedKey(j.ID, from/128), from: from, to: min(from+128, 300)})
+				}
+				for i := range j.chunks {
+					ch := &j.chunks[i]
+					placeTasks(l, j, ch.from, ch.to)
+					body, _ := encodeChunk(j, ch)
+					b.write(ch.key, "", body)
+					ch.version, ch.dirty = b.store[ch.key].Version, false
+				}
+				for i := range j.tasks {
+					j.tasks[i].recorded = true
+				}
+			}
+			record(b, l, wire.Job{ID: jobID(8)}, nil)
+			record(b, l, wire.Job{ID: jobID(9), Awaits: []string{jobID(8)}}, nil)
+			refused := lower(b, tc.ops, tc.bytes)
+			l.limited = b.c.cfg.Deployment.State.Next != nil // as once every controller understands
+			for n := range 6 {
+				j := l.jobs[jobID(n)]
+				for i := 0; i < 300; i += 7 {
+					j.tasks[i].attempt, j.tasks[i].recorded = j.next, false
+					j.next++
+					l.touch(j, i, false)
+				}
+			}
+			l.markDone(l.jobs[jobID(8)], 0)
+			b.run(20 * time.Second)
+			for n := range 6 {
+				j := l.jobs[jobID(n)]
+				for i := range j.tasks {
+					if !j.tasks[i].recorded {
+						t.Fatalf("task %d of %s is not recorded", i, j.ID)
+					}
+				}
+				if got := recordedTasks(b, j.ID, 300); got != 300 {
+					t.Errorf("a next leader finds %d tasks of %s placed", got, j.ID)
+				}
+			}
+			if b.store[prefixFinal+jobID(8)].Key == "" || !strings.Contains(string(b.store[prefixOpen+jobID(9)].Value), `"ra":`) {
+				t.Error("the job that is done is not over, or the next does not go on")
+			}
+			if *refused > tc.most {
+				t.Errorf("%d transactions refused, want at most %d", *refused, tc.most)
+			}
+			if tc.ops == 16 && b.c.limits().TxnOps != 16 {
+				t.Errorf("transactions keep to %d changes, though only the values became smaller", b.c.limits().TxnOps)
+			}
+			if tc.bytes < 16384 && b.c.cfg.Deployment.State.Next == nil {
+				// A controller that starts now finds out by the records.
+				b.c.smallValues = false
+				recordedTasks(b, jobID(0), 300)
+				if b.c.placeBytes() != smallValue {
+					t.Errorf("a next leader writes records of %d bytes", b.c.placeBytes())
+				}
+			}
+		})
+	}
+}
+
+// longJob is a job whose description takes 5 KiB.
+func longJob(id string, tasks int) wire.Job {
+	var types []string
+	for n := range 300 {
+		types = append(types, fmt.Sprintf("type-%09d", n))
+	}
+	return wire.Job{ID: id, Class: "c", Team: "vision", Shape: wire.ShapeArray, Priority: wire.PriorityIdle,
+		Tasks: tasks, CPUs: 4, MemGB: 1, Types: append(types, "small")}
+}
+
+// TestLongDescriptionCancelled cancels a job whose open record is larger than the
+// service takes by now: the wish is recorded without what only a job that is to
+// run needs, the job and what needs it end, and hardly a write is refused.
+func TestLongDescriptionCancelled(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		settings func(*config.Settings)
+		most     int
+	}{{"announced", announced(5, 2), 0}, {"silent", silent, 1}} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, l := leading(t, tc.settings)
+			record(b, l, longJob(jobID(1), 40), nil)
+			record(b, l, wire.Job{ID: jobID(2), Awaits: []string{jobID(1)}}, nil)
+			j := l.jobs[jobID(1)]
+			placeTasks(l, j, 0, 1)
+			b.run(time.Second)
+			refused := lower(b, 5, 2048)
+			var rec openRecord // with the wish
+			b.watch = func() {
+				if it := b.store[prefixOpen+jobID(1)]; it.Key != "" {
+					rec = openRecord{}
+					stdjson.Unmarshal(it.Value, &rec)
+				}
+			}
+			b.nextReq++
+			b.step(Request{ID: b.nextReq, Method: "POST", Path: "/submissions/" + jobID(1) + "/cancel"})
+			b.run(3 * time.Second)
+			if !rec.Cancelled || rec.Job.Tasks != 40 || rec.Job.Team != "vision" || rec.Job.CPUs != 4 || rec.Job.Class != "c" {
+				t.Fatalf("recorded %+v", rec)
+			}
+			if b.store[prefixFinal+jobID(2)].Key == "" {
+				t.Error("its dependent is not over")
+			}
+			if b.store[prefixFinal+jobID(1)].Key == "" || b.store[prefixOpen+jobID(1)].Key != "" {
+				t.Error("the job is not over")
+			}
+			if *refused > tc.most {
+				t.Errorf("%d transactions refused, want at most %d", *refused, tc.most)
+			}
+		})
+	}
+}
+
+// TestLongDescriptionGoesOn has a job go on whose open record is larger than the
+// service takes by now: its tasks are placed and recorded, and other jobs'
+// records are not held up. So do jobs whose placement records change their layout.
+func TestLongDescriptionGoesOn(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		settings func(*config.Settings)
+		most     int
+	}{{"announced", announced(5, 2), 0}, {"silent", silent, 16}} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, l := leading(t, tc.settings)
+			record(b, l, wire.Job{ID: jobID(1)}, nil)
+			long := longJob(jobID(2), 40)
+			long.Awaits = []string{jobID(1)}
+			record(b, l, long, nil)
+			record(b, l, longJob(jobID(3), 100), nil)
+			other := l.jobs[jobID(3)]
+			placeTasks(l, other, 0, 100)
+			b.run(time.Second)
+			refused := lower(b, 5, 2048)
+			l.limited = b.c.cfg.Deployment.State.Next != nil
+			placeTasks(l, l.jobs[jobID(3)], 90, 100) // again, elsewhere
+			record(b, l, wire.Job{ID: jobID(4)}, nil)
+			l.markDone(l.jobs[jobID(1)], 0)
+			l.markDone(l.jobs[jobID(4)], 0)
+			b.run(20 * time.Second)
+			if b.store[prefixFinal+jobID(1)].Key == "" || b.store[prefixFinal+jobID(4)].Key == "" {
+				t.Fatal("the ends of other jobs are not recorded")
+			}
+			j := l.jobs[jobID(2)]
+			if j.waits || len(j.pendingTasks()) != 40 {
+				t.Errorf("it does not go on: waits %v, %d tasks may be placed", j.waits, len(j.pendingTasks()))
+			}
+			for i := range other.tasks {
+				if !other.tasks[i].recorded {
+					t.Fatalf("task %d is not recorded", i)
+				}
+			}
+			if got := recordedTasks(b, jobID(3), 100); got != 100 {
+				t.Errorf("a next leader finds %d tasks placed", got)
+			}
+			if *refused > tc.most {
+				t.Errorf("%d transactions refused, want at most %d", *refused, tc.most)
+			}
+			// The next leader finds it out by itself.
+			next := nextLeader(b, l, "")
+			if k := next.jobs[jobID(2)]; k.waits && !k.free {
+				t.Error("it waits again under the next leader")
+			}
+		})
+	}
+}
+
+// TestLongDescriptionsGoOn has many such jobs go on together. Two of them in one
+// transaction, nobody can tell which one is refused.
+func TestLongDescriptionsGoOn(t *testing.T) {
+	b, l := leading(t, silent)
+	record(b, l, wire.Job{ID: jobID(0)}, nil)
+	for n := range 9 {
+		long := longJob(jobID(1+n), 1)
+		if n%3 == 2 {
+			long.Types = nil
+		}
+		long.Awaits = []string{jobID(0)}
+		record(b, l, long, nil)
+	}
+	refused := lower(b, 5, 2048)
+	l.markDone(l.jobs[jobID(0)], 0)
+	b.run(20 * time.Second)
+	for n := range 9 {
+		if l.jobs[jobID(1+n)].waits {
+			t.Errorf("%s does not go on", jobID(1+n))
+		}
+	}
+	if *refused > 70 {
+		t.Errorf("%d transactions refused", *refused)
+	}
+}
+
+// TestPoisonedRecord has the state service refuse whatever concerns one job, for a
+// reason that this program knows nothing of: it is tried less and less often, and
+// the others' records are written.
+func TestPoisonedRecord(t *testing.T) {
+	b, l := leading(t, silent)
+	refused := 0
+	b.answer = func(txn *wire.Txn, carryOut func() int) int {
+		for _, w := range txn.Writes {
+			if strings.Contains(w.Put+w.Delete, jobID(3)) {
+				refused++
+				return 400
+			}
+		}
+		return carryOut()
+	}
+	for n := range 8 {
+		record(b, l, wire.Job{ID: jobID(n)}, nil)
+		l.markDone(l.jobs[jobID(n)], 0)
+	}
+	b.run(120 * time.Second)
+	for n := range 8 {
+		if over := b.store[prefixFinal+jobID(n)].Key != ""; over != (n != 3) {
+			t.Errorf("%s is over: %v", jobID(n), over)
+		}
+	}
+	if refused > 20 {
+		t.Errorf("%d transactions refused in 120 s", refused)
+	}
+}
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -115,7 +115,10 @@
 	if tr.Failed != nil {
 		return 409, encode(tr)
 	}
+	// All changes of a transaction have one revision.
+	at := b.revision
 	for _, w := range txn.Writes {
+		b.revision = at
 		b.write(w.Put, w.Delete, w.Value)
 	}
 	tr.Revision = b.revision
