--- a/internal/core/chains_test.go
+++ b/internal/core/chains_test.go
@@ -283,3 +283,156 @@
 		})
 	}
 }
+
+// controllers are two of them at one state service: the first leads and the other
+// only serves users.
+func controllers(t *testing.T) (b *harness, l *leader, other *harness) {
+	b, l = leading(t, func(*config.Settings) {})
+	other = newHarness(t, someTypes)
+	other.c.cfg.Name = "n1"
+	other.store, other.revision = b.store, b.revision
+	return b, l, other
+}
+
+// follow lets one controller see what another has written.
+func follow(to, from *harness) { to.revision = max(to.revision, from.revision) }
+
+// TestAcceptanceRaces has an awaited job end, or its user call it off, after
+// another controller has read it and before that one's acceptance is carried out.
+// Of the two, one sees the other; the repeat is answered as the first.
+func TestAcceptanceRaces(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		happen func(b *harness)
+		status string // of the answer
+		awaits string // as recorded; "-" for no open record
+	}{
+		{"done", func(b *harness) {
+			b.write(prefixFinal+jobID(1), prefixOpen+jobID(1), []byte(`{"s":"done","n":1}`))
+		}, "pending", ""},
+		{"cancelled and over", func(b *harness) {
+			b.write(prefixFinal+jobID(1), prefixOpen+jobID(1), []byte(`{"s":"withdrawn","n":1}`))
+		}, "withdrawn", "-"},
+		{"called off", func(b *harness) {
+			var rec openRecord
+			stdjson.Unmarshal(b.store[prefixOpen+jobID(1)].Value, &rec)
+			rec.Cancelled, rec.AskedAt = true, 1
+			b.write(prefixOpen+jobID(1), "", encode(rec))
+		}, "withdrawn", "-"},
+		{"written for another reason", func(b *harness) {
+			b.write(prefixOpen+jobID(1), "", b.store[prefixOpen+jobID(1)].Value)
+		}, "pending", jobID(1)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, _, other := controllers(t)
+			if a := b.ask("POST", "/submissions", body("nameId", `"`+jobID(1)+`"`)); a.Status != 201 {
+				t.Fatalf("%d %s", a.Status, a.Body)
+			}
+			follow(other, b)
+			happened := false
+			other.answer = func(txn *wire.Txn, carryOut func() int) int {
+				if !happened && len(txn.Writes) > 0 {
+					happened = true
+					tc.happen(other)
+				}
+				return carryOut()
+			}
+			for _, status := range []int{201, 200} {
+				a := other.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`))
+				if a.Status != status || !strings.Contains(string(a.Body), `"status":"`+tc.status+`"`) {
+					t.Fatalf("answered %d %s, want %d %s", a.Status, a.Body, status, tc.status)
+				}
+			}
+			if !happened {
+				t.Fatal("nothing was written")
+			}
+			follow(b, other)
+			if a := b.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`)); a.Status != 200 || !strings.Contains(string(a.Body), tc.status) {
+				t.Errorf("the repeat elsewhere is answered %d %s", a.Status, a.Body)
+			}
+			it, open := b.store[prefixOpen+jobID(2)]
+			var rec openRecord
+			stdjson.Unmarshal(it.Value, &rec)
+			if got := strings.Join(rec.Job.Awaits, ","); open != (tc.awaits != "-") || open && got != tc.awaits {
+				t.Errorf("open %v, awaits %q", open, got)
+			}
+		})
+	}
+}
+
+// TestEndRacesAcceptance has a leader about to record a job's end, or that its
+// user called it off, while another controller accepts a dependent. The one that
+// comes second fails and looks again.
+func TestEndRacesAcceptance(t *testing.T) {
+	for name, cancelled := range map[string]bool{"done": false, "cancelled": true} {
+		t.Run(name, func(t *testing.T) {
+			b, l, other := controllers(t)
+			record(b, l, wire.Job{ID: jobID(1)}, nil)
+			follow(other, b)
+			accepted := false
+			b.answer = func(txn *wire.Txn, carryOut func() int) int {
+				if !accepted && len(txn.Writes) > 0 {
+					accepted = true
+					follow(other, b)
+					if a := other.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`)); a.Status != 201 {
+						t.Fatalf("%d %s", a.Status, a.Body)
+					}
+					follow(b, other)
+				}
+				return carryOut()
+			}
+			if cancelled {
+				b.step(Request{ID: 999, Method: "POST", Path: "/submissions/" + jobID(1) + "/cancel"})
+			} else {
+				l.markDone(l.jobs[jobID(1)], 0)
+			}
+			b.run(time.Second)
+			if it := b.store[prefixOpen+jobID(2)]; it.Key != "" { // as the watch tells
+				var rec openRecord
+				stdjson.Unmarshal(it.Value, &rec)
+				l.noteOpen(jobID(2), it.Version, rec)
+			}
+			b.run(3 * time.Second)
+			f := string(b.store[prefixFinal+jobID(1)].Value)
+			switch j := l.jobs[jobID(2)]; {
+			case !accepted || f == "":
+				t.Errorf("accepted %v, the first is over: %q", accepted, f)
+			case cancelled && b.store[prefixFinal+jobID(2)].Key == "":
+				t.Error("the dependent is not over")
+			case !cancelled && (j == nil || j.waits):
+				t.Error("the dependent does not go on")
+			}
+		})
+	}
+}
+
+// within runs a function as an input of the core, so that what it asks for is sent.
+func within(b *harness, f func()) {
+	b.c.nextCall++
+	b.c.calls[b.c.nextCall] = func(Result) { f() }
+	b.step(Result{ID: b.c.nextCall})
+}
+
+// TestAwaitsLongOver names jobs that were over long ago: of these only the final
+// record is left, and no controller remembers it.
+func TestAwaitsLongOver(t *testing.T) {
+	b, l := leading(t, func(*config.Settings) {})
+	b.write(prefixFinal+jobID(1), "", []byte(`{"s":"done","n":1}`))
+	b.write(prefixFinal+jobID(2), "", []byte(`{"s":"withdrawn","n":1}`))
+	// A record that names them was written before they were over, and the leader
+	// that saw them end is not there any more.
+	within(b, func() {
+		record(b, l, wire.Job{ID: jobID(3), Awaits: []string{jobID(1)}}, nil)
+		record(b, l, wire.Job{ID: jobID(4), Awaits: []string{jobID(1), jobID(2)}}, nil)
+		record(b, l, wire.Job{ID: jobID(5), Awaits: []string{jobID(4), jobID(3)}}, nil)
+	})
+	b.run(3 * time.Second)
+	if l.jobs[jobID(3)].waits {
+		t.Error("a job whose awaited one is done waits")
+	}
+	for _, n := range []int{4, 5} {
+		if !strings.Contains(string(b.store[prefixFinal+jobID(n)].Value), "withdrawn") {
+			t.Errorf("%s is not cancelled with the job it needs", jobID(n))
+		}
+	}
+}
