A next leader counts a job's waiting from the end of the last one it awaited

It counted from the submission, and took a job at the end of a long chain for one that had waited far too long.

--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -21,6 +21,11 @@
 
 // noteAwaited enters a new job into the graph.
 func (l *leader) noteAwaited(j *job) {
+	if j.rec.ReadyAt != 0 {
+		// The end of the last one is on record: a leader that counted its waiting
+		// from the submission would take it for one that waits far too long.
+		j.since = j.rec.ReadyAt
+	}
 	if len(j.Awaits) == 0 || j.rec.ReadyAt != 0 {
 		l.noteArrival(j)
 		return
