--- a/internal/core/await_lists_test.go
+++ b/internal/core/await_lists_test.go
@@ -124,13 +124,20 @@
 			b.c.cfg.Deployment.State.ValueKB, b.c.cfg.Deployment.State.TxnOps = 1, 2
 			names := openJobs(b, 300)
 			begun := false
-			b.lose = func(commit string) (lose, apply bool) {
-				begun = begun || strings.Contains(commit, `"put":"a/`)
-				if !begun {
-					return false, true
+			b.answer = func(txn *wire.Txn, carryOut func() int) int {
+				for _, w := range txn.Writes {
+					begun = begun || strings.HasPrefix(w.Put, prefixList)
 				}
-				lost--
-				return lost == -1, carriedOut
+				if begun {
+					lost--
+				}
+				if !begun || lost != -1 {
+					return carryOut()
+				}
+				if carriedOut {
+					carryOut()
+				}
+				return 0
 			}
 			if a := b.askPatiently(named(9, jsonNames(names))); a.Status != 201 && a.Status != 200 {
 				t.Fatalf("answered %d %s", a.Status, a.Body)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -47,6 +47,7 @@
 	schedNext time.Duration
 
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
+	ending    []*job          // of them, those that may be without dependents
 	deps      *dependencies
 	looking   map[string]time.Duration // awaited jobs that are being looked up; when next
 	lookups   int                      // such look-ups under way
@@ -54,7 +55,8 @@
 	unreadLists  map[string]time.Duration // jobs whose list of awaited ones is not read; when to retry
 	clearListsAt time.Duration
 	shed         []string // placement records of jobs that are over, to be deleted
-	limited      bool     // the state service refused a value for its size
+	limited      bool     // the state service refused a transaction as malformed
+	single       bool     // one job a transaction, to find out whose record is refused
 	fleet        fleet
 	arrivals     map[string]*arrivals
 	estimate     map[string]*estimate
@@ -81,10 +83,13 @@
 	goneSaid  bool          // the other controllers were told so
 	told      bool          // the user may have been told so
 	toldAt    time.Duration
-	stale     bool // the open record must be read again
-	numbered  bool // its placement records are numbered, see placements.go
-	tried     bool // a placement record was sent under this term
-	fence     bool // the open record is to be written before others, see mayWrite
+	stale     bool          // the open record must be read again
+	oversize  bool          // the open record is larger than what the state service takes now
+	refusals  int           // of its records, in a row
+	writeNot  time.Duration // its records are not to be sent before
+	numbered  bool          // its placement records are numbered, see placements.go
+	tried     bool          // a placement record was sent under this term
+	fence     bool          // the open record is to be written before others, see mayWrite
 
 	tasks     []task
 	next      uint64   // next attempt number
@@ -206,7 +211,14 @@
 		j.loaded = true
 		l.resolve(j)
 	}
-	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "machines", len(l.machines))
+	l.raise(l.order...)
+	waiting := 0
+	for _, j := range l.order {
+		if j.waits {
+			waiting++
+		}
+	}
+	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
 	l.schedule = true
 	l.watch()
 }
@@ -405,24 +417,16 @@
 	var after []func(version uint64)
 	var ends []wire.JobEnd
 	more := false
-	room := func(n int) bool { return len(txn.Writes)+n <= ops && bytes < 44<<10 }
-	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !(j.finished() || j.over()) {
-			continue
-		}
-		if j.staleChunk() {
-			continue
-		}
-		if j.cancelled && l.awaitedStill(j.ID) {
-			// Nobody is told that it is cancelled before its dependents are.
-			more = true
-			continue
-		}
+	room := func(n int) bool {
+		return len(txn.Writes)+n <= ops && bytes < 44<<10 && !(l.single && len(txn.Writes) > 0)
+	}
+	var writers []*job // whose records are in the transaction
+	end := func(j *job) bool {
 		keys := j.recordKeys()
 		n := min(2+len(keys), ops) // long jobs shed the rest afterwards
 		if !room(n) {
 			more = true
-			break
+			return false
 		}
 		f := finalRecord{Status: wire.StatusDone, Tasks: len(j.tasks)}
 		if j.cancelled {
@@ -435,9 +439,13 @@
 		}
 		bytes += 400
 		j.final = true
+		writers = append(writers, j)
 		after = append(after, func(v uint64) {
 			j.final = false
 			if v == 0 {
+				if j.cancelled {
+					l.ending = append(l.ending, j)
+				}
 				return
 			}
 			l.c.log.Info("job over", "job", j.ID, "status", f.Status)
@@ -449,10 +457,17 @@
 			l.forget(j)
 			l.awaitedOver(j.ID, f.Status)
 		})
+		return true
+	}
+	for _, j := range l.order {
+		if !j.cancelled && l.mayEnd(j) && !end(j) {
+			break
+		}
 	}
+	l.endCancelled(end)
 	named := 0 // conditions on awaited jobs
 	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence {
+		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence || !l.mayWriteOpen(j) {
 			continue
 		}
 		if !room(1) {
@@ -475,6 +490,7 @@
 		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
 		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + j.ID, Value: body})
 		j.writing = true
+		writers = append(writers, j)
 		after = append(after, func(v uint64) {
 			j.writing = false
 			if v == 0 {
@@ -493,7 +509,7 @@
 		})
 	}
 	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !j.loaded {
+		if j.ended || j.stale || j.final || j.writing || !j.loaded || l.putOffWrite(j) {
 			continue
 		}
 		if ranges && !l.mayWrite(j) {
@@ -516,6 +532,7 @@
 			}
 			if !cond {
 				cond = true
+				writers = append(writers, j)
 				txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
 			}
 			body, starts := encodeChunk(j, ch)
@@ -567,12 +584,15 @@
 		switch r.Status {
 		case 200:
 			version = tr.Revision
+			l.single = false
+			for _, j := range writers {
+				j.refusals = 0
+			}
 		case 409:
 			l.conflict(tr.Failed)
 		default:
 			if r.Status == 400 {
-				l.limited = true
-				l.c.refusedTxn(len(txn.Writes))
+				l.refused(txn, writers)
 			}
 			l.txnRetry = l.c.now + l.c.ttl()/20
 		}
@@ -585,6 +605,48 @@
 	})
 }
 
+// mayEnd tells whether nothing on record keeps a job's end from being recorded.
+func (l *leader) mayEnd(j *job) bool {
+	return !j.ended && !j.stale && !j.final && !j.writing && (j.finished() || j.over()) && !j.staleChunk() && !l.putOffWrite(j)
+}
+
+// endCancelled has the ends of cancelled jobs recorded as far as there is room:
+// nobody is told of one before its dependents are over, so these come first. A
+// chain goes into one transaction where it fits: job by job, each after the
+// answer for the one before, a long one would take longer than cancel_s. A job
+// with dependents is looked at again when the last of them is over.
+func (l *leader) endCancelled(end func(*job) bool) {
+	list := l.ending
+	l.ending = nil
+	for k, j := range list {
+		switch {
+		case l.jobs[j.ID] != j || j.ended || j.final || l.deps.needed(j.ID):
+		case l.mayHaveUnread(j) || !l.mayEnd(j):
+			l.ending = append(l.ending, j)
+		case !l.endWithAwaited(j, end):
+			l.ending = append(l.ending, list[k:]...)
+			return
+		}
+	}
+}
+
+// endWithAwaited has the end of a cancelled job recorded, and those of cancelled
+// jobs that nothing but it needs. It is false if there is no room for the job.
+func (l *leader) endWithAwaited(j *job, end func(*job) bool) bool {
+	if !end(j) {
+		return false
+	}
+	for at := []*job{j}; len(at) > 0; at = at[1:] {
+		l.deps.eachAwaited(at[0].ID, func(a string) {
+			x := l.jobs[a]
+			if x != nil && x.cancelled && l.mayEnd(x) && !l.awaitedStill(a) && end(x) {
+				at = append(at, x)
+			}
+		})
+	}
+	return true
+}
+
 func (j *job) staleChunk() bool {
 	for i := range j.chunks {
 		if j.chunks[i].stale || j.chunks[i].busy {
@@ -654,15 +716,23 @@
 	delete(l.jobs, j.ID)
 	delete(l.cancelled, j.ID)
 	delete(l.unreadLists, j.ID)
+	var before []string
+	l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
 	l.deps.drop(j.ID)
-	if j.waits {
-		for _, a := range j.Awaits {
-			l.claim(a)
+	for _, a := range before {
+		if x := l.jobs[a]; x != nil && x.cancelled && !l.deps.needed(a) {
+			l.ending = append(l.ending, x)
+			l.dirty = true
 		}
 	}
-	for i, o := range l.order {
-		if o == j {
-			l.order = append(l.order[:i:i], l.order[i+1:]...)
+	if !j.cancelled { // else they were told when it was cancelled
+		l.reclaim(before)
+	}
+	at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order >= j.order })
+	for ; at < len(l.order) && l.order[at].order == j.order; at++ {
+		if l.order[at] == j {
+			// Copied, for somebody may go through it.
+			l.order = append(l.order[:at:at], l.order[at+1:]...)
 			break
 		}
 	}
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -28,9 +28,9 @@
 	commits  []string // transactions, as they were sent
 	watch    func()   // called after each
 	stepped  func()   // called after each step
-	// lose tells of a transaction whether its answer is lost, and whether it is
-	// carried out in that case.
-	lose func(commit string) (lose, apply bool)
+	// answer changes the answer to a transaction, carried out or, where it
+	// refuses it beforehand, not.
+	answer func(txn *wire.Txn, carryOut func() int) int
 }
 
 // small is in the zones a and b, large in b and c, lone in c.
@@ -73,16 +73,7 @@
 			r.Status, r.Body = 200, []byte(b.types)
 		case k.Dest == DestStore && k.Path == "/commit":
 			b.commits = append(b.commits, string(k.Body))
-			lose, apply := false, true
-			if b.lose != nil {
-				lose, apply = b.lose(string(k.Body))
-			}
-			if !lose || apply {
-				r.Status, r.Body = b.commit(k.Body)
-			}
-			if lose {
-				r.Status, r.Body = 0, nil
-			}
+			r.Status, r.Body = b.answered(k.Body)
 			if b.watch != nil {
 				b.watch()
 			}
@@ -97,6 +88,23 @@
 	}
 }
 
+// answered is the answer to a transaction.
+func (b *harness) answered(body []byte) (status int, answer []byte) {
+	if b.answer == nil {
+		return b.commit(body)
+	}
+	var txn wire.Txn
+	if err := stdjson.Unmarshal(body, &txn); err != nil {
+		b.t.Fatalf("transaction %s: %v", body, err)
+	}
+	status = b.answer(&txn, func() int {
+		var carriedOut int
+		carriedOut, answer = b.commit(body)
+		return carriedOut
+	})
+	return status, answer
+}
+
 func (b *harness) commit(body []byte) (int, []byte) {
 	var txn wire.Txn
 	if err := stdjson.Unmarshal(body, &txn); err != nil {
@@ -114,10 +122,10 @@
 	if tr.Failed != nil {
 		return 409, encode(tr)
 	}
-	// All changes of a transaction share its revision.
-	before := b.revision
+	// All changes of a transaction have one revision.
+	at := b.revision
 	for _, w := range txn.Writes {
-		b.revision = before
+		b.revision = at
 		b.write(w.Put, w.Delete, w.Value)
 	}
 	tr.Revision = b.revision
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -21,6 +21,11 @@
 
 // noteAwaited enters a new job into the graph.
 func (l *leader) noteAwaited(j *job) {
+	if j.rec.ReadyAt != 0 {
+		// The end of the last one is on record: a leader that counted its waiting
+		// from the submission would take it for one that waits far too long.
+		j.since = j.rec.ReadyAt
+	}
 	if len(j.Awaits) == 0 || j.rec.ReadyAt != 0 {
 		l.noteArrival(j)
 		return
@@ -38,9 +43,12 @@
 func (l *leader) noteNames(j *job, names []string) {
 	j.Awaits = names
 	l.deps.add(j.ID, names)
-	l.c.log.Debug("job waits", "job", j.ID, "for", names)
+	l.c.log.Debug("job waits for", "job", j.ID, "awaited", names)
 	if l.ready {
+		// A leader that takes over tells how many wait with the records loaded.
+		l.c.log.Info("job waits", "job", j.ID, "for", len(j.Awaits))
 		l.resolve(j)
+		l.raise(j)
 	}
 }
 
@@ -53,17 +61,18 @@
 		switch x := l.jobs[a]; {
 		case x == nil:
 			l.lookAwaited(a)
-		case x.cancelled:
-			l.cancelAfter(a)
+		case x.cancelled && !j.cancelled:
+			// Not all that needs the cancelled one: each of them comes here.
+			l.cancelWaiting([]string{j.ID}, a)
+			l.cancelAfter(j.ID)
 		}
-		l.raise(a, j)
 	}
 }
 
 // lookAwaited looks up an awaited job that is not among the open ones: its end
 // is on record.
 func (l *leader) lookAwaited(id string) {
-	if _, ok := l.looking[id]; ok || len(l.deps.dependents[id]) == 0 {
+	if _, ok := l.looking[id]; ok || !l.deps.needed(id) {
 		return
 	}
 	if l.lookups >= l.c.maxWaiting()/8 {
@@ -101,6 +110,9 @@
 // awaitedOver takes in that a job's end is on record: its dependents go on, or
 // end with it.
 func (l *leader) awaitedOver(id, status string) {
+	if l.deps.needed(id) {
+		l.c.log.Debug("awaited job over", "job", id, "status", status)
+	}
 	if status != wire.StatusDone {
 		l.cancelAfter(id)
 		return
@@ -118,7 +130,7 @@
 	if !j.waits || j.rec.ReadyAt == 0 {
 		return
 	}
-	l.c.log.Debug("job goes on", "job", j.ID)
+	l.c.log.Info("job goes on", "job", j.ID)
 	j.waits, j.free = false, false
 	j.since = j.rec.ReadyAt
 	l.deps.drop(j.ID)
@@ -126,29 +138,41 @@
 	l.schedule = true
 }
 
-// cancelAfter cancels all jobs that need a cancelled one.
+// cancelAfter cancels all jobs that need a cancelled one. What a job needs that
+// was cancelled before is cancelled already.
 func (l *leader) cancelAfter(id string) {
-	for _, y := range l.deps.after(id) {
-		if j := l.jobs[y]; j != nil && !j.cancelled {
-			l.c.log.Info("job cancelled", "job", y, "with", id)
-			l.markCancelled(j)
-		}
+	l.cancelWaiting(l.deps.after(id, func(y string) bool {
+		j := l.jobs[y]
+		return j != nil && !j.cancelled
+	}), id)
+}
+
+// cancelWaiting cancels jobs with one that they need.
+func (l *leader) cancelWaiting(ids []string, with string) {
+	var before []string
+	for _, id := range ids {
+		l.c.log.Info("job cancelled", "job", id, "with", with)
+		l.markCancelled(l.jobs[id])
+		l.deps.eachAwaited(id, func(a string) { before = append(before, a) })
 	}
+	l.reclaim(before)
 }
 
 // awaitedStill tells whether any dependent of a job is not over, or may not be.
 func (l *leader) awaitedStill(id string) bool {
-	if j := l.jobs[id]; j != nil && j.rec.Needed && len(l.unreadLists) > 0 {
+	if j := l.jobs[id]; j != nil && l.mayHaveUnread(j) {
 		return true
 	}
-	for _, y := range l.deps.dependents[id] {
-		if j := l.jobs[y]; j != nil && !j.ended && !j.final {
-			return true
-		}
-	}
-	return false
+	return l.deps.anyDependent(id, func(y string) bool {
+		j := l.jobs[y]
+		return j != nil && !j.ended && !j.final
+	})
 }
 
+// mayHaveUnread tells whether a job may have dependents that are not known yet,
+// since a list of awaited jobs is still to be read.
+func (l *leader) mayHaveUnread(j *job) bool { return j.rec.Needed && len(l.unreadLists) > 0 }
+
 // ownDue is when a job's user wants it done, as a time of day in seconds.
 func ownDue(rec *openRecord) float64 {
 	if rec.Job.DeadlineS == nil {
@@ -157,49 +181,81 @@
 	return float64(rec.At)/1000 + *rec.Job.DeadlineS
 }
 
-// raise gives a job the priority of one that needs it, and the time by which it
-// has to be done so that the rest of the chain can be, if either is more urgent
-// than its own: users name both on the last job only.
-func (l *leader) raise(id string, dependent *job) {
-	j := l.jobs[id]
-	if j == nil {
-		return
+// raise gives the jobs that others need the highest priority among these, and the
+// time by which they have to be done so that the rest of the chain can be, if
+// either is more urgent than their own: users name both on the last job only. A
+// job is looked at after all of its dependents that change, and so once: taken up
+// by way of each path, a job of a layered graph would be looked at as often as
+// there are paths.
+func (l *leader) raise(dependents ...*job) {
+	var changed worklist
+	for _, j := range dependents {
+		changed.add(j.ID, l.deps.level[j.ID])
 	}
-	rank, due := max(j.rank, dependent.rank), min(j.due, dependent.due-l.runEstimate(dependent))
-	if rank != j.rank || due != j.due {
-		l.claimed(j, rank, due, func(a string) { l.raise(a, j) })
+	for id, ok := changed.next(); ok; id, ok = changed.next() {
+		j := l.jobs[id]
+		if j == nil || j.cancelled || !j.waits {
+			continue
+		}
+		due := j.due - l.runEstimate(j)
+		l.deps.eachAwaited(id, func(a string) {
+			x := l.jobs[a]
+			if x == nil || x.cancelled || x.rank >= j.rank && x.due <= due {
+				return
+			}
+			l.claim(x, max(x.rank, j.rank), min(x.due, due))
+			l.further(&changed, id, a)
+		})
 	}
 }
 
-// claim finds out what a job is left with when one that needed it is not there
-// any more.
-func (l *leader) claim(id string) {
-	j := l.jobs[id]
-	if j == nil {
-		return
+// reclaim finds out what jobs are left with when one that needed them is not
+// there any more, or is cancelled.
+func (l *leader) reclaim(ids []string) {
+	var changed worklist
+	for _, id := range ids {
+		changed.add(id, l.deps.level[id])
 	}
-	rank, due := priorityRank[j.Priority], ownDue(&j.rec)
-	for _, y := range l.deps.dependents[id] {
-		if o := l.jobs[y]; o != nil && !o.cancelled {
-			rank, due = max(rank, o.rank), min(due, o.due-l.runEstimate(o))
+	for id, ok := changed.next(); ok; id, ok = changed.next() {
+		j := l.jobs[id]
+		if j == nil || j.cancelled || j.rank == priorityRank[j.Priority] && j.due == ownDue(&j.rec) {
+			continue
+		}
+		rank, due := l.claims(j)
+		if rank == j.rank && due == j.due {
+			continue
 		}
+		l.claim(j, rank, due)
+		l.deps.eachAwaited(id, func(a string) { l.further(&changed, id, a) })
 	}
-	if rank != j.rank || due != j.due {
-		l.claimed(j, rank, due, l.claim)
+}
+
+// further has an awaited job looked at after a job that has changed.
+func (l *leader) further(changed *worklist, id, awaited string) {
+	if level := l.deps.level[awaited]; level < l.deps.level[id] {
+		changed.add(awaited, level)
 	}
 }
 
-// claimed changes a job's rank and the time by which it has to be done, and goes
-// on to the jobs that it awaits.
-func (l *leader) claimed(j *job, rank int, due float64, next func(string)) {
-	l.setRank(j, rank)
-	j.due = due
-	l.schedule = true
-	if j.waits {
-		for _, a := range j.Awaits {
-			next(a)
+// claims returns the rank of a job and the time by which it has to be done, as its
+// user and its dependents want it.
+func (l *leader) claims(j *job) (rank int, due float64) {
+	rank, due = priorityRank[j.Priority], ownDue(&j.rec)
+	l.deps.eachDependent(j.ID, func(y string) {
+		if o := l.jobs[y]; o != nil && !o.cancelled {
+			rank, due = max(rank, o.rank), min(due, o.due-l.runEstimate(o))
 		}
+	})
+	return rank, due
+}
+
+// claim changes a job's rank and the time by which it has to be done.
+func (l *leader) claim(j *job, rank int, due float64) {
+	if rank != j.rank {
+		l.setRank(j, rank)
 	}
+	j.due = due
+	l.schedule = true
 }
 
 // setRank changes a job's rank, and with it what machines count by rank.
