Gather the ends of tasks for two reports before they are recorded

Cause: with 2 KiB a value an array of 240 tasks has ten placement records, and each was written anew for ends alone every half report.

Ruled out: the open and final records (a quarter of the changes), longer transactions (the service allows 13 changes), the leader's processor.

Nothing waits for the record of an end but its worker, which goes on reporting it; room and limits count from the report, the job's own end goes at once.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -299,15 +299,16 @@
 }
 
 // touch marks a task's record for writing: at once, or, where nothing is lost
-// with it but the knowledge that the task is over, gathered with what follows.
-// The worker remembers an end until it is recorded. Written one by one, the ends
-// of arrays took most of the state service's changes, and their last ones are
-// written in vain, since the job's own end deletes the record.
+// with it but the knowledge that the task is over, gathered with what follows
+// in two reports' time. The worker remembers an end until it is recorded.
+// Written one by one, the ends of arrays took most of the state service's
+// changes, and their last ones are written in vain, since the job's own end
+// deletes the record.
 func (l *leader) touch(j *job, i int, later bool) {
 	ch := j.chunkOf(i)
 	at := l.c.now
 	if later {
-		at += l.c.report() / 2
+		at += 2 * l.c.report()
 	}
 	if !ch.dirty || at < ch.due {
 		ch.dirty, ch.due = true, at
