Give a machine out of reach with cancelled work 48 s to come back

Nobody had been told, so nothing was promised and nothing would have been broken by waiting; the user was still asking.

By the protocol a user repeats a request for 60 s. A machine is given four fifths of that, whatever cancel_s; the rest is for the cloud's answer. Where a user was told by an earlier version, three fifths of cancel_s hold as before.

--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -45,6 +45,9 @@
 // seconds.
 const cancelRetry = 2
 
+// userPatience is for how long a user repeats a request, by the protocol.
+const userPatience = 60 * time.Second
+
 // cancelWait is how long a cancellation may take before its user is asked to
 // come back: a stop goes out at once, or else with the worker's next report.
 func (c *Core) cancelWait() time.Duration { return c.report() * 5 / 4 }
@@ -348,9 +351,10 @@
 // cancelLate tells whether a task of a cancelled job that is not confirmed gone
 // has to go with its machine. Where the user was told already, as controllers
 // of earlier versions do, what is left of cancel_s has to suffice for a change
-// of leaders and for the cloud's answer. Else a machine that runs other work is
-// given the time to come back, while the user still asks.
+// of leaders and for the cloud's answer. Else nothing was promised, and a machine
+// that runs other work is given the time to come back while the user still asks,
+// but for what the cloud's answer takes.
 func (l *leader) cancelLate(j *job) bool {
 	return j.told && l.c.now-j.toldAt > l.c.cancelTime()*3/5 ||
-		j.cancelled && l.c.now-j.askedAt > l.c.cancelTime()*6/5
+		j.cancelled && l.c.now-j.askedAt > userPatience*4/5
 }
