--- a/internal/core/affinity.go
+++ b/internal/core/affinity.go
@@ -14,17 +14,17 @@
 
 // visitor is a worker that reports to this controller.
 type visitor struct {
-	seen     time.Duration
-	idle     bool // it has no tasks
-	answered time.Duration
-	sent     time.Duration // when it was last sent elsewhere
-	toLeader string        // the leader that it was sent to
-	back     time.Duration // when it came back from there
+	seen         time.Duration
+	idle         bool // it has no tasks
+	answered     time.Duration
+	redirected   time.Duration // when it was last sent elsewhere
+	redirectedTo string        // the leader that it was sent to
+	returned     time.Duration // when it came back from there
 }
 
-// visit notes a worker's report, and names the controller that the worker had
-// better report to, if that is another one.
-func (c *Core) visit(body []byte) (*visitor, string) {
+// noteReporter notes a worker's report, and names the controller that the
+// worker had better report to, if that is another one.
+func (c *Core) noteReporter(body []byte) (*visitor, string) {
 	var r struct {
 		Machine string     `json:"host"`
 		Zone    string     `json:"berth"`
@@ -42,24 +42,26 @@
 		c.log.Debug("worker reports here", "machine", r.Machine, "zone", r.Zone)
 	}
 	v.seen, v.idle = c.now, len(r.Tasks) == 0
-	if v.answered == 0 || c.now-v.answered > 2*c.report() || !v.maySend(c) {
+	if v.answered == 0 || c.now-v.answered > 2*c.report() || !v.mayRedirect(c) {
 		return v, ""
 	}
-	home := c.home(r.Machine, r.Zone)
+	home := c.preferredController(r.Machine, r.Zone)
 	if home == "" || home == c.cfg.Name {
 		return v, ""
 	}
-	v.sent = c.now
+	v.redirected = c.now
 	c.log.Debug("worker sent home", "machine", r.Machine, "to", home)
 	return v, home
 }
 
-// maySend tells whether the worker was not sent elsewhere for a while.
-func (v *visitor) maySend(c *Core) bool { return v.sent == 0 || c.now-v.sent > 6*c.lease() }
+// mayRedirect tells whether the worker was not sent elsewhere for a while.
+func (v *visitor) mayRedirect(c *Core) bool {
+	return v.redirected == 0 || c.now-v.redirected > 6*c.lease()
+}
 
-// home names a controller in a zone that leads or hears the leader. Where
-// there are several, the machines are spread over them.
-func (c *Core) home(machine, zone string) string {
+// preferredController names a controller in a zone that leads or hears the
+// leader. Where there are several, the machines are spread over them.
+func (c *Core) preferredController(machine, zone string) string {
 	var names []string
 	if c.cfg.Zone == zone {
 		names = append(names, c.cfg.Name)
--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -22,7 +22,7 @@
 	work       float64
 	pending    []int
 	held       int  // tasks for which room is being made
-	cornered   bool // no machine can be rented for it just now
+	noOffer    bool // no machine can be rented for it just now
 	power      int  // the rank by which it may stop other work
 }
 
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -38,7 +38,7 @@
 	}
 	for _, w := range m.tasks {
 		name := w.Task
-		if t := m.counts(name); t != nil && t.attempt == w.Attempt {
+		if t := m.placedTask(name); t != nil && t.attempt == w.Attempt {
 			continue
 		}
 		if w.State != wire.TaskExited {
@@ -72,10 +72,12 @@
 	return !j.final
 }
 
+// attemptKey names an attempt at a task.
 func attemptKey(task string, attempt uint64) string {
 	return task + "#" + strconv.FormatUint(attempt, 10)
 }
 
+// jobOf is the job of the task with that name.
 func jobOf(task string) string {
 	if i := strings.IndexByte(task, '/'); i >= 0 {
 		return task[:i]
@@ -94,13 +96,13 @@
 		}
 	}
 	for _, m := range order {
-		l.direct(m)
+		l.sendCommands(m)
 	}
 }
 
-// direct sends a worker its commands at once instead of with the answer to
+// sendCommands sends a worker its commands at once instead of with the answer to
 // its next report.
-func (l *leader) direct(m *machine) {
+func (l *leader) sendCommands(m *machine) {
 	if m.addr == "" || m.doBusy > 0 || l.c.now < m.doRetry || m.token < l.term || m.returning || !l.ready {
 		return
 	}
@@ -136,11 +138,13 @@
 			m.doRetry = l.c.now + l.c.lease()/2
 			return
 		}
-		l.directReport(m, r.Body)
+		l.onDirectReport(m, r.Body)
 	})
 }
 
-func (l *leader) directReport(m *machine, body []byte) {
+// onDirectReport takes in the state with which a worker answers a direct command
+// or a probe.
+func (l *leader) onDirectReport(m *machine, body []byte) {
 	rep, ok := decodeReport(body)
 	if !ok || rep.Machine != m.name {
 		return
--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -26,7 +26,7 @@
 	// machines times replicas.
 	f.moveNext = l.c.now + l.c.report()
 	for _, m := range sources {
-		if to := l.elsewhere(m, targets); to != nil {
+		if to := l.moveDestinations(m, targets); to != nil {
 			l.moveReplicas(m, to)
 			f.moveNext = l.c.now + l.movePace()
 			return
@@ -34,6 +34,7 @@
 	}
 }
 
+// anyPending tells whether tasks wait for room.
 func anyPending(cands []*candidate) bool {
 	return slices.ContainsFunc(cands, func(c *candidate) bool { return len(c.pending) > 0 })
 }
@@ -49,7 +50,7 @@
 	return targets
 }
 
-// moveSources lists the machines that may be emptied: condemned ones first, once
+// moveSources lists the machines that may be emptied: cordoned ones first, once
 // their tasks are replicas alone, then those of the highest price.
 func (l *leader) moveSources(bins []*bin) []*machine {
 	var sources []*machine
@@ -82,7 +83,7 @@
 	for k, p := range m.placed {
 		p.j.moveTo[p.i] = to[k]
 	}
-	l.condemn(m, "its replicas fit on other machines")
+	l.cordon(m, "its replicas fit on other machines")
 	m.evict = true
 }
 
@@ -131,9 +132,9 @@
 	zone string
 }
 
-// elsewhere finds a machine for each of a machine's replicas, in their order;
-// nil if not all find one.
-func (l *leader) elsewhere(m *machine, targets []*bin) []*machine {
+// moveDestinations finds a machine for each of a machine's replicas, in their
+// order; nil if not all find one.
+func (l *leader) moveDestinations(m *machine, targets []*bin) []*machine {
 	free := make(map[*bin]topology.Resources, len(targets))
 	for _, b := range targets {
 		free[b] = b.free
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -25,17 +25,17 @@
 
 // election is what a controller knows of who leads.
 type election struct {
-	busy     bool
-	nextPoll time.Duration
-	term     uint64 // highest term known
-	leader   string // who holds it, if known
-	heard    time.Duration
-	keyAt    time.Duration // when the leader's key was last read
-	asked    bool          // the leader key was read since the start
+	busy        bool
+	nextPoll    time.Duration
+	term        uint64 // highest term known
+	leader      string // who holds it, if known
+	leaderHeard time.Duration
+	keyAt       time.Duration // when the leader's key was last read
+	asked       bool          // the leader key was read since the start
 }
 
-// ttl of the leader's lease: a crash, the election and the workers' move to
-// another controller must all fit within one worker lease.
+// ttl is the time to live of the leader's lease: a crash, the election and the
+// workers' move to another controller must all fit within one worker lease.
 func (c *Core) ttl() time.Duration { return c.lease() / 5 }
 
 // tickElection renews this controller's leadership, or looks at who leads.
@@ -119,7 +119,7 @@
 	}
 	if term > e.term || e.leader != name {
 		e.term, e.leader = term, name
-		e.heard = c.now
+		e.leaderHeard = c.now
 		c.log.Info("leader", "name", name, "term", term)
 	}
 	c.flushForwards()
@@ -240,7 +240,7 @@
 func (c *Core) stepDown(why string) {
 	c.log.Info("step down", "term", c.lead.term, "why", why)
 	c.lead.gone = true
-	c.elect.heard = c.now
+	c.elect.leaderHeard = c.now
 	c.lead = nil
 	c.elect.leader = ""
 	c.elect.busy = false
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -20,16 +20,18 @@
 	refused  map[offerKey]time.Duration
 	cutAt    map[string]time.Duration // when a zone was last seen cut off
 	moveNext time.Duration            // no machine is emptied for others before
-	keep     map[string]bool          // idle machines that are kept for work to come
+	keepIdle map[string]bool          // idle machines that are kept for work to come
 
-	urge       map[string]bool // machines to send commands to at once
+	commandNow map[string]bool // machines to send commands to at once
 	watchRetry time.Duration
 }
 
+// newFleet makes the state of a new leader.
 func newFleet() fleet {
-	return fleet{returns: map[string]bool{}, refused: map[offerKey]time.Duration{}, cutAt: map[string]time.Duration{}, keep: map[string]bool{}, urge: map[string]bool{}}
+	return fleet{returns: map[string]bool{}, refused: map[offerKey]time.Duration{}, cutAt: map[string]time.Duration{}, keepIdle: map[string]bool{}, commandNow: map[string]bool{}}
 }
 
+// tickFleet does what is due towards the cloud.
 func (l *leader) tickFleet() {
 	l.returnBatch()
 	l.list()
@@ -53,8 +55,8 @@
 	bootGone = 4
 )
 
-// overdue tells how many times its type's boot time a machine has taken.
-func (l *leader) overdue(m *machine) float64 {
+// bootOverdue tells how many times its type's boot time a machine has taken.
+func (l *leader) bootOverdue(m *machine) float64 {
 	t := l.c.types[m.typ]
 	if t == nil || t.BootS <= 0 || m.heard != 0 {
 		return 0
--- a/internal/core/forecast.go
+++ b/internal/core/forecast.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// expected is how many tasks of a class may come while a machine boots and
+// expectedTasks is how many tasks of a class may come while a machine boots and
 // fetches the class's image, if a slow boot makes that longer than the class
 // may wait. The share of the objective sets how sure it has to be that the
 // room suffices; a class that has been seen is never without room.
-func (l *leader) expected(a *arrivals, o config.Objective) int {
+func (l *leader) expectedTasks(a *arrivals, o config.Objective) int {
 	lead, slow := math.Inf(1), math.Inf(1)
 	for _, name := range sortedKeys(l.c.types) {
 		t := l.c.types[name]
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -17,8 +17,8 @@
 //  3. the cloud has confirmed the machine's return;
 //  4. the worker has seen this term, and its lease has certainly run out since
 //     the last answer that this term, or a controller that was out of its
-//     leader's reach, gave it (keep.go). A worker that has not seen this term
-//     may still be kept alive by a deposed leader.
+//     leader's reach, gave it (leaseextension.go). A worker that has not seen this term
+//     may still have its lease renewed by a deposed leader.
 
 // review compares a machine's placements with its newest report.
 // heardTerm tells that the worker had seen this term when it made it.
@@ -149,7 +149,7 @@
 }
 
 // taskFailed tells a faulty machine from a faulty job: several jobs failing in
-// a row on one machine condemn the machine, one job failing on several
+// a row on one machine have it cordoned, one job failing on several
 // machines has to wait longer and longer. After a first failure a machine is
 // only avoided where there is a choice.
 func (l *leader) taskFailed(j *job, m *machine) {
@@ -162,14 +162,14 @@
 		j.retryAt = l.c.now + l.c.report()/5
 	}
 	if len(m.failed) > 1 {
-		l.condemn(m, "fails the tasks it starts")
+		l.cordon(m, "fails the tasks it starts")
 	}
 }
 
-// condemn stops a machine from taking tasks; it is returned once empty. What
+// cordon stops a machine from taking tasks; it is returned once empty. What
 // runs there goes on: a machine that fails new tasks may well serve old ones,
 // and stopping a replica before another place holds its image costs more.
-func (l *leader) condemn(m *machine, why string) {
+func (l *leader) cordon(m *machine, why string) {
 	if m.drain == "" {
 		l.c.log.Info("machine condemned", "machine", m.name, "why", why)
 		m.drain = why
@@ -191,9 +191,11 @@
 		}
 		return
 	}
-	l.fleet.urge[t.m.name] = true
+	l.fleet.commandNow[t.m.name] = true
 }
 
+// stopCommand is the command that stops a task; nil while the worker need not be
+// told.
 func (l *leader) stopCommand(name string, t *task) *wire.Command {
 	grace := t.stop.grace
 	if t.state == wire.TaskSaving {
@@ -231,10 +233,10 @@
 			}
 		}
 	}
-	for _, name := range sortedKeys(l.fleet.urge) {
-		delete(l.fleet.urge, name)
+	for _, name := range sortedKeys(l.fleet.commandNow) {
+		delete(l.fleet.commandNow, name)
 		if m := l.machines[name]; m != nil {
-			l.direct(m)
+			l.sendCommands(m)
 		}
 	}
 }
@@ -256,7 +258,7 @@
 		return
 	}
 	reports := l.c.now-m.heard < 2*l.c.report()
-	if reports && l.c.now-max(t.placedAt, m.heardFrom) > 4*l.c.report() {
+	if reports && l.c.now-max(t.placedAt, m.reportsSince) > 4*l.c.report() {
 		l.c.log.Info("machine does not hear", "machine", m.name)
 		m.deafSince = l.c.now
 	}
@@ -269,9 +271,9 @@
 	if !s.hard && l.c.now-s.at > 2*time.Duration(s.grace*float64(time.Second)) {
 		s.hard = true
 		s.grace = 0
-		l.fleet.urge[m.name] = true
+		l.fleet.commandNow[m.name] = true
 	}
 	if l.cancelLate(p.j) {
-		l.giveBack(m, "cancelled work is not confirmed gone")
+		l.returnMachine(m, "cancelled work is not confirmed gone")
 	}
 }
--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -66,7 +66,7 @@
 			}
 		}
 		if why := l.unhealthy(m, survey); why != "" {
-			l.giveBack(m, why)
+			l.returnMachine(m, why)
 		}
 	}
 }
@@ -91,7 +91,7 @@
 		if since > 3*l.c.report() {
 			silent++
 			// One that a new leader has not heard yet may hear a deposed one.
-			if since < l.c.keepFor() && (m.heard == 0 || !l.leaseOver(m)) {
+			if since < l.c.maxExtension() && (m.heard == 0 || !l.leaseOver(m)) {
 				zone.silent++
 			}
 		}
@@ -162,5 +162,5 @@
 	if s.mostSilent || zone.mostOverdue() || controller.mostOverdue() {
 		return false
 	}
-	return l.reaches(m, zone.machines)
+	return l.zoneReachable(m, zone.machines)
 }
--- a/internal/core/imagecache.go
+++ b/internal/core/imagecache.go
@@ -4,6 +4,7 @@
 	"math"
 )
 
+// image is a container image in a machine's cache.
 type image struct {
 	name string
 	gb   float64
--- a/internal/core/leaseextension.go
+++ b/internal/core/leaseextension.go
@@ -21,27 +21,28 @@
 //     stay silent then go by their return to the cloud (case 3), not by case 4.
 //
 // Workers that have not seen the leader's term are none of this: case 4 does
-// not apply to them, since a deposed leader may keep them as well.
+// not apply to them, since a deposed leader may extend their leases as well.
 
 // keeper is what a controller knows of the leases it has extended.
 type keeper struct {
-	term uint64               // of the leader that from is about
-	from time.Duration        // our clock: this leader has our digests until then
-	kept map[string]keptLease // leases extended, not yet known to the leader
+	term     uint64                    // of the leader that from is about
+	from     time.Duration             // our clock: this leader has our digests until then
+	extended map[string]leaseExtension // leases extended, not yet known to the leader
 }
 
-// keptLease is the latest extension of a worker's lease.
-type keptLease struct {
+// leaseExtension is the latest extension of a worker's lease.
+type leaseExtension struct {
 	at    time.Duration
 	token uint64 // under which it was
 }
 
-// keepMax is how long a controller extends leases without having heard a
-// leader, in worker leases: long enough for a zone's cut, and an end to holding
-// on to what cannot be reached.
-const keepMax = 12
+// maxExtensionLeases is how long a controller extends leases without having
+// heard a leader, in worker leases: long enough for a zone's cut, and an end to
+// holding on to what cannot be reached.
+const maxExtensionLeases = 12
 
-func (c *Core) keepFor() time.Duration { return keepMax * c.lease() }
+// maxExtension is the same as a time.
+func (c *Core) maxExtension() time.Duration { return maxExtensionLeases * c.lease() }
 
 // noteEcho takes in the leader's digest, on another controller.
 func (c *Core) noteEcho(d *wire.Digest) {
@@ -53,40 +54,41 @@
 		k.term, k.from = d.Term, 0
 	}
 	k.from = max(k.from, time.Duration(d.Echo))
-	for name, x := range k.kept {
+	for name, x := range k.extended {
 		// A leader of an earlier term than the worker has seen need not be the
 		// one that has to know.
 		if x.at < k.from && x.token <= k.term && c.now-x.at > 2*c.lease() {
-			delete(k.kept, name)
+			delete(k.extended, name)
 		}
 	}
 }
 
-// mayKeep tells whether this controller still extends leases on its own.
-func (c *Core) mayKeep() bool { return c.now-c.elect.heard < c.keepFor() }
+// mayExtendLeases tells whether this controller still extends leases on its own.
+func (c *Core) mayExtendLeases() bool { return c.now-c.elect.leaderHeard < c.maxExtension() }
 
-// keepLease answers a report in the leader's place.
-func (c *Core) keepLease(req uint64, body []byte) bool {
+// extendLease answers a report in the leader's place.
+func (c *Core) extendLease(req uint64, body []byte) bool {
 	r, ok := decodeReport(body)
-	if !ok || r.Token == 0 || !c.mayKeep() {
+	if !ok || r.Token == 0 || !c.mayExtendLeases() {
 		return false
 	}
 	k := &c.keep
-	if k.kept == nil {
-		k.kept = map[string]keptLease{}
+	if k.extended == nil {
+		k.extended = map[string]leaseExtension{}
 	}
-	if x, ok := k.kept[r.Machine]; !ok || c.now-x.at > c.lease() {
+	if x, ok := k.extended[r.Machine]; !ok || c.now-x.at > c.lease() {
 		c.log.Debug("lease kept without the leader", "machine", r.Machine)
 	}
-	k.kept[r.Machine] = keptLease{c.now, max(r.Token, k.kept[r.Machine].token)}
+	k.extended[r.Machine] = leaseExtension{c.now, max(r.Token, k.extended[r.Machine].token)}
 	c.answer(req, 200, wire.Orders{Token: r.Token, Commands: []wire.Command{}}, 0)
 	return true
 }
 
+// list is what a digest says of the extensions.
 func (k *keeper) list(now time.Duration) []wire.Kept {
 	var out []wire.Kept
-	for _, name := range sortedKeys(k.kept) {
-		out = append(out, wire.Kept{Machine: name, AgeMS: int64((now - k.kept[name].at) / time.Millisecond)})
+	for _, name := range sortedKeys(k.extended) {
+		out = append(out, wire.Kept{Machine: name, AgeMS: int64((now - k.extended[name].at) / time.Millisecond)})
 	}
 	return out
 }
@@ -99,8 +101,8 @@
 	unsure time.Duration // our clock: an earlier run of it may have extended any lease until then
 }
 
-// noteTestimony takes in another controller's digest.
-func (c *Core) noteTestimony(p *peerState, d *wire.Digest) {
+// noteExtensions takes in another controller's digest.
+func (c *Core) noteExtensions(p *peerState, d *wire.Digest) {
 	t := &p.testimony
 	if d.Boot != t.boot {
 		t.unsure = c.now
@@ -115,7 +117,7 @@
 	}
 	for _, k := range d.Kept {
 		if m := c.lead.machines[k.Machine]; m != nil {
-			m.kept = max(m.kept, c.now-time.Duration(k.AgeMS)*time.Millisecond)
+			m.extended = max(m.extended, c.now-time.Duration(k.AgeMS)*time.Millisecond)
 		}
 	}
 }
@@ -123,7 +125,7 @@
 // leaseOver tells whether a silent worker's lease has certainly run out: there
 // is a span as long as the lease in which nobody has extended it.
 func (l *leader) leaseOver(m *machine) bool {
-	from := max(m.answered, m.kept)
+	from := max(m.answered, m.extended)
 	for _, p := range l.c.peers {
 		from = max(from, p.unsure)
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -30,9 +30,9 @@
 	token              uint64 // highest token the worker has reported
 	heard              time.Duration
 	via                string        // the controller that its last report came by
-	heardFrom          time.Duration // reports have come regularly since then
+	reportsSince       time.Duration // reports have come regularly since then
 	answered           time.Duration // last answer of this term to a report
-	kept               time.Duration // last extension of its lease by a controller out of reach
+	extended           time.Duration // last extension of its lease by a controller out of reach
 	contact            time.Duration // last answer to a probe or a direct command
 	firstHeard         time.Duration
 	tasks              []wire.Task // newest report
@@ -44,7 +44,7 @@
 	used      topology.Resources
 	soft      [ranks]topology.Resources // what each priority uses
 	saves     [ranks]topology.Resources // what of it is work that saves
-	going     topology.Resources        // what is on its way out, at the last pass
+	stopping  topology.Resources        // what is on its way out, at the last pass
 	idleSince time.Duration
 	images    []image // believed to be cached, latest use first
 
@@ -71,9 +71,10 @@
 	// A machine whose tasks are stopped for a job is kept for it.
 	reserved      *job
 	reservedUntil time.Duration
-	seats         int // tasks of the job that it is kept for
+	reservedTasks int // tasks of the job that it is kept for
 }
 
+// machine finds what is known of a machine; one that is new is added.
 func (l *leader) machine(name string) *machine {
 	m := l.machines[name]
 	if m == nil {
@@ -92,7 +93,7 @@
 	l.byName = slices.DeleteFunc(slices.Clone(l.byName), func(o *machine) bool { return o == m })
 }
 
-// add and remove change what counts on a machine.
+// add has a task count on the machine.
 func (m *machine) add(p ref) {
 	at, _ := slices.BinarySearchFunc(m.placed, p.name, func(p ref, name string) int { return strings.Compare(p.name, name) })
 	placed := make([]ref, 0, len(m.placed)+1)
@@ -100,6 +101,7 @@
 	m.placed = append(placed, m.placed[at:]...)
 }
 
+// remove has a task no longer count on the machine.
 func (m *machine) remove(j *job, i int) {
 	placed := make([]ref, 0, len(m.placed))
 	for _, p := range m.placed {
@@ -110,8 +112,8 @@
 	m.placed = placed
 }
 
-// counts finds the task of that name which counts on the machine.
-func (m *machine) counts(name string) *task {
+// placedTask finds the task of that name which counts on the machine.
+func (m *machine) placedTask(name string) *task {
 	for k := range m.placed {
 		if m.placed[k].name == name {
 			return m.placed[k].task()
@@ -121,9 +123,9 @@
 }
 
 // reported finds an attempt at a task in the newest report. A worker lists an
-// earlier attempt that has ended beside the present one until it is to forget it;
-// taken for the present one, it made a running task seem to have vanished, and
-// the task ran twice.
+// earlier attempt that has ended beside the present one until it is to forget
+// it; taken for the present one, it made a running task seem to have vanished,
+// and the task ran twice.
 func (m *machine) reported(name string, attempt uint64) (wire.Task, bool) {
 	for k := range m.tasks {
 		if m.tasks[k].Task == name && m.tasks[k].Attempt == attempt {
@@ -133,6 +135,7 @@
 	return wire.Task{}, false
 }
 
+// describe notes what kind of machine one is; the address may be unknown.
 func (l *leader) describe(m *machine, addr, typ, zone string, spot bool) {
 	if addr != "" {
 		m.addr = addr
@@ -140,6 +143,7 @@
 	m.typ, m.zone, m.spot, m.known = typ, zone, spot, true
 }
 
+// total is all that a machine offers, if that is known.
 func (l *leader) total(m *machine) (topology.Resources, bool) {
 	t := l.c.types[m.typ]
 	if t == nil || !m.known {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -24,7 +24,7 @@
 // controller forwards it to the leader, and holds it for a moment while there is
 // none.
 func (c *Core) onReport(req uint64, body []byte) {
-	v, home := c.visit(body)
+	v, home := c.noteReporter(body)
 	if home != "" {
 		c.redirect(req, home)
 		return
@@ -39,7 +39,7 @@
 	}
 	c.nextForward++
 	c.forwards[c.nextForward] = &forward{req: req, from: v, body: body, until: c.now + forwardTimeout}
-	c.pass(c.nextForward)
+	c.forwardToLeader(c.nextForward)
 }
 
 // redirect tells a worker to report to another controller.
@@ -57,22 +57,22 @@
 // is an answer: where else to report to, an extension of the worker's lease, or
 // that nobody is there to wait for.
 func (c *Core) answerWithoutLeader(req uint64, v *visitor, body []byte) bool {
-	if to := c.bridge(); to != "" {
+	if to := c.redirectPeer(); to != "" {
 		c.redirect(req, to)
 		return true
 	}
-	if c.leaderAlive() && v.maySend(c) && (v.idle || !c.mayKeep()) {
+	if c.leaderAlive() && v.mayRedirect(c) && (v.idle || !c.mayExtendLeases()) {
 		// Only the controllers may be apart: the worker asks the leader
 		// itself, and comes back if it does not reach it either. One that
 		// has tasks is not risked while its lease can be kept.
-		v.sent, v.toLeader = c.now, c.elect.leader
+		v.redirected, v.redirectedTo = c.now, c.elect.leader
 		c.redirect(req, c.elect.leader)
 		return true
 	}
-	if v.toLeader == c.elect.leader && c.now-v.sent < 2*c.lease() {
-		v.back = c.now
+	if v.redirectedTo == c.elect.leader && c.now-v.redirected < 2*c.lease() {
+		v.returned = c.now
 	}
-	if c.keepLease(req, body) {
+	if c.extendLease(req, body) {
 		return true
 	}
 	if !c.storeOK() && !c.hearsPeer() {
@@ -86,12 +86,12 @@
 // flushForwards passes on all reports that wait, to a leader that is known now.
 func (c *Core) flushForwards() {
 	for _, id := range c.forwardIDs() {
-		c.pass(id)
+		c.forwardToLeader(id)
 	}
 }
 
-// pass hands a report to the leader, unless it has it already.
-func (c *Core) pass(id uint64) {
+// forwardToLeader hands a report to the leader, unless it has it already.
+func (c *Core) forwardToLeader(id uint64) {
 	f := c.forwards[id]
 	switch {
 	case c.lead != nil:
@@ -118,7 +118,7 @@
 	for _, id := range c.forwardIDs() {
 		if f := c.forwards[id]; c.now >= f.until {
 			delete(c.forwards, id)
-			if !c.keepLease(f.req, f.body) {
+			if !c.extendLease(f.req, f.body) {
 				c.log.Debug("report not answered in time", "leader", f.sentTo)
 				c.answer(f.req, 503, nil, 0)
 			}
@@ -175,7 +175,7 @@
 
 // onDigest takes in what another controller says of itself.
 func (c *Core) onDigest(from string, p *peerState, d *wire.Digest) {
-	c.noteTestimony(p, d)
+	c.noteExtensions(p, d)
 	p.version = max(p.version, d.Version)
 	p.storeOK, p.hearsLeader = d.StoreOK, d.HearsLeader
 	if c.lead != nil {
@@ -194,7 +194,7 @@
 	if c.lead != nil || c.elect.leader != from {
 		return
 	}
-	c.elect.heard = c.now
+	c.elect.leaderHeard = c.now
 	c.noteEcho(d)
 	if !d.HasJobs {
 		return
@@ -291,7 +291,7 @@
 
 // hearsLeader tells whether this controller leads or hears the one that does.
 func (c *Core) hearsLeader() bool {
-	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.heard < c.ttl()
+	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.leaderHeard < c.ttl()
 }
 
 // leaderAlive tells whether another controller's leadership was lately seen in
@@ -323,16 +323,16 @@
 	// With all peers out of reach, workers that did not find the leader either
 	// speak against it.
 	for _, v := range c.visitors {
-		if v.back != 0 && c.now-v.back < c.lease() && c.now-c.elect.heard > 2*c.lease() {
+		if v.returned != 0 && c.now-v.returned < c.lease() && c.now-c.elect.leaderHeard > 2*c.lease() {
 			return true
 		}
 	}
 	return false
 }
 
-// bridge names a peer that hears the leader, for a worker whose report cannot
-// be forwarded from here; empty if there is none.
-func (c *Core) bridge() string {
+// redirectPeer names a peer that hears the leader, for a worker whose report
+// cannot be forwarded from here; empty if there is none.
+func (c *Core) redirectPeer() string {
 	for _, p := range c.cfg.Peers {
 		if s := c.peers[p.Name]; c.fresh(s) && s.hearsLeader {
 			return p.Name
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -270,7 +270,7 @@
 		l.bind(j, i, m)
 		l.touch(j, i, false)
 		if m.reserved == j {
-			if m.seats--; m.seats < 1 {
+			if m.reservedTasks--; m.reservedTasks < 1 {
 				m.reserved = nil
 			}
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -9,16 +9,16 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// seat is room for one more task on a machine, and who has to go for it.
-type seat struct {
+// preemption is room for one more task on a machine, and who has to go for it.
+type preemption struct {
 	m       *machine
 	victims []ref
 	cost    float64 // seconds of a task's work that are lost
 }
 
-// maxSeats bounds how many tasks of an array or a service make room in one
+// maxPreemptions bounds how many tasks of an array or a service make room in one
 // pass: what is stopped for them comes back as work to place.
-const maxSeats = 8
+const maxPreemptions = 8
 
 // preempt makes room for tasks of a job that found none: it stops work of
 // lower priority, or work that another team runs beyond its guarantee when the
@@ -40,15 +40,15 @@
 		return true
 	}
 	_, offered := l.offer(nil, &j.Job, nil)
-	c.cornered = !offered
-	want := l.seatsWanted(c, usage)
+	c.noOffer = !offered
+	want := l.preemptionsWanted(c, usage)
 	if want == 0 {
 		return false
 	}
-	if !l.anySeat(c) {
+	if !l.anyPreemption(c) {
 		return true
 	}
-	best := l.bestSeats(c, want, quick)
+	best := l.bestPreemptions(c, want, quick)
 	if len(best) == 0 || j.Shape == wire.ShapeGang && len(best) < want {
 		return false
 	}
@@ -57,9 +57,9 @@
 	return false
 }
 
-// seatsWanted is for how many of a candidate's tasks room is to be made, within
-// its team's limit.
-func (l *leader) seatsWanted(c *candidate, usage map[string]topology.Resources) int {
+// preemptionsWanted is for how many of a candidate's tasks room is to be made,
+// within its team's limit.
+func (l *leader) preemptionsWanted(c *candidate, usage map[string]topology.Resources) int {
 	j := c.j
 	fits := func(n int) bool { return underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) }
 	if j.Shape == wire.ShapeGang {
@@ -68,34 +68,34 @@
 		}
 		return len(c.pending)
 	}
-	want := min(len(c.pending), maxSeats)
+	want := min(len(c.pending), maxPreemptions)
 	for want > 0 && !fits(want) {
 		want--
 	}
 	return want
 }
 
-// bestSeats finds room for up to want tasks: for a job that is bound to one
-// zone, in the zone with the most of it, at the least loss.
-func (l *leader) bestSeats(c *candidate, want int, quick bool) []seat {
+// bestPreemptions finds room for up to want tasks: for a job that is bound to
+// one zone, in the zone with the most of it, at the least loss.
+func (l *leader) bestPreemptions(c *candidate, want int, quick bool) []preemption {
 	if !c.j.OneZone {
-		return l.seats(c, want, "", quick)
+		return l.preemptions(c, want, "", quick)
 	}
-	var best []seat
+	var best []preemption
 	for _, zone := range l.zones() {
-		s := l.seats(c, want, zone, quick)
-		if len(s) > len(best) || len(s) == len(best) && total(s) < total(best) {
+		s := l.preemptions(c, want, zone, quick)
+		if len(s) > len(best) || len(s) == len(best) && totalCost(s) < totalCost(best) {
 			best = s
 		}
 	}
 	return best
 }
 
-// stopVictims stops the tasks that go for seats, and returns the longest time
-// that one of them gets to save, in seconds.
-func (l *leader) stopVictims(j *job, seats []seat) float64 {
+// stopVictims stops the tasks that go for preemptions, and returns the longest
+// time that one of them gets to save, in seconds.
+func (l *leader) stopVictims(j *job, chosen []preemption) float64 {
 	wait := 0.0
-	for _, s := range seats {
+	for _, s := range chosen {
 		for _, v := range s.victims {
 			grace := l.preemptGrace(v.j)
 			wait = max(wait, grace)
@@ -111,19 +111,19 @@
 	return wait
 }
 
-// reserve keeps the seats' machines for a job until the room is there, wait
-// seconds from now.
-func (l *leader) reserve(j *job, seats []seat, wait float64) {
+// reserve keeps the preemptions' machines for a job until the room is there,
+// wait seconds from now.
+func (l *leader) reserve(j *job, chosen []preemption, wait float64) {
 	j.held = nil
-	for _, s := range seats {
-		s.m.reserved, s.m.seats = j, 0
+	for _, s := range chosen {
+		s.m.reserved, s.m.reservedTasks = j, 0
 		if !slices.Contains(j.held, s.m) {
 			j.held = append(j.held, s.m)
 		}
 	}
 	until := l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
-	for _, s := range seats {
-		s.m.seats++
+	for _, s := range chosen {
+		s.m.reservedTasks++
 		s.m.reservedUntil = until
 	}
 }
@@ -171,10 +171,10 @@
 	return (l.stopLoss(j, t) + 1) * share * float64(n) * rank * rank * float64(1+j.preempted)
 }
 
-// total is the cost of seats.
-func total(seats []seat) float64 {
+// totalCost is the cost of preemptions.
+func totalCost(chosen []preemption) float64 {
 	sum := 0.0
-	for _, s := range seats {
+	for _, s := range chosen {
 		sum += s.cost
 	}
 	return sum
@@ -185,7 +185,7 @@
 	n := 0
 	for _, m := range j.held {
 		if m.reserved == j && l.c.now < m.reservedUntil {
-			n += m.seats
+			n += m.reservedTasks
 		}
 	}
 	return n
@@ -200,24 +200,24 @@
 	return sortedKeys(in)
 }
 
-// anySeat tells whether any machine that a job may use would have room for a
-// task if all that it may have stopped were gone.
-func (l *leader) anySeat(c *candidate) bool {
+// anyPreemption tells whether any machine that a job may use would have room
+// for a task if all that it may have stopped were gone.
+func (l *leader) anyPreemption(c *candidate) bool {
 	l.visits += len(l.leaves)
 	for _, m := range l.leaves {
-		if eligible(&c.j.Job, m.typ, m.zone, m.spot) && l.emptied(c, m).Holds(size(&c.j.Job)) {
+		if eligible(&c.j.Job, m.typ, m.zone, m.spot) && l.roomByPreemption(c, m).Holds(size(&c.j.Job)) {
 			return true
 		}
 	}
 	return false
 }
 
-// emptied is the most room that stops for a job can make on a machine. It costs
-// nothing to find, so that the tasks of a machine are gone through only where
-// that can be of use.
-func (l *leader) emptied(c *candidate, m *machine) topology.Resources {
+// roomByPreemption is the most room that stops for a job can make on a machine.
+// It costs nothing to find, so that the tasks of a machine are gone through
+// only where that can be of use.
+func (l *leader) roomByPreemption(c *candidate, m *machine) topology.Resources {
 	r, _ := l.total(m)
-	r = r.Sub(m.used).Add(m.going)
+	r = r.Sub(m.used).Add(m.stopping)
 	for _, s := range m.soft[:c.power] {
 		r = r.Add(s)
 	}
@@ -227,38 +227,39 @@
 	return r
 }
 
-// seats finds room for up to want tasks, in one zone or anywhere, at the least
-// loss: free room first.
-func (l *leader) seats(c *candidate, want int, zone string, quick bool) []seat {
+// preemptions finds room for up to want tasks, in one zone or anywhere, at the
+// least loss: free room first.
+func (l *leader) preemptions(c *candidate, want int, zone string, quick bool) []preemption {
 	wait := l.c.slowFetch(c.j.Class)
 	zoneRoom := l.zoneRoom(c.j)
-	var all []seat
+	var all []preemption
 	l.visits += len(l.leaves)
 	for _, m := range l.leaves {
-		if zone != "" && m.zone != zone || !l.maySeat(c, m) || quick && l.slow(c.j, m, wait) {
+		if zone != "" && m.zone != zone || !l.mayPreemptOn(c, m) || quick && l.slow(c.j, m, wait) {
 			continue
 		}
 		if zoneRoom != nil && zoneRoom(m.zone) < 1 {
 			continue
 		}
 		whole, _ := l.total(m)
-		all = append(all, l.seatsOn(c, m, whole.Sub(m.used), want, quick)...)
+		all = append(all, l.preemptionsOn(c, m, whole.Sub(m.used), want, quick)...)
 	}
-	// The seats of one machine build on each other: a later one never costs
+	// The preemptions of one machine build on each other: a later one never costs
 	// less, see seatsOn, so the order by cost keeps theirs.
 	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
-	return chooseSeats(all, want, zoneRoom)
+	return choosePreemptions(all, want, zoneRoom)
 }
 
-// maySeat tells whether room for a candidate's task can be made on a machine.
-func (l *leader) maySeat(c *candidate, m *machine) bool {
-	return l.emptied(c, m).Holds(size(&c.j.Job)) && l.mayTake(c.j, m) && (m.reserved == nil || l.c.now >= m.reservedUntil)
+// mayPreemptOn tells whether room for a candidate's task can be made on a
+// machine.
+func (l *leader) mayPreemptOn(c *candidate, m *machine) bool {
+	return l.roomByPreemption(c, m).Holds(size(&c.j.Job)) && l.mayTake(c.j, m) && (m.reserved == nil || l.c.now >= m.reservedUntil)
 }
 
-// chooseSeats takes the first seats that the zones' bounds allow. A gang is a
-// victim of the first seat only that it goes for.
-func chooseSeats(all []seat, want int, zoneRoom func(string) int) []seat {
-	var out []seat
+// choosePreemptions takes the first preemptions that the zones' bounds allow. A
+// gang is a victim of the first one only that it goes for.
+func choosePreemptions(all []preemption, want int, zoneRoom func(string) int) []preemption {
+	var out []preemption
 	inZone := map[string]int{}
 	stopped := map[*job]bool{} // gangs
 	for _, s := range all {
@@ -291,15 +292,15 @@
 	loss float64
 }
 
-// seatsOn lists the seats on one machine, cheapest first; each needs those
-// before it. free is what nobody uses there.
-func (l *leader) seatsOn(c *candidate, m *machine, free topology.Resources, want int, quick bool) []seat {
+// preemptionsOn lists the preemptions on one machine, cheapest first; each
+// needs those before it. free is what nobody uses there.
+func (l *leader) preemptionsOn(c *candidate, m *machine, free topology.Resources, want int, quick bool) []preemption {
 	need := size(&c.j.Job)
 	var victims []victim
 	counted := false
-	var out []seat
+	var out []preemption
 	for len(out) < want {
-		s := seat{m: m}
+		s := preemption{m: m}
 		if !counted && !free.Holds(need) {
 			counted = true
 			victims, free = l.victimsOn(c, m, free, quick)
@@ -364,7 +365,7 @@
 // team runs it beyond its own. In the second case only work of the same
 // priority that keeps its progress is stopped; the protocol would allow any.
 func (l *leader) mayPreempt(c *candidate, v *job) bool {
-	if v.Shape == wire.ShapeGang && !c.cornered && !worthGang(c, v) {
+	if v.Shape == wire.ShapeGang && !c.noOffer && !worthGang(c, v) {
 		return false
 	}
 	if v.rank != c.power {
--- a/internal/core/probes.go
+++ b/internal/core/probes.go
@@ -27,9 +27,9 @@
 			case l.gone:
 			case r.Status == 0:
 				m.probeFailed = asked
-				l.control(m.zone)
+				l.probeControl(m.zone)
 			case r.Status == 200:
-				l.directReport(m, r.Body)
+				l.onDirectReport(m, r.Body)
 			}
 			return
 		}
@@ -37,16 +37,16 @@
 		l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
 			m.probeBusy = false
 			if !l.gone && (r.Status == 200 || r.Status == 409) {
-				l.directReport(m, r.Body)
+				l.onDirectReport(m, r.Body)
 			}
 		})
 	})
 }
 
-// control asks a machine that is heard for its state when another of its zone
-// does not answer: only if that one answers is the silent machine at fault, and
-// not the way from here to its zone.
-func (l *leader) control(zone string) {
+// probeControl asks a machine that is heard for its state when another of its
+// zone does not answer: only if that one answers is the silent machine at
+// fault, and not the way from here to its zone.
+func (l *leader) probeControl(zone string) {
 	var best *machine
 	for _, m := range l.byName {
 		if m.zone == zone && !m.probeBusy && l.c.now >= m.probeAt && !m.returning && m.addr != "" && (best == nil || m.heard > best.heard) {
@@ -58,10 +58,11 @@
 	}
 }
 
-// reaches tells whether the way to a silent machine is open: another of its
-// zone has answered since it was asked in vain. Where it is the zone's only one,
-// a machine of any zone counts, unless the zone's controllers are gone too.
-func (l *leader) reaches(m *machine, inZone int) bool {
+// zoneReachable tells whether the way to a silent machine is open: another of
+// its zone has answered since it was asked in vain. Where it is the zone's only
+// one, a machine of any zone counts, unless the zone's controllers are gone
+// too.
+func (l *leader) zoneReachable(m *machine, inZone int) bool {
 	if inZone > 1 {
 		return l.reached[m.zone] > m.probeFailed
 	}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -38,12 +38,12 @@
 func (l *leader) usage() map[string]topology.Resources {
 	u := map[string]topology.Resources{}
 	for _, m := range l.byName {
-		m.going = topology.Resources{}
+		m.stopping = topology.Resources{}
 		for _, p := range m.placed {
 			j := p.j
 			u[j.Team] = u[j.Team].Add(size(&j.Job))
 			if p.task().stop != nil {
-				m.going = m.going.Add(size(&j.Job))
+				m.stopping = m.stopping.Add(size(&j.Job))
 			}
 		}
 	}
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -44,12 +44,12 @@
 	b.used = true
 }
 
-// supply tells whether a machine is, or is about to be, of use. One that has
-// just reported and will hear this term with its next report counts: leaving
-// it out for that moment rented a second machine for the same work.
-func (l *leader) supply(m *machine) bool {
+// willBeUsable tells whether a machine is, or is about to be, of use. One that
+// has just reported and will hear this term with its next report counts:
+// leaving it out for that moment rented a second machine for the same work.
+func (l *leader) willBeUsable(m *machine) bool {
 	if m.heard == 0 {
-		return l.overdue(m) <= bootLate
+		return l.bootOverdue(m) <= bootLate
 	}
 	return l.usable(m) || m.token < l.term && l.c.now-m.heard < 3*l.c.report()
 }
@@ -75,7 +75,7 @@
 	p.packPending(cands, usage)
 	p.packExpected()
 	l.consolidate(p.bins, cands)
-	l.fleet.keep = p.usedMachines()
+	l.fleet.keepIdle = p.usedMachines()
 	l.rentPlanned(p.wanted())
 }
 
@@ -85,7 +85,7 @@
 	p := &rentalPlan{l: l}
 	for _, m := range l.byName {
 		total, ok := l.total(m)
-		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 || !l.supply(m) {
+		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 || !l.willBeUsable(m) {
 			continue
 		}
 		key := offerKey{m.typ, m.zone, m.spot}
@@ -150,7 +150,7 @@
 			continue
 		}
 		var last *bin
-		for range l.expected(a, o) {
+		for range l.expectedTasks(a, o) {
 			if last = p.pack(a.last, nil, true, last); last == nil {
 				break
 			}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -36,7 +36,7 @@
 		l.c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
 	}
 	if l.c.now-m.heard > 3*l.c.report() {
-		m.heardFrom = l.c.now
+		m.reportsSince = l.c.now
 	}
 	m.heard, m.via = l.c.now, via
 	if via == l.c.cfg.Name {
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -6,9 +6,9 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// giveBack returns a machine to the cloud. Whatever was on it is gone once
+// returnMachine returns a machine to the cloud. Whatever was on it is gone once
 // the cloud has confirmed.
-func (l *leader) giveBack(m *machine, why string) {
+func (l *leader) returnMachine(m *machine, why string) {
 	if m.drain == "" {
 		m.drain = why
 		l.c.log.Info("return machine", "machine", m.name, "why", why, "tasks", len(m.placed))
@@ -110,8 +110,8 @@
 		// A new leader has to give a machine that came up under an earlier
 		// term the time to report first.
 		// One that has placements did come up: another controller may keep it.
-		if l.overdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
-			l.giveBack(m, "does not come up")
+		if l.bootOverdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
+			l.returnMachine(m, "does not come up")
 		}
 		return
 	}
@@ -119,21 +119,21 @@
 		return
 	}
 	if m.drain != "" {
-		l.giveBack(m, m.drain)
+		l.returnMachine(m, m.drain)
 		return
 	}
 	if m.leaving != 0 {
-		l.giveBack(m, "will be taken")
+		l.returnMachine(m, "will be taken")
 		return
 	}
 	idle := 3 * l.c.lease()
 	if s := l.c.op.IdleReturnS; s != nil {
 		idle = time.Duration(*s * float64(time.Second))
 	}
-	if l.fleet.keep[m.name] || l.c.now-l.loadedAt < idle {
+	if l.fleet.keepIdle[m.name] || l.c.now-l.loadedAt < idle {
 		return
 	}
 	if l.c.now-m.idleSince >= idle && l.c.now-m.createdAt >= minCharge {
-		l.giveBack(m, "idle")
+		l.returnMachine(m, "idle")
 	}
 }
