--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -93,7 +93,7 @@
 func (l *leader) movePace() time.Duration {
 	for _, class := range sortedKeys(l.arrivals) {
 		a := l.arrivals[class]
-		if a.last == nil || len(a.at) == 0 || l.c.now-a.at[len(a.at)-1] > arrivalWindow {
+		if a.last == nil || len(a.times) == 0 || l.c.now-a.times[len(a.times)-1] > arrivalWindow {
 			continue
 		}
 		if l.fetchedSlowly(a.last) {
--- a/internal/core/forecast.go
+++ b/internal/core/forecast.go
@@ -10,10 +10,11 @@
 
 // arrivals keeps the times of a class's latest submissions.
 type arrivals struct {
-	at   []time.Duration
-	last *job
+	times []time.Duration // of each task, in order
+	last  *job
 }
 
+// arrivalWindow is for how long a submission counts.
 const arrivalWindow = 120 * time.Second
 
 // maxArrival is how many tasks of one job count as arrivals: a huge job is one
@@ -34,47 +35,70 @@
 	}
 	at := l.c.now - time.Duration(max(0, l.c.wall-j.since))*time.Millisecond
 	for range min(n, maxArrival) {
-		a.at = append(a.at, at)
+		a.times = append(a.times, at)
 	}
 	a.last = j
-	for len(a.at) > 0 && l.c.now-a.at[0] > arrivalWindow {
-		a.at = a.at[1:]
+	for len(a.times) > 0 && l.c.now-a.times[0] > arrivalWindow {
+		a.times = a.times[1:]
 	}
 }
 
+// recent counts the tasks that arrived within the window before now.
+func (a *arrivals) recent(now time.Duration) int {
+	n := 0
+	for _, at := range a.times {
+		if now-at <= arrivalWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// The objective's share bounds how sure a forecast is, see quantile.
+const (
+	minSureness = 0.5
+	maxSureness = 0.99
+)
+
 // expectedTasks is how many tasks of a class may come while a machine boots and
 // fetches the class's image, if a slow boot makes that longer than the class
 // may wait. The share of the objective sets how sure it has to be that the
 // room suffices; a class that has been seen is never without room.
 func (l *leader) expectedTasks(a *arrivals, o config.Objective) int {
-	lead, slow := math.Inf(1), math.Inf(1)
-	for _, name := range sortedKeys(l.c.types) {
-		t := l.c.types[name]
-		if !allowed(a.last.Types, name) || !capacity(t).Holds(size(&a.last.Job)) {
+	lead, slowLead, ok := l.leadTime(a.last)
+	if !ok || slowLead <= o.WithinS {
+		return 0
+	}
+	mean := float64(a.recent(l.c.now)) / arrivalWindow.Seconds() * lead
+	n := max(1, quantile(mean, min(max(o.Share, minSureness), maxSureness)))
+	if limit := l.c.op.WarmMachines; limit != nil {
+		n = min(n, *limit)
+	}
+	return n
+}
+
+// leadTime is how long a machine for a job takes to boot and to fetch the job's
+// image, at its type's usual boot time and at a slow one, in seconds; not ok if
+// no type of machine may run the job.
+func (l *leader) leadTime(j *job) (usual, slow float64, ok bool) {
+	usual, slow = math.Inf(1), math.Inf(1)
+	for _, t := range l.c.types {
+		if !allowed(j.Types, t.Name) || !capacity(t).Holds(size(&j.Job)) {
 			continue
 		}
 		fetch := 0.0
 		if t.FetchGBPS > 0 {
-			fetch = a.last.ImageGB / t.FetchGBPS
+			fetch = j.ImageGB / t.FetchGBPS
 		}
-		lead = min(lead, t.BootS+fetch)
+		usual = min(usual, t.BootS+fetch)
 		slow = min(slow, bootSlow*t.BootS+fetch)
+		ok = true
 	}
-	if math.IsInf(lead, 1) || slow <= o.WithinS {
-		return 0
-	}
-	n := 0
-	for _, at := range a.at {
-		if l.c.now-at <= arrivalWindow {
-			n++
-		}
-	}
-	mean := float64(n) / arrivalWindow.Seconds() * lead
-	sure := min(max(o.Share, 0.5), 0.99)
-	k := int(math.Ceil(mean + math.Sqrt2*math.Erfinv(2*sure-1)*math.Sqrt(mean)))
-	k = max(k, 1)
-	if w := l.c.op.WarmMachines; w != nil {
-		k = min(k, *w)
-	}
-	return k
+	return usual, slow, ok
+}
+
+// quantile is the number that arrivals of a mean do not exceed with a
+// probability, by the normal approximation of the Poisson distribution.
+func quantile(mean, probability float64) int {
+	return int(math.Ceil(mean + math.Sqrt2*math.Erfinv(2*probability-1)*math.Sqrt(mean)))
 }
