--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -88,7 +88,7 @@
 		c.elect.leader = "n1"
 		c.peers["n1"].version = version
 		c.forwards[7] = &forward{req: 1, from: &visitor{}, body: body}
-		c.pass(7)
+		c.forwardToLeader(7)
 		if len(c.out.Sends) != 1 || !bytes.Equal(c.out.Sends[0].Msg.Forward.Body, want) {
 			t.Errorf("to a leader of version %d: %+v", version, c.out.Sends)
 		}
