Keep a machine that is just back; take the age of known machines from the list

The answer to that report stops the task, the next report confirms it: the machine is given two reports, unless the user was told already.

Machines that it knew from the records counted as rented when it learned of them. The age in the cloud's list holds for these too.

--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -273,7 +273,15 @@
 		s.grace = 0
 		l.fleet.commandNow[m.name] = true
 	}
-	if l.cancelLate(p.j) {
+	if l.cancelLate(p.j) && !l.justBack(m, p.j) {
 		l.returnMachine(m, "cancelled work is not confirmed gone")
 	}
 }
+
+// justBack tells whether a machine with work of a cancelled job reports again since
+// a moment ago: the answer to its first report stops the work, the next one
+// confirms it. Returned at once, a machine that was cut off lost all that it ran.
+// Where the user was told already there is no time for that.
+func (l *leader) justBack(m *machine, j *job) bool {
+	return !j.told && m.heard != 0 && l.c.now-m.reportsSince < 2*l.c.report()
+}
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -97,9 +97,11 @@
 	m := l.machines[row.Name]
 	if m == nil {
 		m = l.machine(row.Name)
-		m.createdAt = l.c.now - time.Duration(row.AgeS*float64(time.Second))
 		l.c.log.Info("machine listed", "machine", row.Name, "type", row.Type, "zone", row.Zone, "status", row.Status)
 	}
+	// A machine known from records or reports counted from when this leader learned
+	// of it, and was kept for the least time that is charged once more.
+	m.createdAt = min(m.createdAt, l.c.now-time.Duration(row.AgeS*float64(time.Second)))
 	if !m.known {
 		l.describe(m, row.Addr, row.Type, row.Zone, row.Spot)
 	} else if m.addr == "" {
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,3 +40,50 @@
 		}
 	}
 }
+
+// TestMachineJustBackIsKept has a machine that was cut off report again when the
+// time for a cancelled task on it is over. It is not returned, with all that it
+// runs, before it has had a chance to stop the task; if it does not, it is.
+func TestMachineJustBackIsKept(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		b, l := leading(t, func(*config.Settings) {})
+		record(b, l, wire.Job{ID: "job-1"}, nil)
+		j := l.jobs["job-1"]
+		m := l.machine("n-000001")
+		l.bind(j, 0, m)
+		l.markCancelled(j)
+		j.askedAt, j.told, j.toldAt = b.c.now-userPatience, told, b.c.now-l.c.cancelTime()
+		returned := func() bool {
+			l.repeatStop(m, ref{j, 0, taskName(j.ID, 0)})
+			return l.fleet.returns[m.name]
+		}
+		m.heard, m.reportsSince = b.c.now, b.c.now
+		if returned() != told {
+			t.Errorf("told %v: returned with its first report: %v", told, !told)
+		}
+		b.c.now += 2 * l.c.report()
+		m.heard = b.c.now
+		if !returned() {
+			t.Errorf("told %v: kept though the task is still there after two reports", told)
+		}
+	}
+}
+
+// TestAgeOfKnownMachines takes the age of a machine that a new leader knows from
+// the records from the cloud's list.
+func TestAgeOfKnownMachines(t *testing.T) {
+	b, l := leading(t, func(*config.Settings) {})
+	known, rented := l.machine("n-000001"), l.machine("n-000002")
+	rented.createdAt = b.c.now - 90*time.Second
+	for _, name := range []string{"n-000001", "n-000002", "n-000003"} {
+		l.noteListed(&wire.Machine{Name: name, Type: "small", Zone: "a", Status: "running", AgeS: 80})
+	}
+	for m, want := range map[*machine]time.Duration{known: 80 * time.Second, rented: 90 * time.Second, l.machines["n-000003"]: 80 * time.Second} {
+		if age := b.c.now - m.createdAt; age != want {
+			t.Errorf("%s is %v old, want %v", m.name, age, want)
+		}
+	}
+	if slices.Contains(sortedKeys(l.fleet.returns), "n-000001") {
+		t.Error("returned")
+	}
+}
