--- /dev/null
+++ b/internal/core/forecast_test.go
@@ -0,0 +1,107 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// forecastTypes are two types of machine; a task of 2 CPUs fits only the second.
+var forecastTypes = map[string]*wire.MachineType{
+	"small": {Name: "small", CPUs: 1, MemGB: 8, BootS: 10, FetchGBPS: 1, Price: 1, SpotPrice: 0.5, Zones: []string{"a", "b"}},
+	"large": {Name: "large", CPUs: 4, MemGB: 32, BootS: 60, FetchGBPS: 0.5, Price: 3, SpotPrice: 1.5, Zones: []string{"a", "b"}},
+}
+
+// newForecastLeader makes a leader that knows forecastTypes, 1000 s after its
+// start.
+func newForecastLeader(t *testing.T) *leader {
+	t.Helper()
+	b := newHarness(t, someTypes)
+	b.c.types = forecastTypes
+	b.c.now = 1000 * time.Second
+	return newLeader(b.c, 5, 1, 1)
+}
+
+func TestLeadTime(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		job         wire.Job
+		usual, slow float64
+		ok          bool
+	}{
+		{"the fastest type that holds a task", wire.Job{CPUs: 1, MemGB: 1, ImageGB: 4}, 14, 19, true},
+		{"a larger task boots longer", wire.Job{CPUs: 2, MemGB: 1, ImageGB: 4}, 68, 98, true},
+		{"the job's types", wire.Job{CPUs: 1, MemGB: 1, Types: []string{"large"}}, 60, 90, true},
+		{"no type holds a task", wire.Job{CPUs: 5, MemGB: 1}, 0, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newForecastLeader(t)
+			usual, slow, ok := l.leadTime(&job{Job: tc.job})
+			if ok != tc.ok || ok && (usual != tc.usual || slow != tc.slow) {
+				t.Errorf("%v s, slow %v s, %v; want %v, %v, %v", usual, slow, ok, tc.usual, tc.slow, tc.ok)
+			}
+		})
+	}
+}
+
+func TestExpectedTasks(t *testing.T) {
+	two := 2
+	for _, tc := range []struct {
+		name   string
+		cpus   float64
+		recent int // arrivals within the window
+		old    int // arrivals before it
+		o      config.Objective
+		warm   *int
+		want   int
+	}{
+		{"a slow boot is soon enough", 1, 24, 0, config.Objective{WithinS: 15, Share: 0.9}, nil, 0},
+		{"half an arrival a second, evens", 2, 60, 0, config.Objective{WithinS: 15, Share: 0.5}, nil, 30},
+		{"a larger share has more room", 2, 60, 0, config.Objective{WithinS: 15, Share: 0.95}, nil, 40},
+		{"a share below the least", 2, 60, 0, config.Objective{WithinS: 15, Share: 0.1}, nil, 30},
+		{"a share of all", 2, 60, 0, config.Objective{WithinS: 15, Share: 1}, nil, 43},
+		{"old arrivals do not count", 2, 4, 60, config.Objective{WithinS: 15, Share: 0.5}, nil, 2},
+		{"never without room", 2, 0, 60, config.Objective{WithinS: 15, Share: 0.5}, nil, 1},
+		{"the operators' bound", 2, 60, 0, config.Objective{WithinS: 15, Share: 0.5}, &two, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newForecastLeader(t)
+			l.c.op = &config.Operator{WarmMachines: tc.warm}
+			a := &arrivals{last: &job{Job: wire.Job{CPUs: tc.cpus, MemGB: 1}}}
+			for range tc.old {
+				a.times = append(a.times, l.c.now-arrivalWindow-time.Second)
+			}
+			for range tc.recent {
+				a.times = append(a.times, l.c.now-arrivalWindow)
+			}
+			if got := l.expectedTasks(a, tc.o); got != tc.want {
+				t.Errorf("%d tasks, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestNoteArrival(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		shape string
+		tasks int
+		ageS  int64
+		want  int
+	}{
+		{"an array is one", wire.ShapeArray, 10, 0, 1},
+		{"a service's tasks", wire.ShapeService, 10, 0, 10},
+		{"a huge job is bounded", wire.ShapeService, 1000, 0, maxArrival},
+		{"an old record is out of the window", wire.ShapeService, 10, 121, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newForecastLeader(t)
+			l.noteArrival(&job{Job: wire.Job{Class: "c", Shape: tc.shape}, tasks: make([]task, tc.tasks), since: l.c.wall - tc.ageS*1000})
+			if got := len(l.arrivals["c"].times); got != tc.want {
+				t.Errorf("%d arrivals, want %d", got, tc.want)
+			}
+		})
+	}
+}
