Keep room for guaranteed work to come of classes that name no wait

Room was kept only for classes with a wait of their own; the guarantee names one (20 s) for all, and an array has begun with its last task.

Ruled out: the records (7 ms), the order of work.

A class that names no wait has that of the guarantee while its latest job is within one, for as many tasks as its arrays have on average.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -285,6 +285,7 @@
 type arrivals struct {
 	at   []time.Duration
 	last *job
+	size float64 // tasks of an array, averaged
 }
 
 const arrivalWindow = 120 * time.Second
@@ -293,6 +294,9 @@
 // event, not the rate of those to come.
 const maxArrival = 64
 
+// sizeMemory is over how many arrays their size is averaged.
+const sizeMemory = 8
+
 // noteArrival counts a submission, by the time of its record: a new leader
 // learns from the open jobs what was lately submitted.
 func (l *leader) noteArrival(j *job) {
@@ -309,6 +313,11 @@
 	for range min(n, maxArrival) {
 		a.at = append(a.at, at)
 	}
+	size := float64(min(len(j.tasks), maxArrival))
+	if a.size == 0 {
+		a.size = size
+	}
+	a.size += (size - a.size) / sizeMemory
 	a.last = j
 	for len(a.at) > 0 && l.c.now-a.at[0] > arrivalWindow {
 		a.at = a.at[1:]
@@ -411,10 +420,7 @@
 			sum[c.j.Team] = sum[c.j.Team].Add(size(&c.j.Job))
 		}
 	}
-	for _, o := range l.c.cfg.Deployment.Objectives {
-		if o.Kind != "wait" {
-			continue
-		}
+	for _, o := range l.foreseen() {
 		a := l.arrivals[o.Class]
 		if a == nil || a.last == nil {
 			continue
@@ -460,6 +466,31 @@
 	}
 }
 
+// foreseen lists what is to be ready for work to come: the waits of classes, and
+// for other classes the wait of work within a guarantee, if that is what comes.
+func (l *leader) foreseen() []config.Objective {
+	var waits, others []config.Objective
+	named := map[string]bool{}
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		if o.Kind == "wait" {
+			named[o.Class] = true
+			waits = append(waits, o)
+		}
+	}
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		if o.Kind != "guarantee" {
+			continue
+		}
+		for _, class := range sortedKeys(l.arrivals) {
+			if j := l.arrivals[class].last; !named[class] && j != nil && j.within && l.c.guarantees(&j.Job) {
+				o.Class = class
+				others = append(others, o)
+			}
+		}
+	}
+	return append(waits, others...)
+}
+
 // consolidate empties a machine whose replicas all find room on others that
 // are up and hold their images, so that it can be returned. A replica that
 // moves is away for the time of a stop and a start. One machine at a time, and
@@ -636,6 +667,9 @@
 	sure := min(max(o.Share, 0.5), 0.99)
 	k := int(math.Ceil(mean + math.Sqrt2*math.Erfinv(2*sure-1)*math.Sqrt(mean)))
 	k = max(k, 1)
+	if o.Kind == "guarantee" && a.last.Shape == wire.ShapeArray {
+		k *= int(math.Round(a.size)) // begun with its last task
+	}
 	if w := l.c.op.WarmMachines; w != nil {
 		k = min(k, *w)
 	}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -58,6 +58,16 @@
 		(t.GPUsMax == 0 || used.GPUs+task.GPUs*f <= t.GPUsMax+1e-6)
 }
 
+// guarantees tells whether any team has a guarantee of what a job takes.
+func (c *Core) guarantees(j *wire.Job) bool {
+	for _, t := range c.cfg.Deployment.Teams {
+		if t.CPUs > 0 && j.CPUs > 0 || t.GPUs > 0 && j.GPUs > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // guarantee notes which jobs fit into their team's guarantee along with the
 // team's earlier unfinished jobs. A job that waits for others holds no part of
 // it. A resource for which no team has a
