--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -10,8 +10,9 @@
 
 // Kinds of the deployment's objectives.
 const (
-	objectiveWait     = "wait"
-	objectiveFinished = "finished"
+	objectiveWait      = "wait"
+	objectiveGuarantee = "guarantee"
+	objectiveFinished  = "finished"
 )
 
 // candidate is a job with tasks to place, and what orders it.
--- a/internal/core/forecast.go
+++ b/internal/core/forecast.go
@@ -12,6 +12,7 @@
 type arrivals struct {
 	times []time.Duration // of each task, in order
 	last  *job
+	size  float64 // tasks of an array, averaged
 }
 
 // arrivalWindow is for how long a submission counts.
@@ -21,6 +22,9 @@
 // event, not the rate of those to come.
 const maxArrival = 64
 
+// sizeMemory is over how many arrays their size is averaged.
+const sizeMemory = 8
+
 // noteArrival counts a submission, by the time of its record: a new leader
 // learns from the open jobs what was lately submitted.
 func (l *leader) noteArrival(j *job) {
@@ -37,6 +41,11 @@
 	for range min(n, maxArrival) {
 		a.times = append(a.times, at)
 	}
+	size := float64(min(len(j.tasks), maxArrival))
+	if a.size == 0 {
+		a.size = size
+	}
+	a.size += (size - a.size) / sizeMemory
 	a.last = j
 	for len(a.times) > 0 && l.c.now-a.times[0] > arrivalWindow {
 		a.times = a.times[1:]
@@ -54,6 +63,31 @@
 	return n
 }
 
+// foreseen lists what is to be ready for work to come: the waits of classes, and
+// for other classes the wait of work within a guarantee, if that is what comes.
+func (l *leader) foreseen() []config.Objective {
+	var waits, others []config.Objective
+	named := map[string]bool{}
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		if o.Kind == objectiveWait {
+			named[o.Class] = true
+			waits = append(waits, o)
+		}
+	}
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		if o.Kind != objectiveGuarantee {
+			continue
+		}
+		for _, class := range sortedKeys(l.arrivals) {
+			if j := l.arrivals[class].last; !named[class] && j != nil && j.within && l.c.guarantees(&j.Job) {
+				o.Class = class
+				others = append(others, o)
+			}
+		}
+	}
+	return append(waits, others...)
+}
+
 // The objective's share bounds how sure a forecast is, see quantile.
 const (
 	minSureness = 0.5
@@ -71,6 +105,9 @@
 	}
 	mean := float64(a.recent(l.c.now)) / arrivalWindow.Seconds() * lead
 	n := max(1, quantile(mean, min(max(o.Share, minSureness), maxSureness)))
+	if o.Kind == objectiveGuarantee && a.last.Shape == wire.ShapeArray {
+		n *= int(math.Round(a.size)) // begun with its last task
+	}
 	if limit := l.c.op.WarmMachines; limit != nil {
 		n = min(n, *limit)
 	}
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -144,9 +144,9 @@
 // only so long.
 func (p *rentalPlan) packExpected() {
 	l := p.l
-	for _, o := range l.c.cfg.Deployment.Objectives {
+	for _, o := range l.foreseen() {
 		a := l.arrivals[o.Class]
-		if o.Kind != objectiveWait || a == nil || a.last == nil {
+		if a == nil || a.last == nil {
 			continue
 		}
 		var last *bin
