Give up a zone's only machine in the leader's own zone too

Cause: a silent machine passes for dead only if another has answered the leader since; where it is its zone's only one, a machine of any zone counts. But when its probe failed, only machines of its own zone were asked. Where the only machine of the leader's own zone died and all others reported by the controllers of their zones, nobody answered the leader itself, and the tasks waited for the lease.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -431,7 +431,7 @@
 			case l.gone:
 			case r.Status == 0:
 				m.probeFailed = asked
-				l.control(m.zone)
+				l.control(m)
 			case r.Status == 200:
 				l.directReport(m, r.Body)
 			}
@@ -447,21 +447,29 @@
 	})
 }
 
-// control asks a machine that is heard for its state when another of its zone
-// does not answer: only if that one answers is the silent machine at fault, and
-// not the way from here to its zone.
-func (l *leader) control(zone string) {
+// control asks a machine that is heard for its state when another does not
+// answer: only if that one answers is the silent machine at fault, and not the
+// way from here to it. It is one of the same zone, or of any if that zone has no
+// other: the only machine of the leader's own zone was given up no sooner than
+// its lease where all others reported by other controllers, since nothing showed
+// that any way was open.
+func (l *leader) control(silent *machine) {
+	alone := !slices.ContainsFunc(l.byName, func(m *machine) bool { return m != silent && m.zone == silent.zone && m.watched() })
 	var best *machine
 	for _, m := range l.byName {
-		if m.zone == zone && !m.probeBusy && l.c.now >= m.probeAt && !m.returning && m.addr != "" && (best == nil || m.heard > best.heard) {
+		if (alone || m.zone == silent.zone) && !m.probeBusy && l.c.now >= m.probeAt && !m.returning && m.addr != "" && (best == nil || m.heard > best.heard) {
 			best = m
 		}
 	}
-	if best != nil && l.c.now-best.heard < l.overdueReport() && l.c.now-l.reached[zone] > l.probeTimeout()/2 {
+	if best != nil && l.c.now-best.heard < l.overdueReport() && l.c.now-l.reached[best.zone] > l.probeTimeout()/2 {
 		l.probe(best)
 	}
 }
 
+// watched tells whether a machine's silence says something: it was heard, or
+// the records know of tasks on it.
+func (m *machine) watched() bool { return m.heard != 0 || len(m.placed) > 0 }
+
 // reaches tells whether the way to a silent machine is open: another of its
 // zone has answered since it was asked in vain. Where it is the zone's only one,
 // a machine of any zone counts, unless the zone's controllers are gone too.
@@ -501,7 +509,7 @@
 	type count struct{ silent, quiet, heard int }
 	in, by := map[string]count{}, map[string]count{} // zone, controller
 	for _, m := range l.byName {
-		if m.heard == 0 && len(m.placed) == 0 {
+		if !m.watched() {
 			continue
 		}
 		n, v := in[m.zone], by[m.via]
@@ -560,14 +568,14 @@
 		// is cut off. Its return frees its tasks sooner than its lease, however
 		// many fail at once. A leader that was cut off from the workers once
 		// returned those that took longest to find another controller.
-		dead := (m.heard != 0 || len(m.placed) > 0) && m.probeFailed > max(m.heard, l.loadedAt) && l.reaches(m, in[m.zone].heard) &&
+		dead := m.watched() && m.probeFailed > max(m.heard, l.loadedAt) && l.reaches(m, in[m.zone].heard) &&
 			silence > l.deadAfter() && !mass && !hushed(in[m.zone]) && !hushed(by[m.via])
 		switch {
 		case dead:
 			l.giveBack(m, "dead")
 		case m.listedAs == wire.MachineFailed:
 			l.giveBack(m, "failed")
-		case (m.heard != 0 || len(m.placed) > 0) && silence > limit:
+		case m.watched() && silence > limit:
 			l.giveBack(m, "silent")
 		case m.expired >= 3:
 			l.giveBack(m, "loses its lease again and again")
