Do not move replicas to a machine that has become idle

Cause: a machine whose replicas all fit on others is emptied and returned; a machine that a job had just left empty counted as one of those others. So after a cancellation replicas were stopped on a machine that ran well and started again on one that was about to be returned itself, for no gain. Now a machine that nothing needs takes replicas only from a dearer one or a condemned one.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -579,7 +579,7 @@
 		var best *space
 		for _, s := range targets {
 			o := l.machines[s.name]
-			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 {
+			if o == m || !left[s.name].Holds(size(&j.Job)) || !eligible(&j.Job, o.typ, o.zone, o.spot) || !o.hasImage(j.Image) || len(o.failed) > 0 || l.idler(s, m) {
 				continue
 			}
 			if room != nil {
@@ -605,6 +605,15 @@
 	return to
 }
 
+// idler tells whether a space is a machine that nothing needs and that costs no
+// less than the one to be emptied: it is about to be returned itself. After a
+// job's end replicas once moved from a machine that ran well to one that the
+// job had left empty.
+func (l *leader) idler(s *space, m *machine) bool {
+	o := l.machines[s.name]
+	return !s.used && len(o.placed) == 0 && m.drain == "" && l.price(o.typ, o.spot) >= l.price(m.typ, m.spot)
+}
+
 // expected is how many tasks of a class may come while a machine boots and
 // fetches the class's image, if a slow boot makes that longer than the class
 // may wait. The share of the objective sets how sure it has to be that the
