--- a/internal/sim/chains_test.go
+++ b/internal/sim/chains_test.go
@@ -29,10 +29,13 @@
 	}
 }
 
+// longList is more names than an open record holds where values are small.
+const longList = 180
+
 // shapes are graphs of jobs by number: what each awaits.
 func shapes(n int) map[string][][]int {
 	chain, needed, layers := make([][]int, n), make([][]int, n), make([][]int, n)
-	needing := make([][]int, 61) // a list of more names than a small value holds is not for here
+	needing := make([][]int, longList+1)
 	for k := 1; k < n; k++ {
 		chain[k] = []int{k - 1}
 		needed[k] = []int{0}
@@ -41,8 +44,8 @@
 			layers[k] = append(layers[k], i)
 		}
 	}
-	for k := range 60 {
-		needing[60] = append(needing[60], k)
+	for k := range longList {
+		needing[longList] = append(needing[longList], k)
 	}
 	return map[string][][]int{"a chain": chain, "one that all need": needed, "layers": layers, "one that needs all": needing}
 }
