--- a/internal/core/await_lists.go
+++ b/internal/core/await_lists.go
@@ -208,7 +208,7 @@
 			l.retryList(j)
 		default:
 			delete(l.unreadLists, j.ID)
-
+			l.noteNames(j, names)
 			l.dirty = true
 		}
 	})
