Count the room of machines that a new leader has not heard yet

With the age from the cloud's list such a machine passed for one that boots too long, and what it has free could be rented again. Its age is taken from the list once it has reported.

--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -95,13 +95,18 @@
 		return
 	}
 	m := l.machines[row.Name]
-	if m == nil {
+	isNew := m == nil
+	if isNew {
 		m = l.machine(row.Name)
 		l.c.log.Info("machine listed", "machine", row.Name, "type", row.Type, "zone", row.Zone, "status", row.Status)
 	}
 	// A machine known from records or reports counted from when this leader learned
-	// of it, and was kept for the least time that is charged once more.
-	m.createdAt = min(m.createdAt, l.c.now-time.Duration(row.AgeS*float64(time.Second)))
+	// of it, and was kept for the least time that is charged once more. One known
+	// from records that has not reported yet would pass for one that boots for too
+	// long, and its room would be rented a second time.
+	if isNew || m.heard != 0 {
+		m.createdAt = min(m.createdAt, l.c.now-time.Duration(row.AgeS*float64(time.Second)))
+	}
 	if !m.known {
 		l.describe(m, row.Addr, row.Type, row.Zone, row.Spot)
 	} else if m.addr == "" {
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -70,15 +70,16 @@
 }
 
 // TestAgeOfKnownMachines takes the age of a machine that a new leader knows from
-// the records from the cloud's list.
+// the records from the cloud's list, once it has reported.
 func TestAgeOfKnownMachines(t *testing.T) {
 	b, l := leading(t, func(*config.Settings) {})
-	known, rented := l.machine("n-000001"), l.machine("n-000002")
+	known, rented, unheard := l.machine("n-000001"), l.machine("n-000002"), l.machine("n-000004")
+	known.heard, rented.heard = b.c.now, b.c.now
 	rented.createdAt = b.c.now - 90*time.Second
-	for _, name := range []string{"n-000001", "n-000002", "n-000003"} {
+	for _, name := range []string{"n-000001", "n-000002", "n-000003", "n-000004"} {
 		l.noteListed(&wire.Machine{Name: name, Type: "small", Zone: "a", Status: "running", AgeS: 80})
 	}
-	for m, want := range map[*machine]time.Duration{known: 80 * time.Second, rented: 90 * time.Second, l.machines["n-000003"]: 80 * time.Second} {
+	for m, want := range map[*machine]time.Duration{known: 80 * time.Second, rented: 90 * time.Second, l.machines["n-000003"]: 80 * time.Second, unheard: 0} {
 		if age := b.c.now - m.createdAt; age != want {
 			t.Errorf("%s is %v old, want %v", m.name, age, want)
 		}
