--- /dev/null
+++ b/internal/core/records_load.go
@@ -0,0 +1,135 @@
+package core
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+// recover loads the open jobs, then the placements, and follows the changes
+// of open jobs from then on.
+func (l *leader) recover() {
+	l.watchFrom = 0
+	l.loadOpen("")
+}
+
+func (l *leader) page(prefix, after string, f func(*wire.Page)) {
+	l.c.readPage(prefix, after, true, func(p *wire.Page) {
+		switch {
+		case l.gone:
+		case p == nil:
+			l.again, l.againAt = func() { l.page(prefix, after, f) }, l.c.now+l.c.ttl()/20
+		default:
+			f(p)
+		}
+	})
+}
+
+func (l *leader) loadOpen(after string) {
+	l.page(prefixOpen, after, func(p *wire.Page) {
+		if after == "" {
+			l.watchFrom = p.Revision
+		}
+		for _, it := range p.Items {
+			after = it.Key
+			var rec openRecord
+			if json.Unmarshal(it.Value, &rec) != nil {
+				l.c.log.Error("open record is not readable", "key", it.Key)
+				continue
+			}
+			l.noteOpen(it.Key[len(prefixOpen):], it.Version, rec)
+		}
+		if p.More {
+			l.loadOpen(after)
+			return
+		}
+		if l.ready {
+			l.watch()
+			return
+		}
+		l.loadPlaces("", map[string][]loadedPlace{})
+	})
+}
+
+func (l *leader) becomeReady() {
+	l.ready = true
+	l.loadedAt = l.c.now
+	l.clearListsAt = l.c.now + l.c.clearListsEvery()
+	for _, j := range slices.Clone(l.order) {
+		j.loaded = true
+		l.resolve(j)
+	}
+	l.raise(l.order...)
+	waiting := 0
+	for _, j := range l.order {
+		if j.waits {
+			waiting++
+		}
+	}
+	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
+	l.schedule = true
+	l.watch()
+}
+
+// watch follows the open jobs: submissions and cancellations by any
+// controller come this way.
+func (l *leader) watch() {
+	hold := 20 * time.Second
+	path := "/changes?under=" + prefixOpen + "&since=" + strconv.FormatUint(l.watchFrom, 10) + "&holdMs=" + strconv.Itoa(int(hold/time.Millisecond))
+	l.c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: hold + l.c.lease()/2, Watch: true}, func(r Result) {
+		if l.gone {
+			return
+		}
+		if r.Status == 410 {
+			l.loadOpen("")
+			return
+		}
+		var ch wire.Changes
+		if r.Status != 200 || json.Unmarshal(r.Body, &ch) != nil {
+			l.fleet.watchRetry = l.c.now + l.c.ttl()/8
+			return
+		}
+		for _, e := range ch.Events {
+			if e.Put == "" {
+				continue
+			}
+			var rec openRecord
+			if json.Unmarshal(e.Value, &rec) != nil {
+				l.c.log.Error("open record is not readable", "key", e.Put)
+				continue
+			}
+			l.noteOpen(e.Put[len(prefixOpen):], e.Version, rec)
+		}
+		l.watchFrom = max(l.watchFrom, ch.Revision)
+		l.watch()
+	})
+}
+
+// noteOpen takes in an open record, new or changed.
+func (l *leader) noteOpen(id string, version uint64, rec openRecord) {
+	j := l.jobs[id]
+	if j == nil {
+		if f, ok := l.c.users.final[id]; ok && f.Status != "" {
+			return // an old event of a job that is over
+		}
+		j = &job{Job: rec.Job, rec: rec, rank: priorityRank[rec.Job.Priority], due: ownDue(&rec), since: rec.At, order: version, version: version, next: 1,
+			tasks: make([]task, rec.Job.Tasks), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
+		l.layOut(j)
+		l.jobs[id] = j
+		at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order > j.order })
+		l.order = slices.Insert(l.order, at, j)
+		l.c.log.Debug("job", "job", id, "class", j.Class, "team", j.Team, "shape", j.Shape, "tasks", len(j.tasks))
+		l.noteAwaited(j)
+	}
+	if version < j.version {
+		return
+	}
+	j.version, j.rec = version, rec
+	l.noteReady(j)
+	l.noteWish(j, rec)
+	l.schedule = true
+}
