Fill the leader's transactions by kind of record

writeRecords was the most complex function of the program: one function chose the records of a transaction, built them and dealt with the answer. Now a recordBatch does, with a method for each kind of record and one for the answer to it.

--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -16,198 +16,20 @@
 	if l.txnBusy || !l.dirty || l.c.now < l.txnRetry {
 		return
 	}
-	ops, ranges := l.c.limits().TxnOps, l.ranges()
-	txn := &wire.Txn{If: []wire.Cond{l.termCond()}}
-	bytes := 0
-	var after []func(version uint64)
-	var ends []wire.JobEnd
-	more := false
-	room := func(n int) bool {
-		return len(txn.Writes)+n <= ops && bytes < 44<<10 && !(l.single && len(txn.Writes) > 0)
-	}
-	var writers []*job // whose records are in the transaction
-	end := func(j *job) bool {
-		keys := j.recordKeys()
-		n := min(2+len(keys), ops) // long jobs shed the rest afterwards
-		if !room(n) {
-			more = true
-			return false
-		}
-		f := finalRecord{Status: wire.StatusDone, Tasks: len(j.tasks)}
-		if j.cancelled {
-			f.Status = wire.StatusCancelled
-		}
-		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
-		txn.Writes = append(txn.Writes, wire.Write{Delete: prefixOpen + j.ID}, wire.Write{Put: prefixFinal + j.ID, Value: encode(f)})
-		for _, k := range keys[:n-2] {
-			txn.Writes = append(txn.Writes, wire.Write{Delete: k})
-		}
-		bytes += 400
-		j.final = true
-		writers = append(writers, j)
-		after = append(after, func(v uint64) {
-			j.final = false
-			if v == 0 {
-				if j.cancelled {
-					l.ending = append(l.ending, j)
-				}
-				return
-			}
-			l.c.log.Info("job over", "job", j.ID, "status", f.Status)
-			j.ended = true
-			l.shed = append(l.shed, keys[n-2:]...)
-			l.dirty = l.dirty || len(l.shed) > 0
-			l.c.noteEnd(wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
-			ends = append(ends, wire.JobEnd{ID: j.ID, Status: f.Status, Tasks: f.Tasks})
-			l.forget(j)
-			l.awaitedOver(j.ID, f.Status)
-		})
-		return true
-	}
-	for _, j := range l.order {
-		if !j.cancelled && l.mayEnd(j) && !end(j) {
-			break
-		}
-	}
-	l.endCancelled(end)
-	named := 0 // conditions on awaited jobs
-	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !j.loaded || j.cancelled || !j.free && !j.fence || !l.mayWriteOpen(j) {
-			continue
-		}
-		if !room(1) {
-			more = true
-			break
-		}
-		rec := j.rec
-		if j.free {
-			rec.ReadyAt = l.c.wall
-			// An awaited job's end took its open record away.
-			for _, a := range j.Awaits {
-				if named < 2*ops-1 {
-					named++
-					txn.If = append(txn.If, wire.Cond{Key: prefixOpen + a})
-				}
-			}
-		}
-		body := encode(rec)
-		bytes += len(body) + 300
-		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
-		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + j.ID, Value: body})
-		j.writing = true
-		writers = append(writers, j)
-		after = append(after, func(v uint64) {
-			j.writing = false
-			if v == 0 {
-				l.dirty = true
-				return
-			}
-			l.c.know(j.ID, &known{version: v, rec: rec})
-			if j.version < v {
-				j.version, j.rec = v, rec
-			}
-			l.noteReady(j)
-			if j.fence {
-				j.fence, l.dirty = false, true
-				l.relay(j)
-			}
-		})
-	}
-	for _, j := range l.order {
-		if j.ended || j.stale || j.final || j.writing || !j.loaded || l.putOffWrite(j) {
-			continue
-		}
-		if ranges && !l.mayWrite(j) {
-			more = true
-			continue
-		}
-		cond := false
-		for i := range j.chunks {
-			ch := &j.chunks[i]
-			if !ch.dirty || ch.stale || ch.busy {
-				continue
-			}
-			if l.c.now < ch.due {
-				l.writeBy(ch.due)
-				continue
-			}
-			if !room(1) {
-				more = true
-				break
-			}
-			if !cond {
-				cond = true
-				writers = append(writers, j)
-				txn.If = append(txn.If, wire.Cond{Key: prefixOpen + j.ID, Version: j.version})
-			}
-			body, starts := encodeChunk(j, ch)
-			bytes += len(body) + 300
-			txn.If = append(txn.If, wire.Cond{Key: ch.key, Version: ch.version})
-			txn.Writes = append(txn.Writes, wire.Write{Put: ch.key, Value: body})
-			ch.dirty, ch.busy, j.tried = false, true, true
-			after = append(after, func(v uint64) {
-				ch.busy = false
-				if v == 0 {
-					ch.dirty, ch.due, l.dirty = true, 0, true
-					return
-				}
-				ch.version = v
-				for _, s := range starts {
-					if t := &j.tasks[s.Task]; t.m != nil && t.attempt == s.Attempt {
-						t.recorded = true
-					}
-				}
-				l.sendStarts(j, starts)
-			})
-		}
-	}
-	var shed []string
-	for len(l.shed) > len(shed) && room(1) && !more {
-		shed = l.shed[:len(shed)+1]
-		txn.Writes = append(txn.Writes, wire.Write{Delete: shed[len(shed)-1]})
-	}
-	if len(shed) > 0 {
-		after = append(after, func(v uint64) {
-			if v != 0 {
-				l.shed = l.shed[len(shed):]
-			}
-		})
-	}
-	l.dirty = more || len(l.shed) > len(shed)
-	if len(txn.Writes) == 0 {
+	batch := l.newRecordBatch()
+	batch.fill()
+	l.dirty = batch.moreDue()
+	if batch.empty() {
 		return
 	}
 	l.txnBusy = true
-	l.c.commit(txn, true, func(r Result) {
-		l.txnBusy = false
-		if l.gone {
-			return
-		}
-		var tr wire.TxnResult
-		json.Unmarshal(r.Body, &tr)
-		version := uint64(0)
-		switch r.Status {
-		case 200:
-			version = tr.Revision
-			l.single = false
-			for _, j := range writers {
-				j.refusals = 0
-			}
-		case 409:
-			l.conflict(tr.Failed)
-		default:
-			if r.Status == 400 {
-				l.refused(txn, writers)
-			}
-			l.txnRetry = l.c.now + l.c.ttl()/20
-		}
-		l.dirty = l.dirty || version == 0
-		for _, f := range after {
-			f(version)
-		}
-		l.sendEnds(wire.Ends{Over: ends})
-		l.schedule = true
-	})
+	l.c.commit(batch.txn, true, batch.onResult)
+}
+
+// writable tells whether a job's records may be written: its end is not, and the
+// version of its open record is known and not about to change.
+func (j *job) writable() bool {
+	return j.loaded && !j.ended && !j.stale && !j.final && !j.writing
 }
 
 // mayEnd tells whether nothing on record keeps a job's end from being recorded.
