Group the leader's fields by who uses them

Reading of records, writing of records, lists of awaited jobs and look-ups of awaited jobs have a type each beside the code that uses it, with whole names for the fields. The retry of following the open jobs was among the dealings with the cloud; it is with the reading of records now. Tests change in these names only.

--- a/internal/core/await_lists.go
+++ b/internal/core/await_lists.go
@@ -29,6 +29,12 @@
 
 const prefixList = "a/"
 
+// awaitLists is what the leader keeps of its reading and clearing of lists.
+type awaitLists struct {
+	unread  map[string]time.Duration // jobs whose list is not read; when to retry
+	clearAt time.Duration            // when abandoned lists are cleared next
+}
+
 // listRef refers to a list that is spread over records.
 type listRef struct {
 	prefix  string // of the records' keys: a/JOB/TOKEN/
@@ -172,7 +178,7 @@
 
 // readList reads the names that a job awaits from its list records.
 func (l *leader) readList(j *job) {
-	l.unreadLists[j.ID] = noRetry
+	l.lists.unread[j.ID] = noRetry
 	l.readListPage(j, "", nil)
 }
 
@@ -207,33 +213,33 @@
 			l.c.log.Error("list records are missing", "job", j.ID, "read", j.listRead, "of", j.list.records)
 			l.retryList(j)
 		default:
-			delete(l.unreadLists, j.ID)
+			delete(l.lists.unread, j.ID)
 			l.noteNames(j, names)
-			l.dirty = true
+			l.records.dirty = true
 		}
 	})
 }
 
 func (l *leader) retryList(j *job) {
 	j.listRead = 0
-	l.unreadLists[j.ID] = l.c.now + l.c.ttl()/8
+	l.lists.unread[j.ID] = l.c.now + l.c.ttl()/8
 }
 
 // tickLists reads lists again whose reading failed, and now and then clears what
 // is left of attempts that were given up.
 func (l *leader) tickLists() {
-	for _, id := range sortedKeys(l.unreadLists) {
-		if l.c.now < l.unreadLists[id] {
+	for _, id := range sortedKeys(l.lists.unread) {
+		if l.c.now < l.lists.unread[id] {
 			continue
 		}
 		if j := l.jobs[id]; j != nil {
 			l.readList(j)
 		} else {
-			delete(l.unreadLists, id)
+			delete(l.lists.unread, id)
 		}
 	}
-	if l.c.now >= l.clearListsAt {
-		l.clearListsAt = l.c.now + l.c.clearListsEvery()
+	if l.c.now >= l.lists.clearAt {
+		l.lists.clearAt = l.c.now + l.c.clearListsEvery()
 		l.findAbandoned("", nil)
 	}
 }
--- a/internal/core/await_lists_test.go
+++ b/internal/core/await_lists_test.go
@@ -187,7 +187,7 @@
 	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
 	b.c.lead = l
 	b.c.elect.term, b.c.elect.leader, b.c.elect.busy = 5, b.c.cfg.Name, true
-	l.again = l.recover // with the next tick
+	l.loading.retry = l.recover // with the next tick
 	b.run(time.Second)
 	return l
 }
@@ -268,7 +268,7 @@
 	b := newHarness(t, someTypes)
 	id, names := acceptLong(t, b)
 	l := leadOver(b)
-	l.unreadLists[id] = noRetry
+	l.lists.unread[id] = noRetry
 	var rec openRecord
 	stdjson.Unmarshal(b.store[prefixOpen+names[0]].Value, &rec)
 	rec.Cancelled, rec.AskedAt = true, b.c.wall
@@ -334,7 +334,7 @@
 		}
 	}
 	b.write(prefixOpen+"job-7", "", encode(openRecord{Job: wire.Job{ID: "job-7", Tasks: 1, Awaits: []string{accepted + "2"}}}))
-	l.again = func() {
+	l.loading.retry = func() {
 		l.clearAbandoned([]attempt{
 			{ref: listRef{prefix: accepted}, job: "job-7", version: b.store[accepted+"0"].Version, keys: []string{accepted + "0", accepted + "1"}},
 			{ref: listRef{prefix: begun}, job: "job-8", keys: []string{begun + "1"}},
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -282,7 +282,7 @@
 			l.stopTask(j, i, 0, "cancelled")
 		}
 	}
-	l.dirty = true
+	l.records.dirty = true
 }
 
 // noteCancelled takes in the cancellations that another controller has
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -23,7 +23,6 @@
 	keepIdle map[string]bool          // idle machines that are kept for work to come
 
 	commandNow map[string]bool // machines to send commands to at once
-	watchRetry time.Duration
 }
 
 // newFleet makes the state of a new leader.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -139,7 +139,7 @@
 		ch.dirty, ch.due = true, at
 	}
 	if !later || j.finished() || j.over() {
-		l.dirty = true
+		l.records.dirty = true
 	} else {
 		l.writeBy(ch.due)
 	}
@@ -147,8 +147,8 @@
 
 // writeBy has the records written at a time, if not before.
 func (l *leader) writeBy(at time.Duration) {
-	if l.writeAt == 0 || at < l.writeAt {
-		l.writeAt = at
+	if l.records.dueAt == 0 || at < l.records.dueAt {
+		l.records.dueAt = at
 	}
 }
 
@@ -183,14 +183,14 @@
 func (l *leader) forget(j *job) {
 	delete(l.jobs, j.ID)
 	delete(l.cancelled, j.ID)
-	delete(l.unreadLists, j.ID)
+	delete(l.lists.unread, j.ID)
 	var before []string
 	l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
 	l.deps.drop(j.ID)
 	for _, a := range before {
 		if x := l.jobs[a]; x != nil && x.cancelled && !l.deps.needed(a) {
 			l.ending = append(l.ending, x)
-			l.dirty = true
+			l.records.dirty = true
 		}
 	}
 	if !j.cancelled { // else they were told when it was cancelled
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,16 +22,11 @@
 	leaves   []*machine               // those that may take tasks in this pass
 	returned map[string]time.Duration // machines the cloud has taken back for certain
 
-	watchFrom uint64
-	loadedAt  time.Duration
-
-	again   func() // a page to be read again
-	againAt time.Duration
-
-	txnBusy  bool
-	txnRetry time.Duration
-	dirty    bool
-	writeAt  time.Duration // records that were put off are due
+	loadedAt time.Duration
+	loading  recordLoader
+	records  recordWriter
+	lists    awaitLists
+	lookups  jobLookups
 
 	visits    int                      // machines looked at by the passes so far
 	probing   int                      // probes under way
@@ -43,17 +38,10 @@
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
 	ending    []*job          // of them, those that may be without dependents
 	deps      *dependencies
-	looking   map[string]time.Duration // awaited jobs that are being looked up; when next
-	lookups   int                      // such look-ups under way
 
-	unreadLists  map[string]time.Duration // jobs whose list of awaited ones is not read; when to retry
-	clearListsAt time.Duration
-	shed         []string // placement records of jobs that are over, to be deleted
-	limited      bool     // the state service refused a transaction as malformed
-	single       bool     // one job a transaction, to find out whose record is refused
-	fleet        fleet
-	arrivals     map[string]*arrivals
-	estimate     map[string]*estimate
+	fleet    fleet
+	arrivals map[string]*arrivals
+	estimate map[string]*estimate
 }
 
 func newLeader(c *Core, term, termVersion, grant uint64) *leader {
@@ -63,30 +51,31 @@
 		machines: map[string]*machine{},
 		reached:  map[string]time.Duration{},
 		returned: map[string]time.Duration{}, cancelled: map[string]*job{},
-		deps: newDependencies(), looking: map[string]time.Duration{},
-		unreadLists: map[string]time.Duration{},
-		arrivals:    map[string]*arrivals{},
-		estimate:    map[string]*estimate{},
-		fleet:       newFleet(),
+		deps:     newDependencies(),
+		lookups:  jobLookups{due: map[string]time.Duration{}},
+		lists:    awaitLists{unread: map[string]time.Duration{}},
+		arrivals: map[string]*arrivals{},
+		estimate: map[string]*estimate{},
+		fleet:    newFleet(),
 	}
 }
 
 func (l *leader) termCond() wire.Cond { return wire.Cond{Key: keyTerm, Version: l.termVersion} }
 
 func (l *leader) tick() {
-	if f := l.again; f != nil && l.c.now >= l.againAt {
-		l.again = nil
+	if f := l.loading.retry; f != nil && l.c.now >= l.loading.retryAt {
+		l.loading.retry = nil
 		f()
 	}
-	if l.fleet.watchRetry != 0 && l.c.now >= l.fleet.watchRetry {
-		l.fleet.watchRetry = 0
+	if l.loading.watchRetryAt != 0 && l.c.now >= l.loading.watchRetryAt {
+		l.loading.watchRetryAt = 0
 		l.watch()
 	}
 	if !l.ready {
 		return
 	}
-	if l.writeAt != 0 && l.c.now >= l.writeAt {
-		l.writeAt, l.dirty = 0, true
+	if l.records.dueAt != 0 && l.c.now >= l.records.dueAt {
+		l.records.dueAt, l.records.dirty = 0, true
 	}
 	l.tickMachines()
 	l.tickFleet()
--- a/internal/core/pipeline_times_test.go
+++ b/internal/core/pipeline_times_test.go
@@ -50,7 +50,7 @@
 			happened = true
 			b.c.lead.markDone(l.jobs[jobID(1)], 0)
 			b.answer = nil
-			l.dirty = true
+			l.records.dirty = true
 			b.step(Tick{}) // the end is recorded first
 		}
 		return carryOut()
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -92,7 +92,7 @@
 // ranges tells whether records that name their range are to be written.
 func (l *leader) ranges() bool {
 	smaller := l.c.limits().ValueKB < l.c.cfg.Deployment.State.ValueKB || l.c.smallValues
-	return smaller && (l.limited || l.c.allUnderstand(wire.PeerVersionRanges))
+	return smaller && (l.records.limited || l.c.allUnderstand(wire.PeerVersionRanges))
 }
 
 // layOut makes a job's chunks, for a job without records.
@@ -243,7 +243,7 @@
 				continue
 			}
 			if l.jobs[id] == nil {
-				l.shed = append(l.shed, it.Key)
+				l.records.leftOver = append(l.records.leftOver, it.Key)
 				continue
 			}
 			found[id] = append(found[id], loadedPlace{it.Key, it.Version, from, to, numbered, rec})
@@ -272,7 +272,7 @@
 	if named && l.c.limits().ValueKB >= l.c.cfg.Deployment.State.ValueKB {
 		// A leader before this one found out that the service takes less than the
 		// settings say.
-		l.c.smallValues, l.limited = true, true
+		l.c.smallValues, l.records.limited = true, true
 	}
 	j.chunks = nil
 	for _, f := range found {
@@ -346,6 +346,6 @@
 		}
 		ch.stale = false
 		ch.dirty = true
-		l.dirty = true
+		l.records.dirty = true
 	})
 }
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -64,7 +64,7 @@
 
 // hasRoom tells whether the batch takes a number of further writes.
 func (b *recordBatch) hasRoom(writes int) bool {
-	if b.leader.single && !b.empty() {
+	if b.leader.records.oneJob && !b.empty() {
 		return false
 	}
 	return len(b.txn.Writes)+writes <= b.maxWrites && b.bytes < maxBatchBytes
@@ -152,8 +152,8 @@
 	}
 	l.c.log.Info("job over", "job", j.ID, "status", final.Status)
 	j.ended = true
-	l.shed = append(l.shed, leftOver...)
-	l.dirty = l.dirty || len(l.shed) > 0
+	l.records.leftOver = append(l.records.leftOver, leftOver...)
+	l.records.dirty = l.records.dirty || len(l.records.leftOver) > 0
 	end := wire.JobEnd{ID: j.ID, Status: final.Status, Tasks: final.Tasks}
 	l.c.noteEnd(end)
 	b.ends = append(b.ends, end)
@@ -206,7 +206,7 @@
 func (l *leader) openRecordAnswered(j *job, rec openRecord, answer batchOutcome) {
 	j.writing = false
 	if !answer.committed {
-		l.dirty = true
+		l.records.dirty = true
 		return
 	}
 	l.c.know(j.ID, &known{version: answer.version, rec: rec})
@@ -215,7 +215,7 @@
 	}
 	l.noteReady(j)
 	if j.fence {
-		j.fence, l.dirty = false, true
+		j.fence, l.records.dirty = false, true
 		l.relay(j)
 	}
 }
@@ -273,7 +273,7 @@
 func (l *leader) placementAnswered(j *job, ch *chunk, starts []placeEntry, answer batchOutcome) {
 	ch.busy = false
 	if !answer.committed {
-		ch.dirty, ch.due, l.dirty = true, 0, true
+		ch.dirty, ch.due, l.records.dirty = true, 0, true
 		return
 	}
 	ch.version = answer.version
@@ -288,7 +288,7 @@
 // addDeletions adds deletions of left-over placement records, if all else that is
 // due has found room.
 func (b *recordBatch) addDeletions() {
-	for _, key := range b.leader.shed {
+	for _, key := range b.leader.records.leftOver {
 		if b.incomplete || !b.hasRoom(1) {
 			break
 		}
@@ -303,24 +303,24 @@
 // deletionsAnswered forgets the records that were deleted.
 func (b *recordBatch) deletionsAnswered(answer batchOutcome) {
 	if answer.committed {
-		b.leader.shed = b.leader.shed[b.deletions:]
+		b.leader.records.leftOver = b.leader.records.leftOver[b.deletions:]
 	}
 }
 
 // moreDue tells whether records that are due are not in the batch.
 func (b *recordBatch) moreDue() bool {
-	return b.incomplete || len(b.leader.shed) > b.deletions
+	return b.incomplete || len(b.leader.records.leftOver) > b.deletions
 }
 
 // onResult takes in the answer of the state service.
 func (b *recordBatch) onResult(r Result) {
 	l := b.leader
-	l.txnBusy = false
+	l.records.busy = false
 	if l.gone {
 		return
 	}
 	answer := b.outcome(r)
-	l.dirty = l.dirty || !answer.committed
+	l.records.dirty = l.records.dirty || !answer.committed
 	for _, handle := range b.handlers {
 		handle(answer)
 	}
@@ -335,7 +335,7 @@
 	json.Unmarshal(r.Body, &result)
 	switch r.Status {
 	case 200:
-		l.single = false
+		l.records.oneJob = false
 		for _, j := range b.writers {
 			j.refusals = 0
 		}
@@ -346,7 +346,7 @@
 		l.refused(b.txn, b.writers)
 		fallthrough
 	default:
-		l.txnRetry = l.c.now + l.c.ttl()/20
+		l.records.retryAt = l.c.now + l.c.ttl()/20
 	}
 	return batchOutcome{}
 }
--- a/internal/core/record_batch_test.go
+++ b/internal/core/record_batch_test.go
@@ -63,7 +63,7 @@
 			doneJob(b, l, jobID(2))
 		}, append(slices.Clone(end), "place"), false},
 		{"every kind of record", 16, func(b *harness, l *leader) {
-			l.shed = []string{numberedKey(jobID(9), 0)}
+			l.records.leftOver = []string{numberedKey(jobID(9), 0)}
 			placedJob(b, l, jobID(1), 1)
 			record(b, l, wire.Job{ID: jobID(2)}, nil)
 			l.jobs[jobID(2)].free = true
@@ -83,7 +83,7 @@
 			}
 		}, slices.Repeat([]string{"place"}, 5), true},
 		{"an end that does not fit holds up deletions", 5, func(b *harness, l *leader) {
-			l.shed = []string{numberedKey(jobID(9), 0)}
+			l.records.leftOver = []string{numberedKey(jobID(9), 0)}
 			for n := range 3 {
 				doneJob(b, l, jobID(n))
 			}
@@ -95,13 +95,13 @@
 			}
 		}, append(slices.Clone(end), slices.Repeat([]string{"remove place"}, 3)...), false},
 		{"left-over records after all else only", 5, func(b *harness, l *leader) {
-			l.shed = []string{numberedKey(jobID(9), 0), numberedKey(jobID(9), 1)}
+			l.records.leftOver = []string{numberedKey(jobID(9), 0), numberedKey(jobID(9), 1)}
 			for n := range 4 {
 				placedJob(b, l, jobID(n), 1)
 			}
 		}, append(slices.Repeat([]string{"place"}, 4), "remove place"), true},
 		{"one record where one of them is refused", 16, func(b *harness, l *leader) {
-			l.single = true
+			l.records.oneJob = true
 			placedJob(b, l, jobID(1), 1)
 			placedJob(b, l, jobID(2), 1)
 		}, []string{"place"}, true},
--- a/internal/core/records_load.go
+++ b/internal/core/records_load.go
@@ -10,10 +10,18 @@
 	"github.com/segmentio/encoding/json"
 )
 
+// recordLoader is the state of reading the records and following their changes.
+type recordLoader struct {
+	retry        func() // reads a page again that could not be read
+	retryAt      time.Duration
+	revision     uint64        // of the state service, from which changes are followed
+	watchRetryAt time.Duration // when to follow them again; 0 while that goes on
+}
+
 // recover loads the open jobs, then the placements, and follows the changes
 // of open jobs from then on.
 func (l *leader) recover() {
-	l.watchFrom = 0
+	l.loading.revision = 0
 	l.loadOpen("")
 }
 
@@ -22,7 +30,7 @@
 		switch {
 		case l.gone:
 		case p == nil:
-			l.again, l.againAt = func() { l.page(prefix, after, f) }, l.c.now+l.c.ttl()/20
+			l.loading.retry, l.loading.retryAt = func() { l.page(prefix, after, f) }, l.c.now+l.c.ttl()/20
 		default:
 			f(p)
 		}
@@ -32,7 +40,7 @@
 func (l *leader) loadOpen(after string) {
 	l.page(prefixOpen, after, func(p *wire.Page) {
 		if after == "" {
-			l.watchFrom = p.Revision
+			l.loading.revision = p.Revision
 		}
 		for _, it := range p.Items {
 			after = it.Key
@@ -58,7 +66,7 @@
 func (l *leader) becomeReady() {
 	l.ready = true
 	l.loadedAt = l.c.now
-	l.clearListsAt = l.c.now + l.c.clearListsEvery()
+	l.lists.clearAt = l.c.now + l.c.clearListsEvery()
 	for _, j := range slices.Clone(l.order) {
 		j.loaded = true
 		l.resolve(j)
@@ -79,7 +87,7 @@
 // controller come this way.
 func (l *leader) watch() {
 	hold := 20 * time.Second
-	path := "/changes?under=" + prefixOpen + "&since=" + strconv.FormatUint(l.watchFrom, 10) + "&holdMs=" + strconv.Itoa(int(hold/time.Millisecond))
+	path := "/changes?under=" + prefixOpen + "&since=" + strconv.FormatUint(l.loading.revision, 10) + "&holdMs=" + strconv.Itoa(int(hold/time.Millisecond))
 	l.c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: hold + l.c.lease()/2, Watch: true}, func(r Result) {
 		if l.gone {
 			return
@@ -90,7 +98,7 @@
 		}
 		var ch wire.Changes
 		if r.Status != 200 || json.Unmarshal(r.Body, &ch) != nil {
-			l.fleet.watchRetry = l.c.now + l.c.ttl()/8
+			l.loading.watchRetryAt = l.c.now + l.c.ttl()/8
 			return
 		}
 		for _, e := range ch.Events {
@@ -104,7 +112,7 @@
 			}
 			l.noteOpen(e.Put[len(prefixOpen):], e.Version, rec)
 		}
-		l.watchFrom = max(l.watchFrom, ch.Revision)
+		l.loading.revision = max(l.loading.revision, ch.Revision)
 		l.watch()
 	})
 }
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -3,26 +3,39 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
 
+// recordWriter is the state of the leader's transactions, one of which is open at
+// a time.
+type recordWriter struct {
+	busy     bool          // a transaction is open
+	retryAt  time.Duration // no transaction before, since the last one failed
+	dirty    bool          // records may be due
+	dueAt    time.Duration // when records that were put off are due; 0 for none
+	leftOver []string      // records of jobs that are over, to be deleted
+	limited  bool          // the state service refused a transaction as malformed
+	oneJob   bool          // one job a transaction, to find out whose record is refused
+}
+
 // writeRecords commits what has changed: ends of jobs ahead of placements.
 // One transaction is open at a time, and every one is conditional on the term
 // and on the versions of the jobs' open records, so that a deposed leader
 // writes nothing and a cancellation and a start cannot both win.
 func (l *leader) writeRecords() {
-	if l.txnBusy || !l.dirty || l.c.now < l.txnRetry {
+	if l.records.busy || !l.records.dirty || l.c.now < l.records.retryAt {
 		return
 	}
 	batch := l.newRecordBatch()
 	batch.fill()
-	l.dirty = batch.moreDue()
+	l.records.dirty = batch.moreDue()
 	if batch.empty() {
 		return
 	}
-	l.txnBusy = true
+	l.records.busy = true
 	l.c.commit(batch.txn, true, batch.onResult)
 }
 
@@ -111,7 +124,7 @@
 		switch {
 		case r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && json.Unmarshal(it.Value, &rec) == nil:
 			j.stale = false
-			l.dirty = true
+			l.records.dirty = true
 			l.noteOpen(j.ID, it.Version, rec)
 		case r.Status == 404:
 			// Our own end of it, recorded by a transaction whose answer was
@@ -119,7 +132,7 @@
 			j.stale = false
 			j.ended = true
 			l.c.log.Info("job over", "job", j.ID, "status", "recorded earlier")
-			l.shed = append(l.shed, j.recordKeys()...)
+			l.records.leftOver = append(l.records.leftOver, j.recordKeys()...)
 			l.forget(j)
 			l.lookAwaited(j.ID)
 		default:
--- a/internal/core/refused.go
+++ b/internal/core/refused.go
@@ -28,7 +28,7 @@
 // service takes, it can only be a value. Then all that was concluded on the number
 // of operations is in doubt.
 func (l *leader) refused(txn *wire.Txn, writers []*job) {
-	l.limited = true
+	l.records.limited = true
 	switch {
 	case len(txn.Writes) > 2:
 		l.c.refusedTxn(len(txn.Writes))
@@ -36,9 +36,9 @@
 		l.c.smallValues, l.c.fewerOps = true, 0
 		l.c.log.Info("the state service takes smaller values only", "bytes", smallValue)
 	case len(writers) > 1:
-		l.single = true
+		l.records.oneJob = true
 	default:
-		l.single = false
+		l.records.oneJob = false
 		for _, j := range writers {
 			if hasLarge(txn, prefixOpen) && !j.oversize {
 				j.oversize, l.c.fewerOps = true, 0
@@ -87,7 +87,7 @@
 		l.noteReady(j)
 	}
 	if j.fence {
-		j.fence, l.dirty = false, true
+		j.fence, l.records.dirty = false, true
 		l.relay(j)
 	}
 	return false
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -118,7 +118,7 @@
 			record(b, l, wire.Job{ID: jobID(8)}, nil)
 			record(b, l, wire.Job{ID: jobID(9), Awaits: []string{jobID(8)}}, nil)
 			refused := lower(b, tc.ops, tc.bytes)
-			l.limited = b.c.cfg.Deployment.State.Next != nil // as once every controller understands
+			l.records.limited = b.c.cfg.Deployment.State.Next != nil // as once every controller understands
 			for n := range 6 {
 				j := l.jobs[jobID(n)]
 				for i := 0; i < 300; i += 7 {
@@ -234,7 +234,7 @@
 			placeTasks(l, other, 0, 100)
 			b.run(time.Second)
 			refused := lower(b, 5, 2048)
-			l.limited = b.c.cfg.Deployment.State.Next != nil
+			l.records.limited = b.c.cfg.Deployment.State.Next != nil
 			placeTasks(l, l.jobs[jobID(3)], 90, 100) // again, elsewhere
 			record(b, l, wire.Job{ID: jobID(4)}, nil)
 			l.markDone(l.jobs[jobID(1)], 0)
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -69,39 +70,45 @@
 	}
 }
 
+// jobLookups is what the leader keeps of its look-ups of awaited jobs.
+type jobLookups struct {
+	due     map[string]time.Duration // jobs that are being looked up; when next
+	running int
+}
+
 // lookAwaited looks up an awaited job that is not among the open ones: its end
 // is on record.
 func (l *leader) lookAwaited(id string) {
-	if _, ok := l.looking[id]; ok || !l.deps.needed(id) {
+	if _, ok := l.lookups.due[id]; ok || !l.deps.needed(id) {
 		return
 	}
-	if l.lookups >= l.c.maxWaiting()/8 {
-		l.looking[id] = l.c.now // users' questions go the same way
+	if l.lookups.running >= l.c.maxWaiting()/8 {
+		l.lookups.due[id] = l.c.now // users' questions go the same way
 		return
 	}
-	l.lookups++
-	l.looking[id] = math.MaxInt64
+	l.lookups.running++
+	l.lookups.due[id] = math.MaxInt64
 	l.c.find(id, func(f found) {
-		l.lookups--
+		l.lookups.running--
 		switch {
 		case l.gone:
 		case f.final != nil:
-			delete(l.looking, id)
+			delete(l.lookups.due, id)
 			l.awaitedOver(id, f.final.Status)
 		case f.open != nil:
-			delete(l.looking, id)
+			delete(l.lookups.due, id)
 			l.noteOpen(id, f.open.version, f.open.rec)
 		default:
-			l.looking[id] = l.c.now + l.c.ttl()/8
+			l.lookups.due[id] = l.c.now + l.c.ttl()/8
 		}
 	})
 }
 
 // tickAwaited looks again where no answer came.
 func (l *leader) tickAwaited() {
-	for _, id := range sortedKeys(l.looking) {
-		if l.c.now >= l.looking[id] {
-			delete(l.looking, id)
+	for _, id := range sortedKeys(l.lookups.due) {
+		if l.c.now >= l.lookups.due[id] {
+			delete(l.lookups.due, id)
 			l.lookAwaited(id)
 		}
 	}
@@ -120,7 +127,7 @@
 	for _, y := range l.deps.done(id) {
 		if j := l.jobs[y]; j != nil && j.waits && !j.cancelled {
 			j.free = true
-			l.dirty = true
+			l.records.dirty = true
 		}
 	}
 }
@@ -171,7 +178,7 @@
 
 // mayHaveUnread tells whether a job may have dependents that are not known yet,
 // since a list of awaited jobs is still to be read.
-func (l *leader) mayHaveUnread(j *job) bool { return j.rec.Needed && len(l.unreadLists) > 0 }
+func (l *leader) mayHaveUnread(j *job) bool { return j.rec.Needed && len(l.lists.unread) > 0 }
 
 // ownDue is when a job's user wants it done, as a time of day in seconds.
 func ownDue(rec *openRecord) float64 {
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -85,7 +85,7 @@
 	}
 	since := l.jobs["job-2"].since
 	j := l.jobs["job-1"]
-	j.done, j.tasks[0].done, l.dirty = 1, true, true
+	j.done, j.tasks[0].done, l.records.dirty = 1, true, true
 	b.run(2e9)
 	if len(l.jobs["job-2"].pendingTasks()) != 1 || !strings.Contains(string(b.store[prefixOpen+"job-2"].Value), `"ra":`) {
 		t.Errorf("it does not go on: %s", b.store[prefixOpen+"job-2"].Value)
@@ -211,7 +211,7 @@
 	// would, on the condition that no record exists.
 	delete(b.store, "p/job-1/0")
 	j.chunks[0].version, j.chunks[0].dirty, j.chunks[0].due = 0, true, 0
-	l.dirty = true
+	l.records.dirty = true
 	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersion}})
 	b.run(1e9)
 	if status, _ := b.commit([]byte(late)); status != 409 {
