Group what the leader keeps between placement passes

Whether a pass is due, what it has looked at and where it was cut short are one type in place.go. Functions of the leader's files without a doc comment have one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -189,7 +189,7 @@
 	if c.lead == nil {
 		return 0
 	}
-	return c.lead.visits
+	return c.lead.passes.visits
 }
 
 func (c *Core) onTick() {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -120,7 +120,7 @@
 	done := t.done
 	*t = task{done: done}
 	l.touch(j, i, true)
-	l.schedule = true
+	l.passes.requested = true
 }
 
 // touch marks a task's record for writing: at once, or, where nothing is lost
@@ -152,6 +152,7 @@
 	}
 }
 
+// markDone notes that a task is done for certain.
 func (l *leader) markDone(j *job, i int) {
 	if !j.tasks[i].done {
 		j.tasks[i].done = true
@@ -169,6 +170,8 @@
 // for certain, though copies may still count on machines.
 func (j *job) finished() bool { return j.loaded && !j.cancelled && j.done == len(j.tasks) }
 
+// staleChunk tells whether the version of a placement record is unknown or about
+// to change.
 func (j *job) staleChunk() bool {
 	for i := range j.chunks {
 		if j.chunks[i].stale || j.chunks[i].busy {
@@ -204,7 +207,7 @@
 			break
 		}
 	}
-	l.schedule = true
+	l.passes.requested = true
 }
 
 // digest lists the unfinished jobs' counts for the other controllers.
@@ -218,6 +221,7 @@
 	return out
 }
 
+// countOf tells how many tasks of a job are done and running.
 func (l *leader) countOf(j *job) wire.JobCount {
 	n := wire.JobCount{ID: j.ID, Done: j.done}
 	if j.placed == 0 {
@@ -231,6 +235,7 @@
 	return n
 }
 
+// count is countOf for a job by its name; nothing for an unknown one.
 func (l *leader) count(id string) wire.JobCount {
 	if j := l.jobs[id]; j != nil {
 		return l.countOf(j)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -19,7 +19,6 @@
 	order    []*job // by submission
 	machines map[string]*machine
 	byName   []*machine               // replaced, never changed in place
-	leaves   []*machine               // those that may take tasks in this pass
 	returned map[string]time.Duration // machines the cloud has taken back for certain
 
 	loadedAt time.Duration
@@ -27,13 +26,10 @@
 	records  recordWriter
 	lists    awaitLists
 	lookups  jobLookups
+	passes   placementPasses
 
-	visits    int                      // machines looked at by the passes so far
-	probing   int                      // probes under way
-	reached   map[string]time.Duration // when a machine of a zone last answered or reported to us directly
-	resume    *job                     // where the last pass was cut short
-	schedule  bool
-	schedNext time.Duration
+	probing int                      // probes under way
+	reached map[string]time.Duration // when a machine of a zone last answered or reported to us directly
 
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
 	ending    []*job          // of them, those that may be without dependents
@@ -62,6 +58,7 @@
 
 func (l *leader) termCond() wire.Cond { return wire.Cond{Key: keyTerm, Version: l.termVersion} }
 
+// tick does what has become due.
 func (l *leader) tick() {
 	if f := l.loading.retry; f != nil && l.c.now >= l.loading.retryAt {
 		l.loading.retry = nil
@@ -83,8 +80,8 @@
 	l.tickGone()
 	l.tickAwaited()
 	l.tickLists()
-	if l.c.now >= l.schedNext+l.c.report()/3 {
-		l.schedule = true
+	if l.c.now >= l.passes.notBefore+l.c.report()/3 {
+		l.passes.requested = true
 	}
 }
 
@@ -94,9 +91,9 @@
 	if l.gone || !l.ready {
 		return
 	}
-	if decide && l.schedule && l.c.now >= l.schedNext {
-		l.schedule = false
-		l.schedNext = l.c.now + l.c.report()/50
+	if decide && l.passes.requested && l.c.now >= l.passes.notBefore {
+		l.passes.requested = false
+		l.passes.notBefore = l.c.now + l.c.report()/50
 		l.place()
 	}
 	l.writeRecords()
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -38,6 +38,15 @@
 	return allowed(j.Types, typ) && (j.Zone == "" || j.Zone == zone) && (!spot || j.Spot)
 }
 
+// placementPasses is what the leader keeps from one placement pass to the next.
+type placementPasses struct {
+	requested bool          // there is something to place
+	notBefore time.Duration // when the next pass may begin
+	visits    int           // machines looked at by all passes so far
+	leaves    []*machine    // those that may take tasks in this pass
+	resume    *job          // where the last pass was cut short
+}
+
 // placementPass is one walk over the jobs that wait for room.
 type placementPass struct {
 	l     *leader
@@ -53,7 +62,7 @@
 // place starts what fits, makes room for what does not by preemption, and rents
 // for the rest.
 func (l *leader) place() {
-	before := l.visits
+	before := l.passes.visits
 	tree := l.placementTree()
 	p := &placementPass{
 		l: l, tree: tree, usage: l.usage(),
@@ -65,28 +74,28 @@
 		if l.c.now < c.j.retryAt {
 			continue
 		}
-		if l.visits > p.visitLimit {
-			l.resume, l.schedule = c.j, true
+		if l.passes.visits > p.visitLimit {
+			l.passes.resume, l.passes.requested = c.j, true
 			break
 		}
 		p.placeCandidate(c)
 	}
 	l.plan(cands, p.usage)
-	l.schedNext = max(l.schedNext, l.c.now+2*l.timeFor(l.visits-before))
+	l.passes.notBefore = max(l.passes.notBefore, l.c.now+2*l.timeFor(l.passes.visits-before))
 }
 
 // placementTree is the tree of the machines that may take tasks; it notes them
 // as the pass's leaves.
 func (l *leader) placementTree() *topology.Tree {
 	var leaves []*topology.Machine
-	l.leaves = l.leaves[:0]
+	l.passes.leaves = l.passes.leaves[:0]
 	for _, m := range l.byName {
 		total, ok := l.total(m)
 		if !ok || !l.usable(m) {
 			continue
 		}
-		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used), Key: len(l.leaves)})
-		l.leaves = append(l.leaves, m)
+		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used), Key: len(l.passes.leaves)})
+		l.passes.leaves = append(l.passes.leaves, m)
 	}
 	return topology.New(leaves)
 }
@@ -136,13 +145,13 @@
 // passVisits bounds a pass: reports are not answered meanwhile. What a pass
 // does not come to is first in the next one.
 func (l *leader) passVisits() int {
-	return max(len(l.leaves), int(l.c.report()/20/l.timeFor(1)))
+	return max(len(l.passes.leaves), int(l.c.report()/20/l.timeFor(1)))
 }
 
 // resumed puts the candidates that the last pass did not come to first.
 func (l *leader) resumed(cands []*candidate) []*candidate {
-	from := l.resume
-	l.resume = nil
+	from := l.passes.resume
+	l.passes.resume = nil
 	at := slices.IndexFunc(cands, func(c *candidate) bool { return c.j == from })
 	if at <= 0 {
 		return cands
@@ -152,9 +161,9 @@
 
 // anyRoom tells whether any machine that a job may use has room for a task.
 func (l *leader) anyRoom(tree *topology.Tree, j *job) bool {
-	l.visits += len(l.leaves)
+	l.passes.visits += len(l.passes.leaves)
 	return tree.Any(size(&j.Job), func(t *topology.Machine) bool {
-		m := l.leaves[t.Key]
+		m := l.passes.leaves[t.Key]
 		return eligible(&j.Job, m.typ, m.zone, m.spot)
 	})
 }
@@ -179,14 +188,14 @@
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
 	req := l.placementRequest(c.j, tasks, quick)
-	l.visits += len(l.leaves)
+	l.passes.visits += len(l.passes.leaves)
 	where := tree.Place(req)
 	if where == nil {
 		return false
 	}
 	machines := make([]*machine, len(where))
 	for k, leaf := range where {
-		machines[k] = l.leaves[leaf.Key]
+		machines[k] = l.passes.leaves[leaf.Key]
 	}
 	l.bindTasks(c.j, tasks, machines)
 	return true
@@ -200,13 +209,13 @@
 		Task: size(&j.Job), Count: len(tasks), Required: topology.LevelRoot,
 		ZoneRoom: l.zoneRoom(j),
 		Allowed: func(t *topology.Machine) bool {
-			return l.mayPlaceOn(j, l.leaves[t.Key], quick, wait)
+			return l.mayPlaceOn(j, l.passes.leaves[t.Key], quick, wait)
 		},
 		Rank: func(t *topology.Machine) int {
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
 				return rankMoveTarget
 			}
-			return l.machineRank(j, l.leaves[t.Key], wait)
+			return l.machineRank(j, l.passes.leaves[t.Key], wait)
 		},
 	}
 	if j.OneZone {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -194,7 +194,7 @@
 // zones lists the zones in which there are machines to use.
 func (l *leader) zones() []string {
 	in := map[string]bool{}
-	for _, m := range l.leaves {
+	for _, m := range l.passes.leaves {
 		in[m.zone] = true
 	}
 	return sortedKeys(in)
@@ -203,8 +203,8 @@
 // anyPreemption tells whether any machine that a job may use would have room
 // for a task if all that it may have stopped were gone.
 func (l *leader) anyPreemption(c *candidate) bool {
-	l.visits += len(l.leaves)
-	for _, m := range l.leaves {
+	l.passes.visits += len(l.passes.leaves)
+	for _, m := range l.passes.leaves {
 		if eligible(&c.j.Job, m.typ, m.zone, m.spot) && l.roomByPreemption(c, m).Holds(size(&c.j.Job)) {
 			return true
 		}
@@ -233,8 +233,8 @@
 	wait := l.c.slowFetch(c.j.Class)
 	zoneRoom := l.zoneRoom(c.j)
 	var all []preemption
-	l.visits += len(l.leaves)
-	for _, m := range l.leaves {
+	l.passes.visits += len(l.passes.leaves)
+	for _, m := range l.passes.leaves {
 		if zone != "" && m.zone != zone || !l.mayPreemptOn(c, m) || quick && l.slow(c.j, m, wait) {
 			continue
 		}
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -325,7 +325,7 @@
 		handle(answer)
 	}
 	l.sendEnds(wire.Ends{Over: b.ends})
-	l.schedule = true
+	l.passes.requested = true
 }
 
 // outcome tells whether the batch was committed, and deals with the causes if not.
--- a/internal/core/records_load.go
+++ b/internal/core/records_load.go
@@ -25,6 +25,7 @@
 	l.loadOpen("")
 }
 
+// page reads a page of records, again and again until it is answered.
 func (l *leader) page(prefix, after string, f func(*wire.Page)) {
 	l.c.readPage(prefix, after, true, func(p *wire.Page) {
 		switch {
@@ -37,6 +38,7 @@
 	})
 }
 
+// loadOpen reads the open records after a key, then the placements.
 func (l *leader) loadOpen(after string) {
 	l.page(prefixOpen, after, func(p *wire.Page) {
 		if after == "" {
@@ -63,6 +65,7 @@
 	})
 }
 
+// becomeReady takes up the work once all records are loaded.
 func (l *leader) becomeReady() {
 	l.ready = true
 	l.loadedAt = l.c.now
@@ -79,7 +82,7 @@
 		}
 	}
 	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
-	l.schedule = true
+	l.passes.requested = true
 	l.watch()
 }
 
@@ -139,5 +142,5 @@
 	j.version, j.rec = version, rec
 	l.noteReady(j)
 	l.noteWish(j, rec)
-	l.schedule = true
+	l.passes.requested = true
 }
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -126,7 +126,7 @@
 			l.dropRent(r)
 			l.c.log.Debug("no capacity", "type", key.typ, "zone", key.zone, "spot", key.spot)
 			l.fleet.refused[key] = l.c.now + l.refusedFor()
-			l.schedule = true
+			l.passes.requested = true
 		case res.Status == 400:
 			l.dropRent(r)
 			l.c.log.Error("rental refused as malformed", "type", key.typ, "zone", key.zone)
@@ -161,7 +161,7 @@
 	if len(names.Machines) < r.req.Count {
 		l.fleet.refused[key] = l.c.now + l.refusedFor()
 	}
-	l.schedule = true
+	l.passes.requested = true
 }
 
 // cloudError is the error that an answer of the cloud names.
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -182,7 +182,7 @@
 
 // tightest finds the bin with the least free room that a task fits into.
 func (p *rentalPlan) tightest(j *job, zoneAllowed func(string) bool, expected bool) *bin {
-	p.l.visits += len(p.bins)
+	p.l.passes.visits += len(p.bins)
 	need := size(&j.Job)
 	var best *bin
 	for _, b := range p.bins {
@@ -238,7 +238,7 @@
 	f := &l.fleet
 	for _, w := range wanted {
 		if l.c.now < f.rentNext || len(f.rents) >= maxOpenRents {
-			l.schedule = true
+			l.passes.requested = true
 			return
 		}
 		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
--- a/internal/core/rentalplan_test.go
+++ b/internal/core/rentalplan_test.go
@@ -151,7 +151,7 @@
 	if n := len(l.fleet.rents); n != 1 || l.fleet.rents[0].req.Count != maxRentCount {
 		t.Fatalf("%d requests, the first one %+v", n, l.fleet.rents[0].req)
 	}
-	if !l.schedule {
+	if !l.passes.requested {
 		t.Error("what is left is not planned again")
 	}
 	for range 2 * maxOpenRents {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -81,7 +81,7 @@
 	if r.WarningS != nil {
 		if m.leaving == 0 {
 			l.c.log.Info("machine will be taken", "machine", m.name, "in_s", *r.WarningS)
-			l.schedule = true
+			l.passes.requested = true
 		}
 		m.leaving = l.c.now + config.Seconds(*r.WarningS)
 	}
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -142,7 +142,7 @@
 	j.since = j.rec.ReadyAt
 	l.deps.drop(j.ID)
 	l.noteArrival(j)
-	l.schedule = true
+	l.passes.requested = true
 }
 
 // cancelAfter cancels all jobs that need a cancelled one. What a job needs that
@@ -262,7 +262,7 @@
 		l.setRank(j, rank)
 	}
 	j.due = due
-	l.schedule = true
+	l.passes.requested = true
 }
 
 // setRank changes a job's rank, and with it what machines count by rank.
