Split the serving of users by job

Pure moves, apart from package clauses and imports: routes.go (requests by path, health, queries), submit.go (the queue of submissions), lookup.go (questions about jobs), jobcache.go (jobs that are remembered) and records.go (keys and records in the state service). users.go keeps the state and its tick.

--- /dev/null
+++ b/internal/core/jobcache.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+type known struct {
+	version uint64
+	rec     openRecord
+}
+
+// maxKnown is how many jobs of a kind are remembered, open or final: a hundred
+// for each megabyte, about a fiftieth of the memory.
+func (c *Core) maxKnown() int { return int(100 * c.cfg.Deployment.Limits.RAMMB) }
+
+// know remembers an open job; the ones known for longest make way. Forgetting
+// is safe: a job that is asked for is read again.
+func (c *Core) know(id string, k *known) {
+	u := &c.users
+	if u.open[id] == nil {
+		u.openOrder = append(u.openOrder, id)
+	}
+	u.open[id] = k
+	for len(u.openOrder) > c.maxKnown() {
+		if old := u.openOrder[0]; old != id {
+			delete(u.open, old)
+		}
+		u.openOrder = u.openOrder[1:]
+	}
+}
+
+// remember keeps a final state in memory; the oldest ones make way.
+func (c *Core) remember(id string, f finalRecord) {
+	u := &c.users
+	delete(u.open, id)
+	if _, ok := u.final[id]; !ok {
+		u.finalOrder = append(u.finalOrder, id)
+		if len(u.finalOrder) > c.maxKnown() {
+			delete(u.final, u.finalOrder[0])
+			u.finalOrder = u.finalOrder[1:]
+		}
+	}
+	u.final[id] = f
+}
+
+// tickPreload reads the open jobs once after the start, in pages: else the polls
+// of every user, right after all controllers have restarted, would each take a
+// read of their own, and the state service's budget with them.
+func (c *Core) tickPreload() {
+	if u := &c.users; !u.preloaded && c.now >= u.preloadAt {
+		u.preloaded = true
+		c.preload("")
+	}
+}
+
+func (c *Core) preload(after string) {
+	c.readPage(prefixOpen, after, false, func(p *wire.Page) {
+		u := &c.users
+		if p == nil {
+			u.preloaded, u.preloadAt = false, c.now+c.ttl()
+			return
+		}
+		for _, it := range p.Items {
+			after = it.Key
+			id := it.Key[len(prefixOpen):]
+			k := &known{version: it.Version}
+			if _, over := u.final[id]; !over && u.open[id] == nil && json.Unmarshal(it.Value, &k.rec) == nil {
+				c.know(id, k)
+			}
+		}
+		if p.More {
+			c.preload(after)
+		}
+	})
+}
+
+// readPage reads keys in order; f gets nil if there was no answer.
+func (c *Core) readPage(prefix, after string, urgent bool, f func(*wire.Page)) {
+	path := "/store?under=" + prefix + "&limit=500"
+	if after != "" {
+		path += "&since=" + after
+	}
+	c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: 2 * c.storeTimeout(), Urgent: urgent}, func(r Result) {
+		c.noteStore(r)
+		var p wire.Page
+		if r.Status != 200 || json.Unmarshal(r.Body, &p) != nil {
+			f(nil)
+			return
+		}
+		f(&p)
+	})
+}
