Take the recording of submissions apart

A batch has a type that knows what it admits; gathering it, committing it and each outcome of its transaction are functions of their own. The order of calls, the conditions and writes, and the answers are the same.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -49,3 +49,13 @@
 	}
 	return s
 }
+
+// jobsOfKeys returns the ids of the jobs that keys of records belong to. The
+// prefixes of the keys are all of one length.
+func jobsOfKeys(keys []string) map[string]bool {
+	ids := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		ids[key[len(prefixOpen):]] = true
+	}
+	return ids
+}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -80,6 +80,50 @@
 	c.pumpSubmits()
 }
 
+// submitBatch is a transaction that records many submissions.
+type submitBatch struct {
+	submits []*submit
+	txn     wire.Txn
+	written map[string]bool       // keys that the transaction writes
+	marks   map[string]openRecord // awaited jobs, as they are written
+	bytes   int
+}
+
+// admits tells whether a submission may share the batch with those in it.
+func (b *submitBatch) admits(s *submit) bool {
+	return len(b.submits) == 0 || !s.alone && !b.submits[0].alone
+}
+
+// fits tells whether the transaction has room for what a submission adds, and
+// writes none of its keys yet.
+func (b *submitBatch) fits(p prepared, maxOps int) bool {
+	if b.bytes+p.bytes > maxTxnBytes {
+		return false
+	}
+	if len(b.txn.Writes)+len(p.writes) > maxOps || len(b.txn.If)+len(p.conds) > 4*maxOps {
+		return false
+	}
+	for _, w := range p.writes {
+		if b.written[w.Put] {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *submitBatch) add(s *submit, p prepared) {
+	for _, w := range p.writes {
+		b.written[w.Put] = true
+	}
+	for id, rec := range p.marks {
+		b.marks[id] = rec
+	}
+	b.bytes += p.bytes
+	b.submits = append(b.submits, s)
+	b.txn.If = append(b.txn.If, p.conds...)
+	b.txn.Writes = append(b.txn.Writes, p.writes...)
+}
+
 // pumpSubmits records waiting submissions, many in one transaction. A record
 // is created only if neither an open nor a final one exists.
 func (c *Core) pumpSubmits() {
@@ -87,121 +131,61 @@
 	if u.submitBusy || len(u.submits) == 0 {
 		return
 	}
-	var batch, rest, again []*submit
-	txn := &wire.Txn{}
-	keys := map[string]bool{} // to be written
-	marks := map[string]openRecord{}
-	bytes := 0
-	for _, s := range u.submits {
-		if len(batch) > 0 && (s.alone || batch[0].alone) {
+	batch, again := c.gatherSubmits()
+	if len(batch.submits) > 0 {
+		c.commitSubmits(batch)
+	}
+	// Last, since they may come back here at once.
+	for _, s := range again {
+		c.checkAwaited(s)
+	}
+}
+
+// gatherSubmits takes the submissions of the next transaction out of the queue,
+// and those whose awaited jobs have to be looked at again.
+func (c *Core) gatherSubmits() (batch *submitBatch, again []*submit) {
+	batch = &submitBatch{written: map[string]bool{}, marks: map[string]openRecord{}}
+	var rest []*submit
+	for _, s := range c.users.submits {
+		if !batch.admits(s) {
 			rest = append(rest, s)
 			continue
 		}
 		p, ok := c.prepare(s)
-		if !ok {
+		switch {
+		case !ok:
 			again = append(again, s)
-			continue
-		}
-		fits := bytes+p.bytes <= maxTxnBytes && len(txn.Writes)+len(p.writes) <= c.limits().TxnOps && len(txn.If)+len(p.conds) <= 4*c.limits().TxnOps
-		for _, w := range p.writes {
-			fits = fits && !keys[w.Put]
-		}
-		if !fits {
+		case !batch.fits(p, c.limits().TxnOps):
 			rest = append(rest, s)
-			continue
-		}
-		for _, w := range p.writes {
-			keys[w.Put] = true
-		}
-		for id, rec := range p.marks {
-			marks[id] = rec
-		}
-		bytes += p.bytes
-		batch = append(batch, s)
-		txn.If = append(txn.If, p.conds...)
-		txn.Writes = append(txn.Writes, p.writes...)
-	}
-	u.submits = rest
-	// Afterwards, since they may come back here at once.
-	defer func() {
-		for _, s := range again {
-			c.checkAwaited(s)
+		default:
+			batch.add(s, p)
 		}
-	}()
-	if len(batch) == 0 {
-		return
 	}
+	c.users.submits = rest
+	return batch, again
+}
+
+func (c *Core) commitSubmits(batch *submitBatch) {
+	u := &c.users
 	u.submitBusy = true
-	c.commit(txn, c.smallTxn(len(txn.Writes)), func(r Result) {
+	c.commit(&batch.txn, c.smallTxn(len(batch.txn.Writes)), func(r Result) {
 		u.submitBusy = false
-		var tr wire.TxnResult
 		switch r.Status {
 		case 200:
-			json.Unmarshal(r.Body, &tr)
-			for _, id := range sortedKeys(marks) {
-				c.know(id, &known{version: tr.Revision, rec: marks[id]})
-			}
-			for _, s := range batch {
-				id := s.rec.Job.ID
-				if s.withdrawn {
-					f := s.final()
-					c.remember(id, f)
-					c.answer(s.req, 201, f.status(id), 0)
-					continue
-				}
-				c.know(id, &known{version: tr.Revision, rec: s.rec})
-				c.answer(s.req, 201, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
-			}
+			c.submitsRecorded(batch, r.Body)
 		case 409:
-			json.Unmarshal(r.Body, &tr)
-			failed := map[string]bool{}
-			for _, k := range tr.Failed {
-				failed[k[2:]] = true
-			}
-			for _, s := range batch {
-				if failed[s.rec.Job.ID] {
-					c.answerKnown(s.req, s.rec.Job.ID)
-					continue
-				}
-				if s.list != nil && slices.Contains(tr.Failed, s.list.ref.key(0)) {
-					s.list = nil // cleared
-					c.checkAwaited(s)
-					continue
-				}
-				changed := false
-				for _, a := range s.unfinished {
-					if failed[a] {
-						changed = true
-						delete(u.open, a)
-					}
-				}
-				if changed {
-					c.checkAwaited(s)
-				} else {
-					u.submits = append(u.submits, s)
-				}
-			}
+			c.submitsConflicted(batch, r.Body)
 		case 0:
 			// Carried out or not, or still to be: sent again, a record that
 			// was made after all is found. With the next tick: a connection
 			// that is reset gives no answer at once.
-			u.submits = append(batch, u.submits...)
+			u.submits = append(batch.submits, u.submits...)
 			return
 		case 400:
-			// One of them may be too large for the service. Alone it does not
-			// hold up the others.
-			c.refusedTxn(len(txn.Writes))
-			for _, s := range batch {
-				if len(batch) == 1 {
-					c.answer(s.req, 503, errorBody("the state service refuses the record"), 1)
-				} else {
-					s.alone = true
-					u.submits = append(u.submits, s)
-				}
-			}
+			c.submitsMalformed(batch)
 		default:
 			// Refused: the user comes again.
-			for _, s := range batch {
+			for _, s := range batch.submits {
 				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
 			}
 		}
@@ -209,6 +193,77 @@
 	})
 }
 
+// submitsRecorded remembers the jobs of a transaction that was carried out, and
+// answers their users.
+func (c *Core) submitsRecorded(batch *submitBatch, body []byte) {
+	var result wire.TxnResult
+	json.Unmarshal(body, &result)
+	for _, id := range sortedKeys(batch.marks) {
+		c.know(id, &known{version: result.Revision, rec: batch.marks[id]})
+	}
+	for _, s := range batch.submits {
+		id := s.rec.Job.ID
+		if s.withdrawn {
+			f := s.final()
+			c.remember(id, f)
+			c.answer(s.req, 201, f.status(id), 0)
+			continue
+		}
+		c.know(id, &known{version: result.Revision, rec: s.rec})
+		c.answer(s.req, 201, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
+	}
+}
+
+// submitsConflicted goes on with the submissions of a transaction of which some
+// conditions did not hold.
+func (c *Core) submitsConflicted(batch *submitBatch, body []byte) {
+	var result wire.TxnResult
+	json.Unmarshal(body, &result)
+	failed := jobsOfKeys(result.Failed)
+	for _, s := range batch.submits {
+		switch {
+		case failed[s.rec.Job.ID]:
+			// It was accepted before.
+			c.answerKnown(s.req, s.rec.Job.ID)
+		case s.list != nil && slices.Contains(result.Failed, s.list.ref.key(0)):
+			s.list = nil // cleared
+			c.checkAwaited(s)
+		case c.forgetChanged(s.unfinished, failed):
+			c.checkAwaited(s)
+		default:
+			c.users.submits = append(c.users.submits, s)
+		}
+	}
+}
+
+// forgetChanged forgets those of the jobs whose records have changed, and tells
+// whether there are any.
+func (c *Core) forgetChanged(ids []string, changed map[string]bool) bool {
+	found := false
+	for _, id := range ids {
+		if changed[id] {
+			found = true
+			delete(c.users.open, id)
+		}
+	}
+	return found
+}
+
+// submitsMalformed has each submission of a transaction that the state service
+// found malformed go alone: one of them may be too large for the service, and
+// alone it does not hold up the others.
+func (c *Core) submitsMalformed(batch *submitBatch) {
+	c.refusedTxn(len(batch.txn.Writes))
+	if len(batch.submits) == 1 {
+		c.answer(batch.submits[0].req, 503, errorBody("the state service refuses the record"), 1)
+		return
+	}
+	for _, s := range batch.submits {
+		s.alone = true
+		c.users.submits = append(c.users.submits, s)
+	}
+}
+
 // smallTxn tells whether a transaction is small enough to go ahead of the pace:
 // less than half of the changes that one may have. The leader's records are not
 // held up either, and where they have used up the rate, a submission to the
