Take the lookups of jobs apart

Choosing the jobs, confirming the known ones and reading an open or a final record are functions of their own, and the bounds of lookups have names. The calls and their order are the same.

--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -33,10 +33,16 @@
 		return
 	}
 	u.wait(id, nil)
-	u.lookups[id] = append(u.lookups[id], &lookup{f: f, until: c.now + 1500*time.Millisecond})
+	u.lookups[id] = append(u.lookups[id], &lookup{f: f, until: c.now + lookupWait})
 	c.pumpLookups()
 }
 
+// lookupWait is how long a lookup may take before it fails.
+const lookupWait = 1500 * time.Millisecond
+
+// maxLookupCalls is how many calls for lookups may be under way at a time.
+const maxLookupCalls = 4
+
 // pumpLookups confirms known jobs by one compare-only transaction for many of
 // them, and reads the others. Questions of a moment are gathered: users poll
 // without end, and a transaction for each would take most of the processor and
@@ -44,71 +50,86 @@
 func (c *Core) pumpLookups() {
 	u := &c.users
 	confirm := c.now >= u.confirmAt
-	for len(u.order) > 0 && u.lookupBusy < 4 {
-		var batch, rest []string
-		txn := &wire.Txn{}
-		limit := 4 * c.limits().TxnOps
-		unknown := ""
-		for _, id := range u.order {
-			k := u.open[id]
-			if k == nil {
-				if unknown == "" {
-					unknown = id
-				} else {
-					rest = append(rest, id)
-				}
-				continue
-			}
-			if len(batch) >= limit || !confirm {
-				rest = append(rest, id)
-				continue
-			}
-			batch = append(batch, id)
-			txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id, Version: k.version})
+	for len(u.order) > 0 && u.lookupBusy < maxLookupCalls {
+		limit := 0
+		if confirm {
+			limit = 4 * c.limits().TxnOps
+		}
+		batch, unknown := u.nextLookups(limit)
+		if unknown == "" && len(batch) == 0 {
+			return
 		}
-		u.order = rest
 		if unknown != "" {
 			u.lookupBusy++
 			c.read(unknown, u.take(unknown))
 		}
-		if len(batch) == 0 {
-			if unknown == "" {
-				return
-			}
-			continue
+		if len(batch) > 0 {
+			c.confirmKnown(batch)
+		}
+	}
+}
+
+// nextLookups takes out of the order known jobs, limit at most, and one that is
+// not known, if there is one.
+func (u *users) nextLookups(limit int) (batch []string, unknown string) {
+	var rest []string
+	for _, id := range u.order {
+		isKnown := u.open[id] != nil
+		switch {
+		case isKnown && len(batch) < limit:
+			batch = append(batch, id)
+		case !isKnown && unknown == "":
+			unknown = id
+		default:
+			rest = append(rest, id)
+		}
+	}
+	u.order = rest
+	return batch, unknown
+}
+
+// confirmKnown asks the state service whether the records of known jobs are as
+// they were, and ends the lookups of those of which they are.
+func (c *Core) confirmKnown(batch []string) {
+	u := &c.users
+	u.confirmAt = c.now + c.report()/10
+	u.lookupBusy++
+	txn := &wire.Txn{}
+	waiting := map[string][]*lookup{}
+	for _, id := range batch {
+		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id, Version: u.open[id].version})
+		waiting[id] = u.take(id)
+	}
+	c.commit(txn, false, func(r Result) {
+		u.lookupBusy--
+		changed := map[string]bool{}
+		if r.Status == 409 {
+			var result wire.TxnResult
+			json.Unmarshal(r.Body, &result)
+			changed = jobsOfKeys(result.Failed)
 		}
-		u.confirmAt = c.now + c.report()/10
-		u.lookupBusy++
-		waiting := map[string][]*lookup{}
 		for _, id := range batch {
-			waiting[id] = u.take(id)
+			c.endConfirmation(id, waiting[id], r.Status, changed[id])
 		}
-		c.commit(txn, false, func(r Result) {
-			u.lookupBusy--
-			failed := map[string]bool{}
-			if r.Status == 409 {
-				var tr wire.TxnResult
-				json.Unmarshal(r.Body, &tr)
-				for _, k := range tr.Failed {
-					failed[k[2:]] = true
-				}
-			}
-			for _, id := range batch {
-				switch {
-				case r.Status == 0:
-					u.wait(id, waiting[id])
-				case r.Status != 200 && r.Status != 409:
-					resolve(waiting[id], found{failed: true})
-				case failed[id] || u.open[id] == nil:
-					delete(u.open, id)
-					u.lookupBusy++
-					c.read(id, waiting[id])
-				default:
-					resolve(waiting[id], found{open: u.open[id]})
-				}
-			}
-			c.pumpLookups()
-		})
+		c.pumpLookups()
+	})
+}
+
+// endConfirmation ends the lookups of one known job after the transaction that
+// was to confirm it; if its record has changed, it is read.
+func (c *Core) endConfirmation(id string, waiting []*lookup, status int, changed bool) {
+	u := &c.users
+	switch {
+	case status == 0:
+		u.wait(id, waiting)
+	case status != 200 && status != 409:
+		resolve(waiting, found{failed: true})
+	case changed || u.open[id] == nil:
+		delete(u.open, id)
+		u.lookupBusy++
+		c.read(id, waiting)
+	default:
+		resolve(waiting, found{open: u.open[id]})
 	}
 }
 
@@ -134,51 +155,69 @@
 
 // read fetches the open record, then the final one.
 func (c *Core) read(id string, waiting []*lookup) {
-	u := &c.users
 	end := func(f found) {
-		u.lookupBusy--
+		c.users.lookupBusy--
 		resolve(waiting, f)
 		c.pumpLookups()
 	}
 	c.get(prefixOpen+id, func(r Result) {
 		c.noteStore(r)
-		var it wire.Item
-		if r.Status == 200 && json.Unmarshal(r.Body, &it) == nil {
-			k := &known{version: it.Version}
-			if json.Unmarshal(it.Value, &k.rec) == nil {
-				// What was learned while the answer was on its way is newer: a
-				// user may have been told of it here meanwhile.
-				if f, over := u.final[id]; over {
-					end(found{final: &f})
-					return
-				}
-				if old := u.open[id]; old == nil || old.version < k.version {
-					c.know(id, k)
-				} else {
-					k = old
-				}
-				end(found{open: k})
-				return
-			}
+		k := openFromItem(r)
+		switch {
+		case k != nil:
+			end(c.newest(id, k))
+		case r.Status != 404:
+			end(found{failed: true})
+		default:
+			c.readFinal(id, end)
 		}
-		if r.Status != 404 {
+	})
+}
+
+// openFromItem decodes the answer to a read of an open record; nil if it holds
+// none.
+func openFromItem(r Result) *known {
+	var item wire.Item
+	if r.Status != 200 || json.Unmarshal(r.Body, &item) != nil {
+		return nil
+	}
+	k := &known{version: item.Version}
+	if json.Unmarshal(item.Value, &k.rec) != nil {
+		return nil
+	}
+	return k
+}
+
+// newest takes in an open record that was read. What was learned while the
+// answer was on its way is newer: a user may have been told of it here
+// meanwhile.
+func (c *Core) newest(id string, read *known) found {
+	u := &c.users
+	if f, over := u.final[id]; over {
+		return found{final: &f}
+	}
+	if old := u.open[id]; old != nil && old.version >= read.version {
+		return found{open: old}
+	}
+	c.know(id, read)
+	return found{open: read}
+}
+
+// readFinal fetches the final record of a job that has no open one.
+func (c *Core) readFinal(id string, end func(found)) {
+	c.get(prefixFinal+id, func(r Result) {
+		c.noteStore(r)
+		var item wire.Item
+		var f finalRecord
+		switch {
+		case r.Status == 404:
+			delete(c.users.open, id)
+			end(found{})
+		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &f) == nil:
+			c.remember(id, f)
+			end(found{final: &f})
+		default:
 			end(found{failed: true})
-			return
 		}
-		c.get(prefixFinal+id, func(r Result) {
-			c.noteStore(r)
-			var it wire.Item
-			var f finalRecord
-			switch {
-			case r.Status == 404:
-				delete(u.open, id)
-				end(found{})
-			case r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && json.Unmarshal(it.Value, &f) == nil:
-				c.remember(id, f)
-				end(found{final: &f})
-			default:
-				end(found{failed: true})
-			}
-		})
 	})
 }
