Parse submissions step by step, with typed errors

Each step takes fields of one kind, in the order of before, so a body with several faults is refused with the same text. Its errors name the field and the problem. What follows a valid body (a job that can never run, the queue) has functions of its own.

--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -63,117 +63,206 @@
 	Awaits      field[[]*string] `json:"awaits"`
 }
 
+// Why a body holds no submission.
+var (
+	errNotUTF8   = errors.New("not JSON: not UTF-8")
+	errNotObject = errors.New("not a JSON object")
+	errFields    = errors.New("not a JSON object with fields of the right kind, each given once")
+)
+
+// fieldError tells what is wrong with a field of a submission.
+type fieldError struct {
+	field   string
+	problem string
+}
+
+func (e *fieldError) Error() string { return e.field + " " + e.problem }
+
+// Problems of several fields.
+const (
+	problemMissing    = "is missing"
+	problemOutOfRange = "is out of range"
+	problemUnknown    = "is unknown"
+)
+
 // parseSubmission returns the job that a body describes, or tells why it
 // describes none. Whether the job can run is not asked here: for that the
 // machine types have to be known.
-func parseSubmission(body []byte) (*wire.Job, string) {
+func parseSubmission(body []byte) (*wire.Job, error) {
+	s, err := decodeSubmission(body)
+	if err != nil {
+		return nil, err
+	}
+	job := &wire.Job{}
+	for _, take := range []func(*wire.Job) error{
+		s.takeNames, s.takeAmounts, s.takeFlags, checkID, s.takeTasks, checkKinds,
+		s.takeTypes, s.takeZone, s.takeDeadline, s.takeAwaits,
+	} {
+		if err := take(job); err != nil {
+			return nil, err
+		}
+	}
+	return job, nil
+}
+
+func decodeSubmission(body []byte) (*submission, error) {
 	if !utf8.Valid(body) {
-		return nil, "not JSON: not UTF-8"
+		return nil, errNotUTF8
 	}
-	var s submission
 	trimmed := strings.TrimLeft(string(body), " \t\r\n")
 	if !strings.HasPrefix(trimmed, "{") {
-		return nil, "not a JSON object"
+		return nil, errNotObject
 	}
+	var s submission
 	// A name in another case is another name, and unknown.
 	rest, err := json.Parse(body, &s, json.DontMatchCaseInsensitiveStructFields)
 	if err != nil || len(rest) > 0 {
-		return nil, "not a JSON object with fields of the right kind, each given once"
+		return nil, errFields
 	}
-	var j wire.Job
+	return &s, nil
+}
+
+// takeNames sets the texts that every job has.
+func (s *submission) takeNames(job *wire.Job) error {
 	for _, f := range []struct {
 		name string
 		from field[string]
 		to   *string
 	}{
-		{"nameId", s.ID, &j.ID}, {"jobclass", s.Class, &j.Class}, {"crew", s.Team, &j.Team},
-		{"shape", s.Shape, &j.Shape}, {"urgency", s.Priority, &j.Priority}, {"bundle", s.Image, &j.Image},
+		{"nameId", s.ID, &job.ID}, {"jobclass", s.Class, &job.Class}, {"crew", s.Team, &job.Team},
+		{"shape", s.Shape, &job.Shape}, {"urgency", s.Priority, &job.Priority}, {"bundle", s.Image, &job.Image},
 	} {
 		if f.from.value == nil || *f.from.value == "" {
-			return nil, f.name + " is missing"
+			return &fieldError{f.name, problemMissing}
 		}
 		*f.to = *f.from.value
 	}
+	return nil
+}
+
+// takeAmounts sets the amounts that every job has. The number of tasks is only
+// checked to be an amount here, see takeTasks.
+func (s *submission) takeAmounts(job *wire.Job) error {
 	var tasks float64
 	for _, f := range []struct {
 		name string
 		from field[float64]
 		to   *float64
 	}{
-		{"shards", s.Tasks, &tasks}, {"cpus", s.CPUs, &j.CPUs}, {"accelerators", s.GPUs, &j.GPUs},
-		{"memGb", s.MemGB, &j.MemGB}, {"pullGb", s.ImageGB, &j.ImageGB}, {"guessS", s.EstimateS, &j.EstimateS},
-		{"markS", s.CheckpointS, &j.CheckpointS}, {"stowS", s.SaveS, &j.SaveS},
+		{"shards", s.Tasks, &tasks}, {"cpus", s.CPUs, &job.CPUs}, {"accelerators", s.GPUs, &job.GPUs},
+		{"memGb", s.MemGB, &job.MemGB}, {"pullGb", s.ImageGB, &job.ImageGB}, {"guessS", s.EstimateS, &job.EstimateS},
+		{"markS", s.CheckpointS, &job.CheckpointS}, {"stowS", s.SaveS, &job.SaveS},
 	} {
 		if f.from.value == nil {
-			return nil, f.name + " is missing"
+			return &fieldError{f.name, problemMissing}
 		}
 		if !sane(*f.from.value) {
-			return nil, f.name + " is out of range"
+			return &fieldError{f.name, problemOutOfRange}
 		}
 		*f.to = *f.from.value
 	}
+	return nil
+}
+
+func (s *submission) takeFlags(job *wire.Job) error {
 	for _, f := range []struct {
 		name string
 		from field[bool]
 		to   *bool
 	}{
-		{"together", s.OneZone, &j.OneZone}, {"apart", s.Spread, &j.Spread}, {"standby", s.Spot, &j.Spot},
+		{"together", s.OneZone, &job.OneZone}, {"apart", s.Spread, &job.Spread}, {"standby", s.Spot, &job.Spot},
 	} {
 		if f.from.value == nil {
-			return nil, f.name + " is missing"
+			return &fieldError{f.name, problemMissing}
 		}
 		*f.to = *f.from.value
 	}
-	if !validID(j.ID) {
-		return nil, "nameId is not a job id"
+	return nil
+}
+
+func checkID(job *wire.Job) error {
+	if !validID(job.ID) {
+		return &fieldError{"nameId", "is not a job id"}
 	}
+	return nil
+}
+
+// takeTasks sets the number of tasks, which takeAmounts has found to be given.
+func (s *submission) takeTasks(job *wire.Job) error {
+	tasks := *s.Tasks.value
 	if tasks < 1 || tasks > maxTasks || tasks != math.Trunc(tasks) {
-		return nil, "shards is out of range"
+		return &fieldError{"shards", problemOutOfRange}
 	}
-	j.Tasks = int(tasks)
-	switch j.Shape {
+	job.Tasks = int(tasks)
+	return nil
+}
+
+// checkKinds checks the texts that are one of a few words.
+func checkKinds(job *wire.Job) error {
+	switch job.Shape {
 	case wire.ShapeArray, wire.ShapeGang, wire.ShapeService:
 	default:
-		return nil, "shape is unknown"
+		return &fieldError{"shape", problemUnknown}
 	}
-	if _, ok := priorityRank[j.Priority]; !ok {
-		return nil, "urgency is unknown"
+	if _, ok := priorityRank[job.Priority]; !ok {
+		return &fieldError{"urgency", problemUnknown}
 	}
-	if p := s.Types.value; p != nil {
-		// Null allows any type, an empty list none, see possible.
-		j.Types = make([]string, 0, len(*p))
-		for _, t := range *p {
-			if t == nil || *t == "" {
-				return nil, "hulls holds something else than names"
-			}
-			j.Types = append(j.Types, *t)
-		}
+	return nil
+}
+
+// takeTypes sets the allowed machine types: null allows any, an empty list
+// none, see possible.
+func (s *submission) takeTypes(job *wire.Job) error {
+	if s.Types.value == nil {
+		return nil
 	}
-	if p := s.Zone.value; p != nil {
-		if *p == "" {
-			return nil, "berth is not a name"
+	names := *s.Types.value
+	job.Types = make([]string, 0, len(names))
+	for _, name := range names {
+		if name == nil || *name == "" {
+			return &fieldError{"hulls", "holds something else than names"}
 		}
-		j.Zone = *p
+		job.Types = append(job.Types, *name)
 	}
-	if p := s.DeadlineS.value; p != nil {
-		if !sane(*p) {
-			return nil, "dueS is out of range"
-		}
-		j.DeadlineS = p
+	return nil
+}
+
+func (s *submission) takeZone(job *wire.Job) error {
+	if s.Zone.value == nil {
+		return nil
 	}
-	if p := s.Awaits.value; p != nil {
-		named := map[string]bool{}
-		for _, id := range *p {
-			if id == nil || !validID(*id) {
-				return nil, "awaits holds something else than job ids"
-			}
-			if !named[*id] {
-				named[*id] = true
-				j.Awaits = append(j.Awaits, *id)
-			}
+	if *s.Zone.value == "" {
+		return &fieldError{"berth", "is not a name"}
+	}
+	job.Zone = *s.Zone.value
+	return nil
+}
+
+func (s *submission) takeDeadline(job *wire.Job) error {
+	deadline := s.DeadlineS.value
+	if deadline != nil && !sane(*deadline) {
+		return &fieldError{"dueS", problemOutOfRange}
+	}
+	job.DeadlineS = deadline
+	return nil
+}
+
+// takeAwaits sets the awaited jobs, each of them once.
+func (s *submission) takeAwaits(job *wire.Job) error {
+	if s.Awaits.value == nil {
+		return nil
+	}
+	named := map[string]bool{}
+	for _, id := range *s.Awaits.value {
+		if id == nil || !validID(*id) {
+			return &fieldError{"awaits", "holds something else than job ids"}
+		}
+		if !named[*id] {
+			named[*id] = true
+			job.Awaits = append(job.Awaits, *id)
 		}
 	}
-	return &j, ""
+	return nil
 }
 
 // sane tells whether an amount is finite, neither negative nor absurd.
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -31,11 +31,11 @@
 
 func (c *Core) onSubmit(r Request) {
 	u := &c.users
-	job, why := parseSubmission(r.Body)
-	if job == nil {
+	job, err := parseSubmission(r.Body)
+	if err != nil {
 		// A repeated submission of an accepted job is never refused, but a
 		// body that names no valid job is not one.
-		c.answer(r.ID, 400, errorBody(why), 0)
+		c.answer(r.ID, 400, errorBody(err.Error()), 0)
 		return
 	}
 	if f, ok := u.final[job.ID]; ok {
@@ -51,32 +51,49 @@
 		return
 	}
 	if why := c.possible(job); why != "" {
-		// A job that was accepted before gets 200 whatever holds now.
-		c.find(job.ID, func(f found) {
-			switch {
-			case f.failed:
-				c.answer(r.ID, 503, errorBody("the state service does not answer"), 1)
-			case f.open == nil && f.final == nil:
-				c.answer(r.ID, 422, errorBody(why), 0)
-			default:
-				c.answer(r.ID, 200, c.statusOf(job.ID, f), 0)
-			}
-		})
+		c.answerImpossible(r.ID, job.ID, why)
 		return
 	}
 	if c.refuse(r.ID, len(u.submits)) {
 		return
 	}
-	s := &submit{req: r.ID, rec: openRecord{Job: *job, At: c.wall}, awaits: job.Awaits, until: c.now + submitWait}
+	c.enqueueSubmit(c.newSubmit(r.ID, job))
+}
+
+// answerImpossible refuses a job that can never run, unless it was accepted
+// before: then it gets 200 whatever holds now.
+func (c *Core) answerImpossible(req uint64, id, why string) {
+	c.find(id, func(f found) {
+		switch {
+		case f.failed:
+			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+		case f.open == nil && f.final == nil:
+			c.answer(req, 422, errorBody(why), 0)
+		default:
+			c.answer(req, 200, c.statusOf(id, f), 0)
+		}
+	})
+}
+
+// newSubmit makes the submission of a job. Its record names what it awaits only
+// once that is known, see placeNames.
+func (c *Core) newSubmit(req uint64, job *wire.Job) *submit {
+	s := &submit{req: req, rec: openRecord{Job: *job, At: c.wall}, awaits: job.Awaits, until: c.now + submitWait}
 	if len(s.awaits) > c.limits().TxnOps {
 		s.until = c.now + longSubmitWait
 	}
 	s.rec.Job.Awaits = nil
+	return s
+}
+
+// enqueueSubmit has a submission recorded, after a look at the jobs that it
+// awaits.
+func (c *Core) enqueueSubmit(s *submit) {
 	if len(s.awaits) > 0 {
 		c.checkAwaited(s)
 		return
 	}
-	u.submits = append(u.submits, s)
+	c.users.submits = append(c.users.submits, s)
 	c.pumpSubmits()
 }
 
