Give error answers a type, and status codes names

errorBody was an anonymous struct behind any. A refusal for good and one for now have a method each; texts and codes that stand in several places are constants. The bytes of the answers are the same. net/http is not imported for the codes: the program has no other use for it.

--- /dev/null
+++ b/internal/core/answers.go
@@ -0,0 +1,42 @@
+package core
+
+// HTTP status codes of answers, of the controllers and of the services that they
+// call. The core does not need net/http for anything else.
+const (
+	statusNoAnswer         = 0 // of a Result: no answer came
+	statusOK               = 200
+	statusCreated          = 201
+	statusBadRequest       = 400
+	statusNotFound         = 404
+	statusMethodNotAllowed = 405
+	statusConflict         = 409
+	statusMisdirected      = 421
+	statusUnprocessable    = 422
+	statusUnavailable      = 503
+)
+
+// retrySoon is the Retry-After, in seconds, of what may work in a moment.
+const retrySoon = 1
+
+// Error texts of several answers.
+const (
+	errorStoreSilent = "the state service does not answer"
+	errorNotNow      = "not now"
+	errorNoSuchJob   = "no such job"
+	errorStopping    = "tasks are still being stopped"
+)
+
+// errorBody is the body of an answer that reports an error.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// answerError refuses a request for good.
+func (c *Core) answerError(req uint64, status int, text string) {
+	c.answer(req, status, errorBody{text}, 0)
+}
+
+// answerRetry refuses a request for now, and asks the user to come back soon.
+func (c *Core) answerRetry(req uint64, text string) {
+	c.answer(req, statusUnavailable, errorBody{text}, retrySoon)
+}
--- a/internal/core/await_lists.go
+++ b/internal/core/await_lists.go
@@ -139,7 +139,7 @@
 // writeListRecords writes the next records of a submission's list.
 func (c *Core) writeListRecords(s *submit) {
 	if c.now >= s.until {
-		c.answer(s.req, 503, errorBody("not now"), 1)
+		c.answerRetry(s.req, errorNotNow)
 		return
 	}
 	w := s.list
@@ -147,7 +147,7 @@
 	c.commit(txn, false, func(r Result) {
 		var result wire.TxnResult
 		switch {
-		case r.Status == 200 && json.Unmarshal(r.Body, &result) == nil:
+		case r.Status == statusOK && json.Unmarshal(r.Body, &result) == nil:
 			if w.written == 0 {
 				w.version = result.Revision
 			}
@@ -156,14 +156,14 @@
 				c.writeListRecords(s)
 				return
 			}
-		case r.Status == 0 || r.Status == 409:
+		case r.Status == statusNoAnswer || r.Status == statusConflict:
 			// Carried out or not: begun again under another token.
 			s.list = nil
 		default:
-			if r.Status == 400 {
+			if r.Status == statusBadRequest {
 				c.refusedTxn(count)
 			}
-			c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(s.req, errorStoreSilent)
 			return
 		}
 		c.checkAwaited(s)
@@ -318,10 +318,10 @@
 			txn.Writes = append(txn.Writes, wire.Write{Delete: key})
 		}
 		l.c.commit(txn, false, func(r Result) {
-			if l.gone || r.Status != 200 && r.Status != 409 {
+			if l.gone || r.Status != statusOK && r.Status != statusConflict {
 				return // looked for again later
 			}
-			if r.Status == 409 {
+			if r.Status == statusConflict {
 				l.clearAbandoned(found[1:])
 				return
 			}
--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -69,7 +69,7 @@
 func (c *Core) checkAwaited(s *submit) {
 	u := &c.users
 	if c.now >= s.until {
-		c.answer(s.req, 503, errorBody("not now"), 1)
+		c.answerRetry(s.req, errorNotNow)
 		return
 	}
 	var ask []string
@@ -99,9 +99,9 @@
 			}
 			switch {
 			case unknown != "":
-				c.answer(s.req, 422, errorBody("it awaits "+unknown+", which was never accepted"), 0)
+				c.answerError(s.req, statusUnprocessable, "it awaits "+unknown+", which was never accepted")
 			case failed:
-				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+				c.answerRetry(s.req, errorStoreSilent)
 			default:
 				c.checkAwaited(s)
 			}
@@ -122,10 +122,10 @@
 		k := u.open[a]
 		switch {
 		case k == nil: // forgotten again
-			c.answer(s.req, 503, errorBody("not now"), 1)
+			c.answerRetry(s.req, errorNotNow)
 			return
 		case k.rec.Job.Shape == wire.ShapeService:
-			c.answer(s.req, 422, errorBody("it awaits "+a+", a service"), 0)
+			c.answerError(s.req, statusUnprocessable, "it awaits "+a+", a service")
 			return
 		case k.rec.Cancelled:
 			s.withdrawn = true
@@ -164,7 +164,7 @@
 		s.rec.Job.Awaits = []string{s.list.ref.String()}
 		return true
 	case !c.allUnderstand(wire.PeerVersionLists):
-		c.answer(s.req, 503, errorBody("it awaits more jobs than controllers of an earlier version can read"), 1)
+		c.answerRetry(s.req, "it awaits more jobs than controllers of an earlier version can read")
 		return false
 	}
 	c.writeList(s)
@@ -186,19 +186,19 @@
 	c.commit(txn, false, func(r Result) {
 		var tr wire.TxnResult
 		switch {
-		case r.Status == 200 && json.Unmarshal(r.Body, &tr) == nil:
+		case r.Status == statusOK && json.Unmarshal(r.Body, &tr) == nil:
 			for _, id := range ids {
 				c.know(id, &known{version: tr.Revision, rec: marks[id]})
 			}
-		case r.Status == 409 || r.Status == 0:
+		case r.Status == statusConflict || r.Status == statusNoAnswer:
 			for _, id := range ids {
 				delete(c.users.open, id)
 			}
 		default:
-			if r.Status == 400 {
+			if r.Status == statusBadRequest {
 				c.refusedTxn(len(txn.Writes))
 			}
-			c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(s.req, errorStoreSilent)
 			return
 		}
 		c.checkAwaited(s)
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -59,7 +59,7 @@
 
 func (c *Core) onCancel(req uint64, id string) {
 	if !validID(id) {
-		c.answer(req, 404, errorBody("no such job"), 0)
+		c.answerError(req, statusNotFound, errorNoSuchJob)
 		return
 	}
 	c.cancel(req, id, 0)
@@ -71,11 +71,11 @@
 	c.find(id, func(f found) {
 		switch {
 		case f.failed || tries > 4:
-			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(req, errorStoreSilent)
 		case f.open == nil && f.final == nil:
-			c.answer(req, 404, errorBody("no such job"), 0)
+			c.answerError(req, statusNotFound, errorNoSuchJob)
 		case f.final != nil || f.open.rec.told():
-			c.answer(req, 200, c.statusOf(id, f), 0)
+			c.answer(req, statusOK, c.statusOf(id, f), 0)
 		case f.open.rec.Cancelled:
 			c.awaitGone(req, id, f.open)
 		default:
@@ -96,12 +96,12 @@
 		switch {
 		case now != nil:
 			c.awaitGone(req, id, now)
-		case status == 409:
+		case status == statusConflict:
 			c.cancel(req, id, tries+1)
-		case status == 400 && !least:
+		case status == statusBadRequest && !least:
 			c.wish(req, id, k, tries, true)
 		default:
-			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(req, errorStoreSilent)
 		}
 	})
 }
@@ -114,8 +114,8 @@
 	}
 	c.commit(txn, true, func(r Result) {
 		var tr wire.TxnResult
-		if r.Status != 200 || json.Unmarshal(r.Body, &tr) != nil {
-			if r.Status == 409 {
+		if r.Status != statusOK || json.Unmarshal(r.Body, &tr) != nil {
+			if r.Status == statusConflict {
 				delete(c.users.open, id)
 			}
 			f(nil, r.Status)
@@ -131,7 +131,7 @@
 func (c *Core) awaitGone(req uint64, id string, k *known) {
 	u := &c.users
 	if rec, ok := u.final[id]; ok {
-		c.answer(req, 200, rec.status(id), 0)
+		c.answer(req, statusOK, rec.status(id), 0)
 		return
 	}
 	x := u.cancels[id]
@@ -160,7 +160,7 @@
 func (c *Core) putOff(id string) {
 	if x := c.users.cancels[id]; x != nil && !x.busy {
 		for _, w := range x.waiting {
-			c.answer(w.req, 503, errorBody("tasks are still being stopped"), cancelRetry)
+			c.answer(w.req, statusUnavailable, errorBody{errorStopping}, cancelRetry)
 		}
 		x.waiting = nil
 	}
@@ -173,7 +173,7 @@
 	if x := c.users.cancels[e.ID]; x != nil {
 		delete(c.users.cancels, e.ID)
 		for _, w := range x.waiting {
-			c.answer(w.req, 200, f.status(e.ID), 0)
+			c.answer(w.req, statusOK, f.status(e.ID), 0)
 		}
 	}
 }
@@ -222,7 +222,7 @@
 		}
 		delete(c.users.cancels, id)
 		for _, w := range x.waiting {
-			c.answer(w.req, 200, wire.JobStatus{ID: id, Status: wire.StatusCancelled}, 0)
+			c.answer(w.req, statusOK, wire.JobStatus{ID: id, Status: wire.StatusCancelled}, 0)
 		}
 	})
 }
@@ -235,7 +235,7 @@
 	for _, id := range sortedKeys(u.cancels) {
 		x := u.cancels[id]
 		for len(x.waiting) > 0 && c.now >= x.waiting[0].until && !x.busy {
-			c.answer(x.waiting[0].req, 503, errorBody("tasks are still being stopped"), cancelRetry)
+			c.answer(x.waiting[0].req, statusUnavailable, errorBody{errorStopping}, cancelRetry)
 			x.waiting = x.waiting[1:]
 		}
 		if len(x.waiting) == 0 && c.now-x.at > c.cancelTime() {
--- a/internal/core/leaseextension.go
+++ b/internal/core/leaseextension.go
@@ -80,7 +80,7 @@
 		c.log.Debug("lease kept without the leader", "machine", r.Machine)
 	}
 	k.extended[r.Machine] = leaseExtension{c.now, max(r.Token, k.extended[r.Machine].token)}
-	c.answer(req, 200, wire.Orders{Token: r.Token, Commands: []wire.Command{}}, 0)
+	c.answer(req, statusOK, wire.Orders{Token: r.Token, Commands: []wire.Command{}}, 0)
 	return true
 }
 
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -103,7 +103,7 @@
 	c.commit(txn, false, func(r Result) {
 		u.lookupBusy--
 		changed := map[string]bool{}
-		if r.Status == 409 {
+		if r.Status == statusConflict {
 			var result wire.TxnResult
 			json.Unmarshal(r.Body, &result)
 			changed = jobsOfKeys(result.Failed)
@@ -120,9 +120,9 @@
 func (c *Core) endConfirmation(id string, waiting []*lookup, status int, changed bool) {
 	u := &c.users
 	switch {
-	case status == 0:
+	case status == statusNoAnswer:
 		u.wait(id, waiting)
-	case status != 200 && status != 409:
+	case status != statusOK && status != statusConflict:
 		resolve(waiting, found{failed: true})
 	case changed || u.open[id] == nil:
 		delete(u.open, id)
@@ -166,7 +166,7 @@
 		switch {
 		case k != nil:
 			end(c.newest(id, k))
-		case r.Status != 404:
+		case r.Status != statusNotFound:
 			end(found{failed: true})
 		default:
 			c.readFinal(id, end)
@@ -178,7 +178,7 @@
 // none.
 func openFromItem(r Result) *known {
 	var item wire.Item
-	if r.Status != 200 || json.Unmarshal(r.Body, &item) != nil {
+	if r.Status != statusOK || json.Unmarshal(r.Body, &item) != nil {
 		return nil
 	}
 	k := &known{version: item.Version}
@@ -210,10 +210,10 @@
 		var item wire.Item
 		var f finalRecord
 		switch {
-		case r.Status == 404:
+		case r.Status == statusNotFound:
 			delete(c.users.open, id)
 			end(found{})
-		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &f) == nil:
+		case r.Status == statusOK && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &f) == nil:
 			c.remember(id, f)
 			end(found{final: &f})
 		default:
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -47,7 +47,7 @@
 
 // redirect tells a worker to report to another controller.
 func (c *Core) redirect(req uint64, to string) {
-	c.answer(req, 421, wire.Redirect{ReportTo: to}, 0)
+	c.answer(req, statusMisdirected, wire.Redirect{ReportTo: to}, 0)
 }
 
 // answerReport answers a report as the leader.
@@ -80,7 +80,7 @@
 	}
 	if !c.storeOK() && !c.hearsPeer() {
 		// There is nobody to wait for; another controller may know more.
-		c.answer(req, 503, nil, 0)
+		c.answer(req, statusUnavailable, nil, 0)
 		return true
 	}
 	return false
@@ -152,7 +152,7 @@
 			delete(c.forwards, id)
 			if !c.extendLease(f.req, f.body) {
 				c.log.Debug("report not answered in time", "leader", f.sentTo)
-				c.answer(f.req, 503, nil, 0)
+				c.answer(f.req, statusUnavailable, nil, 0)
 			}
 		}
 	}
--- a/internal/core/routes.go
+++ b/internal/core/routes.go
@@ -28,24 +28,18 @@
 			c.onQuery(r.ID, id)
 		}
 	default:
-		c.answer(r.ID, 404, errorBody("no such path"), 0)
+		c.answerError(r.ID, statusNotFound, "no such path")
 	}
 }
 
 func (c *Core) method(r Request, want string) bool {
 	if r.Method != want {
-		c.answer(r.ID, 405, errorBody("method not allowed"), 0)
+		c.answerError(r.ID, statusMethodNotAllowed, "method not allowed")
 		return false
 	}
 	return true
 }
 
-func errorBody(text string) any {
-	return struct {
-		Error string `json:"error"`
-	}{text}
-}
-
 // onHealth answers 200 unless the state service has left this controller
 // alone: one that cannot reach it while others can should get no new users, nor
 // one that hears no other controller either and is more likely cut off than the
@@ -56,25 +50,25 @@
 	}
 	bad := c.users.storeBadSince
 	if bad != 0 && c.now-bad > c.ttl()/2 && c.peerStoreOK() || bad != 0 && c.now-bad > c.ttl() && c.cutFromPeers() {
-		c.answer(r.ID, 503, errorBody("the state service does not answer"), 0)
+		c.answerError(r.ID, statusUnavailable, errorStoreSilent)
 		return
 	}
-	c.answer(r.ID, 200, nil, 0)
+	c.answer(r.ID, statusOK, nil, 0)
 }
 
 func (c *Core) onQuery(req uint64, id string) {
 	if !validID(id) {
-		c.answer(req, 404, errorBody("no such job"), 0)
+		c.answerError(req, statusNotFound, errorNoSuchJob)
 		return
 	}
 	c.find(id, func(f found) {
 		switch {
 		case f.failed:
-			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(req, errorStoreSilent)
 		case f.open == nil && f.final == nil:
-			c.answer(req, 404, errorBody("no such job"), 0)
+			c.answerError(req, statusNotFound, errorNoSuchJob)
 		default:
-			c.answer(req, 200, c.statusOf(id, f), 0)
+			c.answer(req, statusOK, c.statusOf(id, f), 0)
 		}
 	})
 }
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -35,11 +35,11 @@
 	if err != nil {
 		// A repeated submission of an accepted job is never refused, but a
 		// body that names no valid job is not one.
-		c.answer(r.ID, 400, errorBody(err.Error()), 0)
+		c.answerError(r.ID, statusBadRequest, err.Error())
 		return
 	}
 	if f, ok := u.final[job.ID]; ok {
-		c.answer(r.ID, 200, f.status(job.ID), 0)
+		c.answer(r.ID, statusOK, f.status(job.ID), 0)
 		return
 	}
 	if u.open[job.ID] != nil {
@@ -47,7 +47,7 @@
 		return
 	}
 	if len(c.types) == 0 {
-		c.answer(r.ID, 503, errorBody("machine types are not known yet"), 1)
+		c.answerRetry(r.ID, "machine types are not known yet")
 		return
 	}
 	if why := c.possible(job); why != "" {
@@ -66,11 +66,11 @@
 	c.find(id, func(f found) {
 		switch {
 		case f.failed:
-			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(req, errorStoreSilent)
 		case f.open == nil && f.final == nil:
-			c.answer(req, 422, errorBody(why), 0)
+			c.answerError(req, statusUnprocessable, why)
 		default:
-			c.answer(req, 200, c.statusOf(id, f), 0)
+			c.answer(req, statusOK, c.statusOf(id, f), 0)
 		}
 	})
 }
@@ -188,22 +188,22 @@
 	c.commit(&batch.txn, c.smallTxn(len(batch.txn.Writes)), func(r Result) {
 		u.submitBusy = false
 		switch r.Status {
-		case 200:
+		case statusOK:
 			c.submitsRecorded(batch, r.Body)
-		case 409:
+		case statusConflict:
 			c.submitsConflicted(batch, r.Body)
-		case 0:
+		case statusNoAnswer:
 			// Carried out or not, or still to be: sent again, a record that
 			// was made after all is found. With the next tick: a connection
 			// that is reset gives no answer at once.
 			u.submits = append(batch.submits, u.submits...)
 			return
-		case 400:
+		case statusBadRequest:
 			c.submitsMalformed(batch)
 		default:
 			// Refused: the user comes again.
 			for _, s := range batch.submits {
-				c.answer(s.req, 503, errorBody("the state service does not answer"), 1)
+				c.answerRetry(s.req, errorStoreSilent)
 			}
 		}
 		c.pumpSubmits()
@@ -223,11 +223,11 @@
 		if s.withdrawn {
 			f := s.final()
 			c.remember(id, f)
-			c.answer(s.req, 201, f.status(id), 0)
+			c.answer(s.req, statusCreated, f.status(id), 0)
 			continue
 		}
 		c.know(id, &known{version: result.Revision, rec: s.rec})
-		c.answer(s.req, 201, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
+		c.answer(s.req, statusCreated, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
 	}
 }
 
@@ -272,7 +272,7 @@
 func (c *Core) submitsMalformed(batch *submitBatch) {
 	c.refusedTxn(len(batch.txn.Writes))
 	if len(batch.submits) == 1 {
-		c.answer(batch.submits[0].req, 503, errorBody("the state service refuses the record"), 1)
+		c.answerRetry(batch.submits[0].req, "the state service refuses the record")
 		return
 	}
 	for _, s := range batch.submits {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -41,7 +41,7 @@
 func (c *Core) refuse(req uint64, waiting int) bool {
 	bad := c.users.storeBadSince
 	if waiting >= c.maxWaiting() || bad != 0 && c.now-bad > c.storeTimeout()/4 {
-		c.answer(req, 503, errorBody("not now"), 1)
+		c.answerRetry(req, errorNotNow)
 		return true
 	}
 	return false
@@ -50,10 +50,10 @@
 func (c *Core) answerKnown(req uint64, id string) {
 	c.find(id, func(f found) {
 		if f.failed || f.open == nil && f.final == nil {
-			c.answer(req, 503, errorBody("the state service does not answer"), 1)
+			c.answerRetry(req, errorStoreSilent)
 			return
 		}
-		c.answer(req, 200, c.statusOf(id, f), 0)
+		c.answer(req, statusOK, c.statusOf(id, f), 0)
 	})
 }
 
@@ -64,7 +64,7 @@
 	var keep []*submit
 	for _, s := range u.submits {
 		if c.now >= s.until {
-			c.answer(s.req, 503, errorBody("not now"), 1)
+			c.answerRetry(s.req, errorNotNow)
 		} else {
 			keep = append(keep, s)
 		}
