Name steps of the refusal of jobs and of the users' tick

The zones that a job fits, its team's quota and the expiry of submissions and lookups have functions; the number of conditions of a transaction and the tolerance of quotas, which stood in several places, have names. The order of the checks is the same.

--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -45,7 +45,7 @@
 		if _, over := c.users.final[a]; over || k == nil || k.rec.Cancelled {
 			return p, false
 		}
-		if len(p.conds) < 4*c.limits().TxnOps {
+		if len(p.conds) < c.maxConds() {
 			p.conds = append(p.conds, wire.Cond{Key: prefixOpen + a, Version: k.version})
 		}
 		if !k.rec.Needed {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -261,6 +261,9 @@
 	return b
 }
 
+// maxConds is how many conditions a transaction may have.
+func (c *Core) maxConds() int { return 4 * c.limits().TxnOps }
+
 // refusedTxn takes in that the service found a transaction malformed: its limits
 // are lower than they were said to be. Else what does not fit would be sent again
 // for ever, and hold up everything behind it.
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -53,7 +53,7 @@
 	for len(u.order) > 0 && u.lookupBusy < maxLookupCalls {
 		limit := 0
 		if confirm {
-			limit = 4 * c.limits().TxnOps
+			limit = c.maxConds()
 		}
 		batch, unknown := u.nextLookups(limit)
 		if unknown == "" && len(batch) == 0 {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -8,6 +8,9 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
+// quotaTolerance makes up for the rounding of sums.
+const quotaTolerance = 1e-6
+
 // team finds a team of the deployment; nil if there is none of that name.
 func (c *Core) team(name string) *config.Team {
 	for i := range c.cfg.Deployment.Teams {
@@ -56,8 +59,8 @@
 	if t == nil {
 		return false
 	}
-	return (t.CPUsMax == 0 || used.CPUs+task.CPUs*f <= t.CPUsMax+1e-6) &&
-		(t.GPUsMax == 0 || used.GPUs+task.GPUs*f <= t.GPUsMax+1e-6)
+	return (t.CPUsMax == 0 || used.CPUs+task.CPUs*f <= t.CPUsMax+quotaTolerance) &&
+		(t.GPUsMax == 0 || used.GPUs+task.GPUs*f <= t.GPUsMax+quotaTolerance)
 }
 
 // guarantees tells whether any team has a guarantee of what a job takes.
@@ -93,6 +96,6 @@
 		n := float64(len(j.tasks) - j.done)
 		s := sum[j.Team].Add(topology.Resources{CPUs: j.CPUs * n, GPUs: j.GPUs * n})
 		sum[j.Team] = s
-		j.within = (!cpus || s.CPUs <= t.CPUs+1e-6) && (!gpus || s.GPUs <= t.GPUs+1e-6)
+		j.within = (!cpus || s.CPUs <= t.CPUs+quotaTolerance) && (!gpus || s.GPUs <= t.GPUs+quotaTolerance)
 	}
 }
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -300,36 +302,20 @@
 	if j.Types != nil && len(j.Types) == 0 {
 		return "no machine type is allowed"
 	}
-	zones := map[string]bool{} // that rent a machine which a task fits
-	for _, t := range c.types {
-		if !allowed(j.Types, t.Name) || !(topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Holds(size(j)) {
-			continue
-		}
-		for _, z := range t.Zones {
-			if j.Zone == "" || j.Zone == z {
-				zones[z] = true
-			}
-		}
-	}
-	if len(zones) == 0 {
+	zones := c.zonesThatFit(j)
+	if zones == 0 {
 		return "a task fits no allowed machine type"
 	}
-	n := 1.0
-	if j.Shape != wire.ShapeArray {
-		n = float64(j.Tasks)
-	}
-	if team.CPUsMax > 0 && j.CPUs*n > team.CPUsMax+1e-6 || team.GPUsMax > 0 && j.GPUs*n > team.GPUsMax+1e-6 {
+	if exceedsQuota(j, team) {
 		return "more than the team's limit"
 	}
 	// A gang's tasks, two or more, need a second zone if at most half of them
 	// may be in one. Arrays and services may run in parts.
-	if j.Spread && j.Shape == wire.ShapeGang && n > 1 && (j.OneZone || len(zones) < 2) {
+	if j.Spread && j.Shape == wire.ShapeGang && j.Tasks > 1 && (j.OneZone || zones < 2) {
 		return "tasks that are to be apart have only one zone"
 	}
-	for _, id := range j.Awaits {
-		if id == j.ID {
-			return "it awaits itself"
-		}
+	if slices.Contains(j.Awaits, j.ID) {
+		return "it awaits itself"
 	}
 	// Only the jobs that are not over when it is accepted go on record.
 	plain := *j
@@ -339,3 +325,32 @@
 	}
 	return ""
 }
+
+// zonesThatFit counts the zones, of those that a job allows, which rent a
+// machine that one of its tasks fits.
+func (c *Core) zonesThatFit(j *wire.Job) int {
+	zones := map[string]bool{}
+	for _, t := range c.types {
+		capacity := topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}
+		if !allowed(j.Types, t.Name) || !capacity.Holds(size(j)) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if j.Zone == "" || j.Zone == z {
+				zones[z] = true
+			}
+		}
+	}
+	return len(zones)
+}
+
+// exceedsQuota tells whether a job needs more than its team may ever use. The
+// tasks of an array may run one after the other.
+func exceedsQuota(j *wire.Job, team *config.Team) bool {
+	tasks := 1.0
+	if j.Shape != wire.ShapeArray {
+		tasks = float64(j.Tasks)
+	}
+	return team.CPUsMax > 0 && j.CPUs*tasks > team.CPUsMax+quotaTolerance ||
+		team.GPUsMax > 0 && j.GPUs*tasks > team.GPUsMax+quotaTolerance
+}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -113,11 +113,11 @@
 
 // fits tells whether the transaction has room for what a submission adds, and
 // writes none of its keys yet.
-func (b *submitBatch) fits(p prepared, maxOps int) bool {
+func (b *submitBatch) fits(p prepared, maxWrites, maxConds int) bool {
 	if b.bytes+p.bytes > maxTxnBytes {
 		return false
 	}
-	if len(b.txn.Writes)+len(p.writes) > maxOps || len(b.txn.If)+len(p.conds) > 4*maxOps {
+	if len(b.txn.Writes)+len(p.writes) > maxWrites || len(b.txn.If)+len(p.conds) > maxConds {
 		return false
 	}
 	for _, w := range p.writes {
@@ -172,7 +172,7 @@
 		switch {
 		case !ok:
 			again = append(again, s)
-		case !batch.fits(p, c.limits().TxnOps):
+		case !batch.fits(p, c.limits().TxnOps, c.maxConds()):
 			rest = append(rest, s)
 		default:
 			batch.add(s, p)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -60,6 +60,15 @@
 // tickUsers gives up on what has waited too long, at once and with word of
 // when to come back.
 func (c *Core) tickUsers() {
+	c.expireSubmits()
+	c.pumpSubmits()
+	c.expireLookups()
+	c.pumpLookups()
+	c.tickCancels()
+}
+
+// expireSubmits answers the submissions in the queue whose time is up.
+func (c *Core) expireSubmits() {
 	u := &c.users
 	var keep []*submit
 	for _, s := range u.submits {
@@ -70,27 +79,29 @@
 		}
 	}
 	u.submits = keep
-	c.pumpSubmits()
+}
+
+// expireLookups fails the waiting lookups whose time is up.
+func (c *Core) expireLookups() {
+	u := &c.users
 	var order []string
 	for _, id := range u.order {
-		var ls []*lookup
+		var keep []*lookup
 		for _, l := range u.lookups[id] {
 			if c.now >= l.until {
 				l.f(found{failed: true})
 			} else {
-				ls = append(ls, l)
+				keep = append(keep, l)
 			}
 		}
-		if len(ls) > 0 {
-			u.lookups[id] = ls
+		if len(keep) > 0 {
+			u.lookups[id] = keep
 			order = append(order, id)
 		} else {
 			delete(u.lookups, id)
 		}
 	}
 	u.order = order
-	c.pumpLookups()
-	c.tickCancels()
 }
 
 func sortUint64(s []uint64) { sort.Slice(s, func(i, j int) bool { return s[i] < s[j] }) }
