--- /dev/null
+++ b/internal/core/lookup.go
@@ -0,0 +1,223 @@
+package core
+
+import (
+	"time"
+
+	"github.com/brookwalk/brookwalk/wire"
+	"github.com/segmentio/encoding/json"
+)
+
+type lookup struct {
+	f     func(found)
+	until time.Duration
+}
+
+// found is the outcome of a lookup: unknown, open or final; failed when the
+// state service gave no answer.
+type found struct {
+	failed bool
+	open   *known
+	final  *finalRecord
+}
+
+// find looks a job up, so that its answer is no older than this call.
+func (c *Core) find(id string, f func(found)) {
+	u := &c.users
+	if rec, ok := u.final[id]; ok {
+		f(found{final: &rec})
+		return
+	}
+	bad := u.storeBadSince
+	if len(u.order) >= c.maxWaiting() || bad != 0 && c.now-bad > c.storeTimeout()/4 {
+		f(found{failed: true})
+		return
+	}
+	u.wait(id, nil)
+	u.lookups[id] = append(u.lookups[id], &lookup{f: f, until: c.now + lookupWait})
+	c.pumpLookups()
+}
+
+// lookupWait is how long a lookup may take before it fails.
+const lookupWait = 1500 * time.Millisecond
+
+// maxLookupCalls is how many calls for lookups may be under way at a time.
+const maxLookupCalls = 4
+
+// pumpLookups confirms known jobs by one compare-only transaction for many of
+// them, and reads the others. Questions of a moment are gathered: users poll
+// without end, and a transaction for each would take most of the processor and
+// of the state service's requests.
+func (c *Core) pumpLookups() {
+	u := &c.users
+	confirm := c.now >= u.confirmAt
+	for len(u.order) > 0 && u.lookupBusy < maxLookupCalls {
+		limit := 0
+		if confirm {
+			limit = c.maxConds()
+		}
+		batch, unknown := u.nextLookups(limit)
+		if unknown == "" && len(batch) == 0 {
+			return
+		}
+		if unknown != "" {
+			u.lookupBusy++
+			c.read(unknown, u.take(unknown))
+		}
+		if len(batch) > 0 {
+			c.confirmKnown(batch)
+		}
+	}
+}
+
+// nextLookups takes out of the order known jobs, limit at most, and one that is
+// not known, if there is one.
+func (u *users) nextLookups(limit int) (batch []string, unknown string) {
+	var rest []string
+	for _, id := range u.order {
+		isKnown := u.open[id] != nil
+		switch {
+		case isKnown && len(batch) < limit:
+			batch = append(batch, id)
+		case !isKnown && unknown == "":
+			unknown = id
+		default:
+			rest = append(rest, id)
+		}
+	}
+	u.order = rest
+	return batch, unknown
+}
+
+// confirmKnown asks the state service whether the records of known jobs are as
+// they were, and ends the lookups of those of which they are.
+func (c *Core) confirmKnown(batch []string) {
+	u := &c.users
+	u.confirmAt = c.now + c.report()/10
+	u.lookupBusy++
+	txn := &wire.Txn{}
+	waiting := map[string][]*lookup{}
+	for _, id := range batch {
+		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id, Version: u.open[id].version})
+		waiting[id] = u.take(id)
+	}
+	c.commit(txn, false, func(r Result) {
+		u.lookupBusy--
+		changed := map[string]bool{}
+		if r.Status == statusConflict {
+			var result wire.TxnResult
+			json.Unmarshal(r.Body, &result)
+			changed = jobsOfKeys(result.Failed)
+		}
+		for _, id := range batch {
+			c.endConfirmation(id, waiting[id], r.Status, changed[id])
+		}
+		c.pumpLookups()
+	})
+}
+
+// endConfirmation ends the lookups of one known job after the transaction that
+// was to confirm it; if its record has changed, it is read.
+func (c *Core) endConfirmation(id string, waiting []*lookup, status int, changed bool) {
+	u := &c.users
+	switch {
+	case status == statusNoAnswer:
+		u.wait(id, waiting)
+	case status != statusOK && status != statusConflict:
+		resolve(waiting, found{failed: true})
+	case changed || u.open[id] == nil:
+		delete(u.open, id)
+		u.lookupBusy++
+		c.read(id, waiting)
+	default:
+		resolve(waiting, found{open: u.open[id]})
+	}
+}
+
+// wait has lookups of a job wait (again) for their turn, ahead of later ones.
+func (u *users) wait(id string, ls []*lookup) {
+	if len(u.lookups[id]) == 0 {
+		u.order = append(u.order, id)
+	}
+	u.lookups[id] = append(ls, u.lookups[id]...)
+}
+
+func (u *users) take(id string) []*lookup {
+	l := u.lookups[id]
+	delete(u.lookups, id)
+	return l
+}
+
+func resolve(ls []*lookup, f found) {
+	for _, l := range ls {
+		l.f(f)
+	}
+}
+
+// read fetches the open record, then the final one.
+func (c *Core) read(id string, waiting []*lookup) {
+	end := func(f found) {
+		c.users.lookupBusy--
+		resolve(waiting, f)
+		c.pumpLookups()
+	}
+	c.get(prefixOpen+id, func(r Result) {
+		c.noteStore(r)
+		k := openFromItem(r)
+		switch {
+		case k != nil:
+			end(c.newest(id, k))
+		case r.Status != statusNotFound:
+			end(found{failed: true})
+		default:
+			c.readFinal(id, end)
+		}
+	})
+}
+
+// openFromItem decodes the answer to a read of an open record; nil if it holds
+// none.
+func openFromItem(r Result) *known {
+	var item wire.Item
+	if r.Status != statusOK || json.Unmarshal(r.Body, &item) != nil {
+		return nil
+	}
+	k := &known{version: item.Version}
+	if json.Unmarshal(item.Value, &k.rec) != nil {
+		return nil
+	}
+	return k
+}
+
+// newest takes in an open record that was read. What was learned while the
+// answer was on its way is newer: a user may have been told of it here
+// meanwhile.
+func (c *Core) newest(id string, read *known) found {
+	u := &c.users
+	if f, over := u.final[id]; over {
+		return found{final: &f}
+	}
+	if old := u.open[id]; old != nil && old.version >= read.version {
+		return found{open: old}
+	}
+	c.know(id, read)
+	return found{open: read}
+}
+
+// readFinal fetches the final record of a job that has no open one.
+func (c *Core) readFinal(id string, end func(found)) {
+	c.get(prefixFinal+id, func(r Result) {
+		c.noteStore(r)
+		var item wire.Item
+		var f finalRecord
+		switch {
+		case r.Status == statusNotFound:
+			delete(c.users.open, id)
+			end(found{})
+		case r.Status == statusOK && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &f) == nil:
+			c.remember(id, f)
+			end(found{final: &f})
+		default:
+			end(found{failed: true})
+		}
+	})
+}
