Judge a cancellation by what its user knew when it was sent

The stand-in user took a 404 for a forgotten job when its cancellation had been sent together with the submission and came first: the answer to the submission was there before that to the cancellation. What was accepted when the cancellation is sent must not get 404, as before.

--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -263,12 +263,14 @@
 	if j.asked == 0 {
 		j.asked = u.w.now
 	}
+	// A cancellation that is on its way together with the submission may come first.
+	accepted := j.accepted
 	u.pick().ask("user", "POST", "/submissions/"+j.id+"/cancel", nil, 5*time.Second, func(a core.Answer) {
 		if a.Status == 200 {
 			u.tell(j, a.Body)
 			return
 		}
-		if j.accepted && (a.Status == 400 || a.Status == 404 || a.Status == 422) {
+		if accepted && (a.Status == 400 || a.Status == 404 || a.Status == 422) {
 			u.w.check.broken("forgotten", "%s: its cancellation got %d", j.id, a.Status)
 		}
 		wait := max(time.Second, min(30*time.Second, time.Duration(a.RetryAfter)*time.Second))
