Give Core.Step a sealed set of inputs, and split core.go by concern

A step took any value and switched on its type: an input that it did not know was ignored without a word. Input is an interface of this package now, each input has its handler beside it, and a message of another controller is a PeerInput. Calls to the state service and the machine types move to files of their own. No behaviour changes.

--- a/internal/core/await_lists_test.go
+++ b/internal/core/await_lists_test.go
@@ -165,7 +165,7 @@
 	names := openJobs(b, 150)
 	b.c.cfg.Peers = []config.Peer{{Name: "n1", Zone: "b"}}
 	b.c.peers["n1"] = &peerState{}
-	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersionLists - 1}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersionLists - 1}}})
 	b.run(3 * time.Second)
 	var a Answer
 	for range 8 {
@@ -175,7 +175,7 @@
 	if a.Status != 503 || a.RetryAfter == 0 || len(b.listKeys()) > 0 {
 		t.Errorf("answered %d %s, %d list records", a.Status, a.Body, len(b.listKeys()))
 	}
-	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersionLists}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersionLists}}})
 	if a := b.askPatiently(named(9, jsonNames(names))); a.Status != 201 {
 		t.Errorf("after the upgrade: %d %s", a.Status, a.Body)
 	}
--- a/internal/core/cancel_test.go
+++ b/internal/core/cancel_test.go
@@ -34,7 +34,7 @@
 			}
 			id := "job-000412"
 			lead := func() {
-				b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 5, Leader: true, HearsLeader: true, StoreOK: true}})
+				b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 5, Leader: true, HearsLeader: true, StoreOK: true}}})
 			}
 			lead()
 			b.nextReq++
@@ -45,7 +45,7 @@
 			if tc.deposed {
 				b.write(keyTerm, "", []byte("6"))
 			}
-			b.step(&wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: termVersion}})
+			b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: termVersion}}})
 			a := b.answers[b.nextReq]
 			if a.Status != tc.status {
 				t.Errorf("answered %d %s, want %d", a.Status, a.Body, tc.status)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,74 +16,6 @@
 	"github.com/segmentio/encoding/json"
 )
 
-// Dest names who a call goes to.
-type Dest int
-
-// The destinations of calls.
-const (
-	DestStore Dest = iota
-	DestCloud
-	DestWorker
-)
-
-// Request is an HTTP request of a user, a worker or a health check.
-type Request struct {
-	ID     uint64
-	Method string
-	Path   string
-	Body   []byte
-}
-
-// Result ends a call. Status 0 means that no answer came; NotSent that the
-// call certainly was not executed.
-type Result struct {
-	ID      uint64
-	Status  int
-	Body    []byte
-	NotSent bool
-}
-
-// Tick tells the core that time has passed.
-type Tick struct{}
-
-// Answer is the response to a Request.
-type Answer struct {
-	ID         uint64
-	Status     int
-	Body       []byte
-	RetryAfter int
-}
-
-// Call asks for an HTTP call.
-type Call struct {
-	ID      uint64
-	Dest    Dest
-	Addr    string // of a worker
-	Method  string
-	Path    string
-	Body    []byte
-	Timeout time.Duration
-	// Writes is the number of puts and deletes, for the write budget.
-	Writes int
-	// Urgent calls go ahead of others when the budget is short.
-	Urgent bool
-	// Watch marks a call that stays open and needs its own connection.
-	Watch bool
-}
-
-// Send hands a message to a peer.
-type Send struct {
-	To  string
-	Msg *wire.PeerMessage
-}
-
-// Output is all that a step asks for.
-type Output struct {
-	Answers []Answer
-	Calls   []Call
-	Sends   []Send
-}
-
 // Core is the state machine of one controller.
 type Core struct {
 	cfg  *config.Settings
@@ -153,27 +85,15 @@
 	return c
 }
 
-// Step feeds one input (Request, Result, *wire.PeerMessage or Tick) at the
-// steady time now and the time of day wall, and returns what it leads to.
-func (c *Core) Step(now time.Duration, wall time.Time, in any) Output {
+// Step feeds one input at the steady time now and the time of day wall, and
+// returns what it leads to.
+func (c *Core) Step(now time.Duration, wall time.Time, in Input) Output {
 	if now > c.now {
 		c.now = now
 	}
 	c.wall = wall.UnixMilli()
 	c.out = Output{}
-	switch in := in.(type) {
-	case Request:
-		c.onRequest(in)
-	case Result:
-		if f := c.calls[in.ID]; f != nil {
-			delete(c.calls, in.ID)
-			f(in)
-		}
-	case *wire.PeerMessage:
-		c.onPeer(in)
-	case Tick:
-		c.onTick()
-	}
+	in.handle(c)
 	if c.lead != nil {
 		// Decisions wait for the next tick, so that no report's answer is late
 		// behind one; what they have changed is recorded at once.
@@ -232,128 +152,9 @@
 	return b
 }
 
-// storeTimeout bounds a call to the state service. It is a ratio of the
-// workers' lease: several tries must fit before a lease runs out.
-func (c *Core) storeTimeout() time.Duration { return c.lease() / 5 }
-
-// commitTimeout bounds a transaction. Its answer takes milliseconds, or the few
-// hundred that the service takes now and then; one that does not come may never
-// come. Every transaction here is conditional on what it changes, so it can be
-// sent again: whichever copy is carried out first, the other one does nothing.
-// Waiting for storeTimeout, a leader placed nothing for seconds after each
-// transaction that got no answer, and users' questions were answered too late.
-func (c *Core) commitTimeout() time.Duration { return c.report() / 3 }
-
-// maxTxnBytes bounds the values of a transaction, of which the state service takes
-// 64 KiB in all; writeOverhead is what a change takes beside its value, at most.
-const (
-	maxTxnBytes   = 48 << 10
-	writeOverhead = 200
-)
-
-// limits are those of the state service that hold now and later, as far as they
-// were announced or have shown.
-func (c *Core) limits() config.State {
-	b := c.cfg.Deployment.State.Bound()
-	if c.fewerOps > 0 {
-		b.TxnOps = min(b.TxnOps, c.fewerOps)
-	}
-	return b
-}
-
-// maxConds is how many conditions a transaction may have.
-func (c *Core) maxConds() int { return 4 * c.limits().TxnOps }
-
-// refusedTxn takes in that the service found a transaction malformed: its limits
-// are lower than they were said to be. Else what does not fit would be sent again
-// for ever, and hold up everything behind it.
-func (c *Core) refusedTxn(writes int) {
-	if writes > 2 {
-		c.fewerOps = max(2, writes*3/4)
-		c.log.Info("the state service takes fewer changes at a time", "changes", c.fewerOps)
-	}
-}
-
 func (c *Core) lease() time.Duration  { return config.Seconds(c.cfg.Deployment.Workers.LeaseS) }
 func (c *Core) report() time.Duration { return config.Seconds(c.cfg.Deployment.Workers.ReportS) }
 
-func (c *Core) get(key string, f func(Result)) {
-	c.call(Call{Dest: DestStore, Method: "GET", Path: "/store/" + key, Timeout: c.storeTimeout()}, f)
-}
-
-func (c *Core) commit(t *wire.Txn, urgent bool, f func(Result)) {
-	if t.If == nil {
-		t.If = []wire.Cond{}
-	}
-	if t.Writes == nil {
-		t.Writes = []wire.Write{}
-	}
-	c.call(Call{Dest: DestStore, Method: "POST", Path: "/commit", Body: encode(t), Timeout: c.commitTimeout(),
-		Writes: len(t.Writes), Urgent: urgent}, func(r Result) {
-		c.noteStore(r)
-		f(r)
-	})
-}
-
-// noteStore keeps track of whether the state service answers this controller.
-func (c *Core) noteStore(r Result) {
-	if r.Status == 0 || r.Status == 503 {
-		if c.users.storeBadSince == 0 {
-			c.users.storeBadSince = c.now
-		}
-	} else if r.Status != 429 {
-		c.users.storeBadSince = 0
-	}
-}
-
-func (c *Core) storeOK() bool { return c.users.storeBadSince == 0 }
-
-// tickTypes asks the cloud for its machine types now and then, and keeps the
-// last answer in the state service so that a restart during an outage of the
-// cloud can still validate submissions.
-func (c *Core) tickTypes() {
-	period := 20 * time.Second
-	if len(c.types) == 0 {
-		period = time.Second
-	}
-	if c.typesBusy || c.typesAt != 0 && c.now < c.typesAt+period {
-		return
-	}
-	c.typesBusy = true
-	c.typesAt = c.now
-	c.call(Call{Dest: DestCloud, Method: "GET", Path: "/machine_types", Timeout: 3 * time.Second}, func(r Result) {
-		c.typesBusy = false
-		if r.Status == 200 && c.setTypes(r.Body) {
-			if raw := string(r.Body); c.lead != nil && raw != c.typesRaw && len(raw) <= c.maxValue() {
-				c.typesRaw = raw
-				c.commit(&wire.Txn{If: []wire.Cond{c.lead.termCond()}, Writes: []wire.Write{{Put: keyTypes, Value: r.Body}}}, false, func(Result) {})
-			}
-			return
-		}
-		if len(c.types) == 0 {
-			c.get(keyTypes, func(r Result) {
-				var it wire.Item
-				if r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && len(c.types) == 0 {
-					c.setTypes(it.Value)
-				}
-			})
-		}
-	})
-}
-
-func (c *Core) setTypes(body []byte) bool {
-	var t wire.MachineTypes
-	if json.Unmarshal(body, &t) != nil || len(t.Types) == 0 {
-		return false
-	}
-	types := map[string]*wire.MachineType{}
-	for i := range t.Types {
-		types[t.Types[i].Name] = &t.Types[i]
-	}
-	c.types = types
-	return true
-}
-
 // sortedKeys returns a map's keys in order, so that no map order shows.
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
--- a/internal/core/health_test.go
+++ b/internal/core/health_test.go
@@ -45,5 +45,5 @@
 }
 
 func heardFrom(b *harness, storeOK bool) {
-	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{StoreOK: storeOK}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{StoreOK: storeOK}}})
 }
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -56,7 +56,7 @@
 }
 
 // step feeds an input, and the result of every call that it leads to.
-func (b *harness) step(in any) {
+func (b *harness) step(in Input) {
 	out := b.c.Step(b.now, time.Unix(1e9, 0).Add(b.now), in)
 	if b.stepped != nil {
 		b.stepped()
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -137,14 +137,14 @@
 	}
 	b.c.cfg.Peers = []config.Peer{{Name: "n1", Zone: "b"}}
 	b.c.peers["n1"] = &peerState{}
-	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 5, Leader: true, HearsLeader: true, StoreOK: true}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 5, Leader: true, HearsLeader: true, StoreOK: true}}})
 	b.nextReq++
 	b.step(Request{ID: b.nextReq, Method: "POST", Path: "/submissions/" + id + "/cancel"})
-	b.step(&wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: b.store[keyTerm].Version}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: b.store[keyTerm].Version}}})
 	if a := b.answers[b.nextReq]; a.Status != 503 || a.RetryAfter == 0 {
 		t.Errorf("answered %d %s, want 503 and when to come back", a.Status, a.Body)
 	}
-	b.step(&wire.PeerMessage{From: "n1", Ends: &wire.Ends{Over: []wire.JobEnd{{ID: id, Status: wire.StatusCancelled, Tasks: 16}}}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Over: []wire.JobEnd{{ID: id, Status: wire.StatusCancelled, Tasks: 16}}}}})
 	if a := b.ask("POST", "/submissions/"+id+"/cancel", ""); a.Status != 200 {
 		t.Errorf("answered %d %s once its end is on record", a.Status, a.Body)
 	}
@@ -212,7 +212,7 @@
 	delete(b.store, "p/job-1/0")
 	j.chunks[0].version, j.chunks[0].dirty, j.chunks[0].due = 0, true, 0
 	l.records.dirty = true
-	b.step(&wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersion}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Version: wire.PeerVersion}}})
 	b.run(1e9)
 	if status, _ := b.commit([]byte(late)); status != 409 {
 		t.Errorf("the late copy is answered %d, want 409", status)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,7 +237,7 @@
 	if c.peer != nil {
 		ms, err := c.peer.Feed(in)
 		for _, m := range ms {
-			n.step(m, c)
+			n.step(core.PeerInput{Message: m}, c)
 		}
 		if err != nil {
 			n.log.Debug("peer stream broken", "err", err)
@@ -292,7 +292,7 @@
 
 // step feeds the core and carries out what it asks for. The caller holds the
 // lock; current is the connection whose data is being handled.
-func (n *Node) step(in any, current *conn) {
+func (n *Node) step(in core.Input, current *conn) {
 	now := time.Now()
 	out := n.core.Step(now.Sub(n.start), now, in)
 	for _, a := range out.Answers {
--- a/internal/sim/upgrade_test.go
+++ b/internal/sim/upgrade_test.go
@@ -124,7 +124,7 @@
 	c.cmd.Wait()
 }
 
-func (c *child) Step(now time.Duration, wall time.Time, in any) core.Output {
+func (c *child) Step(now time.Duration, wall time.Time, in core.Input) core.Output {
 	x := childInput{Now: now, WallMS: wall.UnixMilli()}
 	switch in := in.(type) {
 	case core.Tick:
@@ -132,8 +132,8 @@
 		x.Request = &childRequest{ID: in.ID, Method: in.Method, Path: in.Path, Body: in.Body}
 	case core.Result:
 		x.Result = &childResult{ID: in.ID, Status: in.Status, Body: in.Body, NotSent: in.NotSent}
-	case *wire.PeerMessage:
-		x.Message = in
+	case core.PeerInput:
+		x.Message = in.Message
 	default:
 		c.t.Fatalf("the old version takes no %T", in)
 	}
@@ -306,7 +306,7 @@
 	new bool
 }
 
-func (r *recorder) Step(now time.Duration, wall time.Time, in any) core.Output {
+func (r *recorder) Step(now time.Duration, wall time.Time, in core.Input) core.Output {
 	if q, ok := in.(core.Request); ok {
 		r.u.visit(q, r.new)
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -92,7 +92,7 @@
 // stepper is what a node runs: a core of this version, or a child process with
 // one of another version.
 type stepper interface {
-	Step(now time.Duration, wall time.Time, in any) core.Output
+	Step(now time.Duration, wall time.Time, in core.Input) core.Output
 }
 
 // jobTruth is what the stand-ins know of a job.
@@ -237,7 +237,7 @@
 	n.w.after(75*time.Millisecond, func() { n.tick(life) })
 }
 
-func (n *node) feed(in any) {
+func (n *node) feed(in core.Input) {
 	now := n.w.now - n.born + time.Millisecond
 	// A drifting steady clock, within what the protocol allows.
 	now += now * time.Duration(n.index) / 4000
@@ -256,7 +256,7 @@
 		n.w.deliver(n.name, to, func() {
 			for _, o := range n.w.nodes {
 				if o.name == to && o.alive {
-					o.feed(msg)
+					o.feed(core.PeerInput{Message: msg})
 				}
 			}
 		})
