Give shapes, priorities, states, verbs, causes and reasons types of their own

They were plain strings, so a job's state could be compared with a task's and a reason misspelt. Values on the wire, in records and between controllers are as before; JobEnd.Status stays a string, which is what earlier versions send. The reason of a stop that nobody read is gone.

--- a/internal/core/await_lists_test.go
+++ b/internal/core/await_lists_test.go
@@ -193,7 +193,7 @@
 }
 
 // end records a job's end as an earlier leader would.
-func (b *harness) end(id, status string) {
+func (b *harness) end(id string, status wire.JobState) {
 	b.write(prefixFinal+id, prefixOpen+id, encode(finalRecord{Status: status, Tasks: 1}))
 }
 
@@ -256,7 +256,7 @@
 			cancel(l)
 		}
 		b.run(5 * time.Second)
-		if f := string(b.store[prefixFinal+id].Value); !strings.Contains(f, wire.StatusCancelled) || len(b.listKeys()) > 0 {
+		if f := string(b.store[prefixFinal+id].Value); !strings.Contains(f, string(wire.StatusCancelled)) || len(b.listKeys()) > 0 {
 			t.Errorf("before %v: ended as %q, list records left: %d", before, f, len(b.listKeys()))
 		}
 	}
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -168,7 +168,7 @@
 
 // noteEnd takes in that a job's end is recorded for good.
 func (c *Core) noteEnd(e wire.JobEnd) {
-	f := finalRecord{Status: e.Status, Tasks: e.Tasks}
+	f := finalRecord{Status: wire.JobState(e.Status), Tasks: e.Tasks}
 	c.remember(e.ID, f)
 	if x := c.users.cancels[e.ID]; x != nil {
 		delete(c.users.cancels, e.ID)
@@ -279,7 +279,7 @@
 	l.ending = append(l.ending, j)
 	for i := range j.tasks {
 		if j.tasks[i].m != nil {
-			l.stopTask(j, i, 0, "cancelled")
+			l.stopTask(j, i, 0, stopCancelled)
 		}
 	}
 	l.records.dirty = true
@@ -298,7 +298,7 @@
 		}
 		switch f, over := l.c.users.final[x.ID]; {
 		case over:
-			e.Over = append(e.Over, wire.JobEnd{ID: x.ID, Status: f.Status, Tasks: f.Tasks})
+			e.Over = append(e.Over, wire.JobEnd{ID: x.ID, Status: string(f.Status), Tasks: f.Tasks})
 		case !l.ready:
 		case j == nil:
 			// Never heard of, or its end not remembered: in either case no task
--- a/internal/core/chains_test.go
+++ b/internal/core/chains_test.go
@@ -304,8 +304,8 @@
 	for _, tc := range []struct {
 		name   string
 		happen func(b *harness)
-		status string // of the answer
-		awaits string // as recorded; "-" for no open record
+		status wire.JobState // of the answer
+		awaits string        // as recorded; "-" for no open record
 	}{
 		{"done", func(b *harness) {
 			b.write(prefixFinal+jobID(1), prefixOpen+jobID(1), []byte(`{"s":"done","n":1}`))
@@ -339,7 +339,7 @@
 			}
 			for _, status := range []int{201, 200} {
 				a := other.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`))
-				if a.Status != status || !strings.Contains(string(a.Body), `"status":"`+tc.status+`"`) {
+				if a.Status != status || !strings.Contains(string(a.Body), `"status":"`+string(tc.status)+`"`) {
 					t.Fatalf("answered %d %s, want %d %s", a.Status, a.Body, status, tc.status)
 				}
 			}
@@ -347,7 +347,7 @@
 				t.Fatal("nothing was written")
 			}
 			follow(b, other)
-			if a := b.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`)); a.Status != 200 || !strings.Contains(string(a.Body), tc.status) {
+			if a := b.ask("POST", "/submissions", named(2, `["`+jobID(1)+`"]`)); a.Status != 200 || !strings.Contains(string(a.Body), string(tc.status)) {
 				t.Errorf("the repeat elsewhere is answered %d %s", a.Status, a.Body)
 			}
 			it, open := b.store[prefixOpen+jobID(2)]
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if rep.Token > l.term {
-		l.c.stepDown("a worker has seen a higher term")
+		l.c.stepDown(stepDownWorkerKnows)
 		return
 	}
 	m.contact = l.c.now
--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -83,7 +83,7 @@
 	for k, p := range m.placed {
 		p.j.moveTo[p.i] = to[k]
 	}
-	l.cordon(m, "its replicas fit on other machines")
+	l.cordon(m, drainConsolidated)
 	m.evict = true
 }
 
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if c.lead != nil && term > c.lead.term {
-		c.stepDown("a higher term exists")
+		c.stepDown(stepDownHigherTerm)
 	}
 	if c.lead != nil {
 		return
@@ -205,7 +205,7 @@
 			return
 		}
 		if r.Status == 404 {
-			c.stepDown("the lease ran out")
+			c.stepDown(stepDownLeaseEnded)
 			return
 		}
 		if c.hearsPeer() {
@@ -238,7 +238,7 @@
 }
 
 // stepDown ends this controller's leadership.
-func (c *Core) stepDown(why string) {
+func (c *Core) stepDown(why stepDownReason) {
 	c.log.Info("step down", "term", c.lead.term, "why", why)
 	c.lead.gone = true
 	c.elect.leaderHeard = c.now
--- a/internal/core/forecast_test.go
+++ b/internal/core/forecast_test.go
@@ -86,7 +86,7 @@
 func TestNoteArrival(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		shape string
+		shape wire.Shape
 		tasks int
 		ageS  int64
 		want  int
--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -116,7 +116,7 @@
 const maxExpired = 3
 
 // unhealthy tells why a machine is to be returned; empty if it is not.
-func (l *leader) unhealthy(m *machine, s *silenceSurvey) string {
+func (l *leader) unhealthy(m *machine, s *silenceSurvey) drainReason {
 	silence := l.silence(m)
 	limit := 2 * l.leaseBound()
 	if s.mostSilent {
@@ -124,15 +124,15 @@
 	}
 	switch {
 	case l.dead(m, s):
-		return "dead"
+		return drainDead
 	case m.listedAs == wire.MachineFailed:
-		return "failed"
+		return drainFailed
 	case m.shouldReport() && silence > limit:
-		return "silent"
+		return drainSilent
 	case m.expired >= maxExpired:
-		return "loses its lease again and again"
+		return drainLosesLease
 	case m.deafSince != 0 && l.c.now-m.deafSince > l.c.lease():
-		return "does not hear"
+		return drainDeaf
 	}
 	return ""
 }
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -79,7 +79,7 @@
 			listed = l.loadedAt
 		}
 		if listed != 0 && l.c.now-listed > 3*l.listLag() && l.c.now-m.heard > 3*l.c.report() && !m.returning {
-			l.returnMachine(m, "no longer listed")
+			l.returnMachine(m, drainUnlisted)
 		}
 	}
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -66,7 +66,7 @@
 	ours     bool   // placed under this term
 	copied   bool   // a copy of the start was sent
 	seen     bool   // a report under this term showed it
-	state    string
+	state    wire.TaskState
 	upAt     time.Duration // first seen running
 	placedAt time.Duration
 	stop     *stop
@@ -77,13 +77,12 @@
 	grace float64
 	at    time.Duration
 	hard  bool
-	why   string
 }
 
 // ranks is the number of priorities.
 const ranks = 4
 
-var priorityRank = map[string]int{
+var priorityRank = map[wire.Priority]int{
 	wire.PriorityCritical: 3, wire.PriorityUrgent: 2, wire.PriorityNormal: 1, wire.PriorityIdle: 0,
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -48,11 +48,11 @@
 	idleSince time.Duration
 	images    []image // believed to be cached, latest use first
 
-	listedAs  string
+	listedAs  wire.MachineState
 	listedAt  time.Duration
 	createdAt time.Duration // estimate of the rental
 	leaving   time.Duration // when the cloud takes it; 0 unknown
-	drain     string        // why it takes no more tasks
+	drain     drainReason   // why it takes no more tasks
 	evict     bool          // its tasks are stopped, to run elsewhere
 	lostTerm  bool          // its lease ran out while it was silent
 	lapsed    time.Duration // when a direct answer showed a session that no report had
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -216,7 +216,7 @@
 	if d.Leader {
 		c.onLeaderDigest(from, d)
 	} else if c.lead != nil && d.Term > c.lead.term {
-		c.stepDown("a peer knows a higher term")
+		c.stepDown(stepDownPeerKnows)
 	}
 }
 
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -102,9 +102,9 @@
 			l.c.log.Info("preempt", "task", v.name, "machine", s.m.name, "for", j.ID, "grace_s", grace)
 			if v.j.Shape == wire.ShapeGang {
 				v.j.preempted++
-				l.stopGang(v.j, grace, "preempted")
+				l.stopGang(v.j, grace, stopPreempted)
 			} else {
-				l.stopTask(v.j, v.i, grace, "preempted")
+				l.stopTask(v.j, v.i, grace, stopPreempted)
 			}
 		}
 	}
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -154,7 +154,7 @@
 	j.ended = true
 	l.records.leftOver = append(l.records.leftOver, leftOver...)
 	l.records.dirty = l.records.dirty || len(l.records.leftOver) > 0
-	end := wire.JobEnd{ID: j.ID, Status: final.Status, Tasks: final.Tasks}
+	end := wire.JobEnd{ID: j.ID, Status: string(final.Status), Tasks: final.Tasks}
 	l.c.noteEnd(end)
 	b.ends = append(b.ends, end)
 	l.forget(j)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -38,8 +38,8 @@
 
 // finalRecord is the value of an ended job's record, which is never changed.
 type finalRecord struct {
-	Status string `json:"s"`
-	Tasks  int    `json:"n"`
+	Status wire.JobState `json:"s"`
+	Tasks  int           `json:"n"`
 }
 
 func (f finalRecord) status(id string) wire.JobStatus {
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -94,7 +94,7 @@
 	for _, key := range failed {
 		switch {
 		case key == keyTerm:
-			l.c.stepDown("the term has changed")
+			l.c.stepDown(stepDownTermChanged)
 			return
 		case strings.HasPrefix(key, prefixOpen):
 			if j := l.jobs[key[len(prefixOpen):]]; j != nil && !j.stale {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -17,7 +17,7 @@
 		return 400, []byte(`{"error":"not a report"}`)
 	}
 	if r.Token > l.term {
-		l.c.stepDown("a worker has seen a higher term")
+		l.c.stepDown(stepDownWorkerKnows)
 		return 503, []byte("{}")
 	}
 	if _, ok := l.returned[r.Machine]; ok {
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -8,7 +8,7 @@
 
 // returnMachine returns a machine to the cloud. Whatever was on it is gone once
 // the cloud has confirmed.
-func (l *leader) returnMachine(m *machine, why string) {
+func (l *leader) returnMachine(m *machine, why drainReason) {
 	if m.drain == "" {
 		m.drain = why
 		l.c.log.Info("return machine", "machine", m.name, "why", why, "tasks", len(m.placed))
@@ -30,7 +30,7 @@
 		switch {
 		case l.gone:
 		case r.Status == 409:
-			l.c.stepDown("the term has changed")
+			l.c.stepDown(stepDownTermChanged)
 		case r.Status == 200, l.c.hearsPeer():
 			// During a general outage of the state service nobody is elected;
 			// a peer that knew of a higher term would have told us.
@@ -91,10 +91,10 @@
 			grace = p.j.SaveS
 		}
 		if p.j.Shape == wire.ShapeGang {
-			l.stopGang(p.j, grace, "machine leaves")
+			l.stopGang(p.j, grace, stopDrained)
 			continue
 		}
-		l.stopTask(p.j, p.i, grace, "machine leaves")
+		l.stopTask(p.j, p.i, grace, stopDrained)
 	}
 }
 
@@ -111,7 +111,7 @@
 		// term the time to report first.
 		// One that has placements did come up: another controller may keep it.
 		if l.bootOverdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
-			l.returnMachine(m, "does not come up")
+			l.returnMachine(m, drainNeverUp)
 		}
 		return
 	}
@@ -123,7 +123,7 @@
 		return
 	}
 	if m.leaving != 0 {
-		l.returnMachine(m, "will be taken")
+		l.returnMachine(m, drainTakenByCloud)
 		return
 	}
 	idle := 3 * l.c.lease()
@@ -134,6 +134,6 @@
 		return
 	}
 	if l.c.now-m.idleSince >= idle && l.c.now-m.createdAt >= minCharge {
-		l.returnMachine(m, "idle")
+		l.returnMachine(m, drainIdle)
 	}
 }
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -126,19 +126,21 @@
 
 // takeNames sets the texts that every job has.
 func (s *submission) takeNames(job *wire.Job) error {
+	var shape, priority string
 	for _, f := range []struct {
 		name string
 		from field[string]
 		to   *string
 	}{
 		{"nameId", s.ID, &job.ID}, {"jobclass", s.Class, &job.Class}, {"crew", s.Team, &job.Team},
-		{"shape", s.Shape, &job.Shape}, {"urgency", s.Priority, &job.Priority}, {"bundle", s.Image, &job.Image},
+		{"shape", s.Shape, &shape}, {"urgency", s.Priority, &priority}, {"bundle", s.Image, &job.Image},
 	} {
 		if f.from.value == nil || *f.from.value == "" {
 			return &fieldError{f.name, problemMissing}
 		}
 		*f.to = *f.from.value
 	}
+	job.Shape, job.Priority = wire.Shape(shape), wire.Priority(priority)
 	return nil
 }
 
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -116,7 +116,7 @@
 
 // awaitedOver takes in that a job's end is on record: its dependents go on, or
 // end with it.
-func (l *leader) awaitedOver(id, status string) {
+func (l *leader) awaitedOver(id string, status wire.JobState) {
 	if l.deps.needed(id) {
 		l.c.log.Debug("awaited job over", "job", id, "status", status)
 	}
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -144,7 +144,7 @@
 	if a := b.answers[b.nextReq]; a.Status != 503 || a.RetryAfter == 0 {
 		t.Errorf("answered %d %s, want 503 and when to come back", a.Status, a.Body)
 	}
-	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Over: []wire.JobEnd{{ID: id, Status: wire.StatusCancelled, Tasks: 16}}}}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Over: []wire.JobEnd{{ID: id, Status: string(wire.StatusCancelled), Tasks: 16}}}}})
 	if a := b.ask("POST", "/submissions/"+id+"/cancel", ""); a.Status != 200 {
 		t.Errorf("answered %d %s once its end is on record", a.Status, a.Body)
 	}
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -101,7 +101,7 @@
 }
 
 // orphaned judges a job that is called neither done nor cancelled.
-func (c *checker) orphaned(u *userJob, status string) {
+func (c *checker) orphaned(u *userJob, status wire.JobState) {
 	if id := c.cancelledBefore(c.w.jobs[u.id]); id != "" && u.final == "" {
 		c.broken("orphaned", "%s is %s, %.3f s after the user of %s was told that it is cancelled", u.id, status,
 			(c.w.now - c.w.users.jobs[id].cancelled).Seconds(), id)
--- a/internal/sim/pipelines_test.go
+++ b/internal/sim/pipelines_test.go
@@ -154,7 +154,7 @@
 		w.jobs[id] = &jobTruth{Job: wire.Job{ID: id, Tasks: 1, Awaits: awaits}, done: map[int]bool{0: i == 0}}
 		w.users.jobs[id] = &userJob{id: id, accepted: true}
 	}
-	tell := func(id, status string, faults int) {
+	tell := func(id string, status wire.JobState, faults int) {
 		t.Helper()
 		body, _ := json.Marshal(wire.JobStatus{ID: id, Status: status})
 		w.users.tell(w.users.jobs[id], body)
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -247,7 +247,9 @@
 	set(&t.Class, "class")
 	set(&t.Team, "team")
 	set(&t.Image, "image")
-	set(&t.Priority, "priority")
+	if v, ok := l.opt["priority"]; ok {
+		t.Priority = wire.Priority(v)
+	}
 	if v := l.opt["types"]; v != "" {
 		t.Types = strings.Split(v, ",")
 	}
@@ -530,7 +532,7 @@
 				return fmt.Sprintf("%s: told %q, not over", what, j.last.Status)
 			}
 		default:
-			if j.last.Status != l.arg(1) {
+			if j.last.Status != wire.JobState(l.arg(1)) {
 				return fmt.Sprintf("%s: told %q, %q expected", what, j.last.Status, l.arg(1))
 			}
 		}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -27,7 +27,7 @@
 	early     bool          // submitted without waiting for those that it names
 	known     time.Duration // was told that it is accepted
 	refused   int
-	final     string
+	final     wire.JobState
 	asked     time.Duration // to cancel
 	cancelled time.Duration // was told so
 	last      wire.JobStatus
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -43,8 +43,8 @@
 	job      *jobTruth
 	index    int
 	attempt  uint64
-	state    string
-	cause    string
+	state    wire.TaskState
+	cause    wire.ExitCause
 	saved    bool
 	on       bool
 	ordered  time.Duration // the command to start it was carried out
@@ -245,7 +245,7 @@
 	}
 }
 
-func (m *machine) end(t *task, cause string) {
+func (m *machine) end(t *task, cause wire.ExitCause) {
 	m.off(t)
 	t.cause = cause
 	m.changed = true
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -86,7 +86,8 @@
 	Held []string
 }
 
-// JobEnd is the end of a job.
+// JobEnd is the end of a job. Status is a JobState; the field keeps the type that
+// earlier versions send.
 type JobEnd struct {
 	ID     string
 	Status string
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3,55 +3,73 @@
 // terms of the field; the tags carry the names the protocol uses.
 package wire
 
+// Shape tells how the tasks of a job belong together.
+type Shape string
+
 // Job shapes.
 const (
-	ShapeArray   = "array"
-	ShapeGang    = "group"
-	ShapeService = "daemon"
+	ShapeArray   Shape = "array"
+	ShapeGang    Shape = "group"
+	ShapeService Shape = "daemon"
 )
 
+// Priority orders jobs, and decides which of them may preempt others.
+type Priority string
+
 // Priorities, highest first.
 const (
-	PriorityCritical = "critical"
-	PriorityUrgent   = "urgent"
-	PriorityNormal   = "normal"
-	PriorityIdle     = "idle"
+	PriorityCritical Priority = "critical"
+	PriorityUrgent   Priority = "urgent"
+	PriorityNormal   Priority = "normal"
+	PriorityIdle     Priority = "idle"
 )
 
+// JobState is the state of a job as its user sees it.
+type JobState string
+
 // Job states as users see them.
 const (
-	StatusPending   = "pending"
-	StatusRunning   = "running"
-	StatusDone      = "done"
-	StatusCancelled = "withdrawn"
+	StatusPending   JobState = "pending"
+	StatusRunning   JobState = "running"
+	StatusDone      JobState = "done"
+	StatusCancelled JobState = "withdrawn"
 )
 
+// TaskState is the state of a task on its machine.
+type TaskState string
+
 // Task states in a worker's report.
 const (
-	TaskFetching = "pulling"
-	TaskWaiting  = "waiting"
-	TaskRunning  = "running"
-	TaskSaving   = "flushing"
-	TaskExited   = "ended"
+	TaskFetching TaskState = "pulling"
+	TaskWaiting  TaskState = "waiting"
+	TaskRunning  TaskState = "running"
+	TaskSaving   TaskState = "flushing"
+	TaskExited   TaskState = "ended"
 )
 
+// ExitCause tells why a task has exited.
+type ExitCause string
+
 // Causes of a task's exit.
 const (
-	CauseDone       = "done"
-	CauseStopped    = "halted"
-	CausePeers      = "peers"
-	CauseIncomplete = "incomplete"
-	CauseError      = "error"
-	CauseNoRoom     = "full"
-	CauseInUse      = "in_use"
-	CauseUnknown    = "no_such"
+	CauseDone       ExitCause = "done"
+	CauseStopped    ExitCause = "halted"
+	CausePeers      ExitCause = "peers"
+	CauseIncomplete ExitCause = "incomplete"
+	CauseError      ExitCause = "error"
+	CauseNoRoom     ExitCause = "full"
+	CauseInUse      ExitCause = "in_use"
+	CauseUnknown    ExitCause = "no_such"
 )
 
+// Verb is what a command asks a worker to do.
+type Verb string
+
 // Command verbs.
 const (
-	VerbStart  = "run"
-	VerbStop   = "kill"
-	VerbForget = "reap"
+	VerbStart  Verb = "run"
+	VerbStop   Verb = "kill"
+	VerbForget Verb = "reap"
 )
 
 // Job is a submission, valid and complete. It is part of the records that
@@ -61,8 +79,8 @@
 	ID          string   `json:"nameId"`
 	Class       string   `json:"jobclass"`
 	Team        string   `json:"crew"`
-	Shape       string   `json:"shape"`
-	Priority    string   `json:"urgency"`
+	Shape       Shape    `json:"shape"`
+	Priority    Priority `json:"urgency"`
 	Tasks       int      `json:"shards"`
 	CPUs        float64  `json:"cpus"`
 	GPUs        float64  `json:"accelerators"`
@@ -85,10 +103,10 @@
 
 // JobStatus answers a submission, a query or a cancellation.
 type JobStatus struct {
-	ID      string `json:"nameId"`
-	Status  string `json:"status"`
-	Done    int    `json:"done"`
-	Running int    `json:"running"`
+	ID      string   `json:"nameId"`
+	Status  JobState `json:"status"`
+	Done    int      `json:"done"`
+	Running int      `json:"running"`
 }
 
 // Report is what a worker sends, and the body of its answers to commands.
@@ -112,16 +130,16 @@
 
 // Task is one task in a report.
 type Task struct {
-	Task    string `json:"shard"`
-	Attempt uint64 `json:"launch"`
-	State   string `json:"status"`
-	Cause   string `json:"cause,omitempty"`
-	Saved   bool   `json:"kept,omitempty"`
+	Task    string    `json:"shard"`
+	Attempt uint64    `json:"launch"`
+	State   TaskState `json:"status"`
+	Cause   ExitCause `json:"cause,omitempty"`
+	Saved   bool      `json:"kept,omitempty"`
 }
 
 // Command is one order to a worker.
 type Command struct {
-	Verb    string   `json:"verb"`
+	Verb    Verb     `json:"verb"`
 	Task    string   `json:"shard"`
 	Attempt uint64   `json:"launch"`
 	GraceS  *float64 `json:"respiteS,omitempty"`
@@ -172,22 +190,25 @@
 	Machines []string `json:"hosts"`
 }
 
+// MachineState is the state of a machine in the cloud's list.
+type MachineState string
+
 // Machine states in the cloud's list.
 const (
-	MachineBooting = "booting"
-	MachineRunning = "running"
-	MachineFailed  = "failed"
+	MachineBooting MachineState = "booting"
+	MachineRunning MachineState = "running"
+	MachineFailed  MachineState = "failed"
 )
 
 // Machine is one row of the cloud's list.
 type Machine struct {
-	Name   string  `json:"nameId"`
-	Addr   string  `json:"endpoint"`
-	Type   string  `json:"hull"`
-	Zone   string  `json:"berth"`
-	Spot   bool    `json:"standby"`
-	Status string  `json:"status"`
-	AgeS   float64 `json:"heldS"`
+	Name   string       `json:"nameId"`
+	Addr   string       `json:"endpoint"`
+	Type   string       `json:"hull"`
+	Zone   string       `json:"berth"`
+	Spot   bool         `json:"standby"`
+	Status MachineState `json:"status"`
+	AgeS   float64      `json:"heldS"`
 }
 
 // MachineList is a page of the cloud's list.
