--- a/internal/core/affinity.go
+++ b/internal/core/affinity.go
@@ -12,8 +12,8 @@
 // after it was answered, and seldom, so that a controller which cannot be
 // reached from there costs it little of its lease.
 
-// visitor is a worker that reports to this controller.
-type visitor struct {
+// reporter is a worker that reports to this controller.
+type reporter struct {
 	seen         time.Duration
 	idle         bool // it has no tasks
 	answered     time.Duration
@@ -24,39 +24,39 @@
 
 // noteReporter notes a worker's report, and names the controller that the
 // worker had better report to, if that is another one.
-func (c *Core) noteReporter(body []byte) (*visitor, string) {
+func (c *Core) noteReporter(body []byte) (*reporter, string) {
 	var r struct {
 		Machine string     `json:"host"`
 		Zone    string     `json:"berth"`
 		Tasks   []struct{} `json:"shards"`
 	}
 	if json.Unmarshal(body, &r) != nil || r.Machine == "" {
-		return &visitor{}, ""
+		return &reporter{}, ""
 	}
-	v := c.visitors[r.Machine]
-	if v == nil {
-		v = &visitor{}
-		c.visitors[r.Machine] = v
+	worker := c.reporters[r.Machine]
+	if worker == nil {
+		worker = &reporter{}
+		c.reporters[r.Machine] = worker
 	}
-	if v.seen == 0 || c.now-v.seen > 3*c.report() {
+	if worker.seen == 0 || c.now-worker.seen > 3*c.report() {
 		c.log.Debug("worker reports here", "machine", r.Machine, "zone", r.Zone)
 	}
-	v.seen, v.idle = c.now, len(r.Tasks) == 0
-	if v.answered == 0 || c.now-v.answered > 2*c.report() || !v.mayRedirect(c) {
-		return v, ""
+	worker.seen, worker.idle = c.now, len(r.Tasks) == 0
+	if worker.answered == 0 || c.now-worker.answered > 2*c.report() || !worker.mayRedirect(c) {
+		return worker, ""
 	}
-	home := c.preferredController(r.Machine, r.Zone)
-	if home == "" || home == c.cfg.Name {
-		return v, ""
+	preferred := c.preferredController(r.Machine, r.Zone)
+	if preferred == "" || preferred == c.cfg.Name {
+		return worker, ""
 	}
-	v.redirected = c.now
-	c.log.Debug("worker sent home", "machine", r.Machine, "to", home)
-	return v, home
+	worker.redirected = c.now
+	c.log.Debug("worker redirected", "machine", r.Machine, "to", preferred)
+	return worker, preferred
 }
 
 // mayRedirect tells whether the worker was not sent elsewhere for a while.
-func (v *visitor) mayRedirect(c *Core) bool {
-	return v.redirected == 0 || c.now-v.redirected > 6*c.lease()
+func (worker *reporter) mayRedirect(c *Core) bool {
+	return worker.redirected == 0 || c.now-worker.redirected > 6*c.lease()
 }
 
 // preferredController names a controller in a zone that leads or hears the
@@ -86,11 +86,11 @@
 	return best
 }
 
-// tickVisitors forgets workers that report elsewhere.
-func (c *Core) tickVisitors() {
-	for name, v := range c.visitors {
-		if c.now-v.seen > 8*c.lease() {
-			delete(c.visitors, name)
+// tickReporters forgets workers that report elsewhere.
+func (c *Core) tickReporters() {
+	for name, worker := range c.reporters {
+		if c.now-worker.seen > 8*c.lease() {
+			delete(c.reporters, name)
 		}
 	}
 }
--- a/internal/core/await_lists.go
+++ b/internal/core/await_lists.go
@@ -187,7 +187,7 @@
 
 func (l *leader) readListPage(j *job, after string, names []string) {
 	l.c.readPage(j.list.prefix, after, false, func(p *wire.Page) {
-		if l.gone || l.jobs[j.ID] != j {
+		if l.deposed || l.jobs[j.ID] != j {
 			return
 		}
 		if p == nil {
@@ -276,7 +276,7 @@
 // led to no job.
 func (l *leader) findAbandoned(after string, found []attempt) {
 	l.c.readPage(prefixList, after, false, func(p *wire.Page) {
-		if l.gone || p == nil {
+		if l.deposed || p == nil {
 			return
 		}
 		for _, item := range p.Items {
@@ -324,7 +324,7 @@
 			txn.Writes = append(txn.Writes, wire.Write{Delete: key})
 		}
 		l.c.commit(txn, false, func(r Result) {
-			if l.gone || r.Status != statusOK && r.Status != statusConflict {
+			if l.deposed || r.Status != statusOK && r.Status != statusConflict {
 				return // looked for again later
 			}
 			if r.Status == statusConflict {
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -14,7 +14,7 @@
 // service, machines, or several of them. So it is given only when it has come
 // true already:
 //
-//   - the wish to cancel is recorded in the job's open record. From then on no
+//   - the cancellation request is recorded in the job's open record. From then on no
 //     placement can be recorded, since each is conditional on that record;
 //   - the leader stops the tasks, wherever they are reached, and counts each of
 //     them until it is certainly gone (gone.go);
@@ -23,13 +23,13 @@
 //     and its term is confirmed to be still the latest.
 //
 // Until then the user is asked to come back, at once where tasks are out of
-// reach. Users were once told as soon as the wish was recorded: with the state
+// reach. Users were once told as soon as the request was recorded: with the state
 // service gone a moment later, a new leader could not learn of the jobs, and
 // their tasks ran on for longer than cancel_s.
 
 // cancelling is a cancellation that is recorded while its user is not told.
 type cancelling struct {
-	version uint64        // of the open record with the wish
+	version uint64        // of the open record with the request
 	at      time.Duration // a user last asked
 	waiting []cancelWaiter
 	busy    bool // the confirmation is being recorded
@@ -65,7 +65,7 @@
 	c.cancel(req, id, 0)
 }
 
-// cancel records the wish to cancel a job, and has the request wait until its
+// cancel records the request to cancel a job, and has the request wait until its
 // tasks are gone.
 func (c *Core) cancel(req uint64, id string, tries int) {
 	c.find(id, func(f found) {
@@ -74,23 +74,23 @@
 			c.answerRetry(req, errorStoreSilent)
 		case f.open == nil && f.final == nil:
 			c.answerError(req, statusNotFound, errorNoSuchJob)
-		case f.final != nil || f.open.rec.told():
+		case f.final != nil || f.open.rec.acknowledged():
 			c.answer(req, statusOK, c.statusOf(id, f), 0)
 		case f.open.rec.Cancelled:
 			c.awaitGone(req, id, f.open)
 		default:
-			c.wish(req, id, f.open, tries, false)
+			c.recordCancellation(req, id, f.open, tries, false)
 		}
 	})
 }
 
-// wish records that a user wants a job cancelled; least if the service does not
+// recordCancellation records that a user wants a job cancelled; least if the service does not
 // take the job's whole description any more.
-func (c *Core) wish(req uint64, id string, k *known, tries int, least bool) {
+func (c *Core) recordCancellation(req uint64, id string, k *known, tries int, least bool) {
 	rec := k.rec
 	rec.Cancelled, rec.AskedAt = true, c.wall
 	if least || len(encode(rec)) > c.maxValue() {
-		rec, least = rec.least(), true
+		rec, least = rec.reduced(), true
 	}
 	c.writeOpen(id, k.version, rec, nil, func(now *known, status int) {
 		switch {
@@ -99,7 +99,7 @@
 		case status == statusConflict:
 			c.cancel(req, id, tries+1)
 		case status == statusBadRequest && !least:
-			c.wish(req, id, k, tries, true)
+			c.recordCancellation(req, id, k, tries, true)
 		default:
 			c.answerRetry(req, errorStoreSilent)
 		}
@@ -145,19 +145,19 @@
 	case c.lead != nil:
 		c.lead.noteOpen(id, k.version, k.rec)
 		if c.lead.heldUp(id) {
-			c.putOff(id)
+			c.askToRetry(id)
 		}
 	case c.hearsLeader():
 		// The leader learns of it by its watch, or, should the state service
 		// fail it just now, from us.
 		c.sendDigest()
 	default:
-		c.putOff(id)
+		c.askToRetry(id)
 	}
 }
 
-// putOff asks those who wait for a cancellation to come back.
-func (c *Core) putOff(id string) {
+// askToRetry asks those who wait for a cancellation to come back.
+func (c *Core) askToRetry(id string) {
 	if x := c.users.cancels[id]; x != nil && !x.busy {
 		for _, w := range x.waiting {
 			c.answer(w.req, statusUnavailable, errorBody{errorStopping}, cancelRetry)
@@ -184,7 +184,7 @@
 		c.noteEnd(j)
 	}
 	for _, id := range e.Held {
-		c.putOff(id)
+		c.askToRetry(id)
 	}
 	for _, id := range e.Gone {
 		c.confirmGone(id, e.TermVersion)
@@ -193,7 +193,7 @@
 
 // confirmGone records that a job's user is told, if the leader who says that no
 // task is left is still the latest one: a later one may have started some
-// before the wish was recorded.
+// before the request was recorded.
 func (c *Core) confirmGone(id string, termVersion uint64) {
 	x, k := c.users.cancels[id], c.users.open[id]
 	if x == nil || x.busy || len(x.waiting) == 0 {
@@ -202,14 +202,14 @@
 	if k == nil || k.version != x.version || k.rec.Needed {
 		// Of a job that others need, the leader's word does not suffice: while
 		// it cannot read, more dependents may have come.
-		c.putOff(id)
+		c.askToRetry(id)
 		return
 	}
 	x.busy = true
 	rec := k.rec
 	rec.CancelledAt = c.wall
 	if len(encode(rec)) > c.maxValue() {
-		rec = rec.least()
+		rec = rec.reduced()
 	}
 	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: keyTerm, Version: termVersion}}, func(k *known, status int) {
 		x.busy = false
@@ -217,7 +217,7 @@
 			return // over meanwhile
 		}
 		if k == nil {
-			c.putOff(id)
+			c.askToRetry(id)
 			return
 		}
 		delete(c.users.cancels, id)
@@ -228,7 +228,7 @@
 }
 
 // tickCancels asks users to come back whose wait is over, and forgets
-// cancellations that nobody has asked about for cancel_s: their wish is on
+// cancellations that nobody has asked about for cancel_s: their request is on
 // record.
 func (c *Core) tickCancels() {
 	u := &c.users
@@ -244,29 +244,29 @@
 	}
 }
 
-// noteWish takes in what an open record says of a cancellation.
-func (l *leader) noteWish(j *job, rec openRecord) {
+// noteCancellation takes in what an open record says of a cancellation.
+func (l *leader) noteCancellation(j *job, rec openRecord) {
 	ago := func(at int64, skew float64) time.Duration {
 		return l.c.now - time.Duration(max(0, l.c.wall-at+int64(skew)))*time.Millisecond
 	}
 	if rec.Cancelled && !j.cancelled {
-		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.told())
+		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.acknowledged())
 		l.markCancelled(j)
 		if rec.AskedAt != 0 {
 			j.askedAt = ago(rec.AskedAt, 0)
 		}
 		var before []string
 		l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
-		l.reclaim(before)
+		l.recomputeInherited(before)
 		l.cancelAfter(j.ID)
 	}
-	if rec.told() && !j.told {
-		j.told = true
+	if rec.acknowledged() && !j.acknowledged {
+		j.acknowledged = true
 		// Not from when this leader learns of it: each of several leaders in
 		// a row would take its time anew, and the task run on beyond it.
-		j.toldAt = l.c.now
+		j.acknowledgedAt = l.c.now
 		if rec.CancelledAt != 0 {
-			j.toldAt = ago(rec.CancelledAt, l.c.cfg.Deployment.SkewMs)
+			j.acknowledgedAt = ago(rec.CancelledAt, l.c.cfg.Deployment.SkewMs)
 		}
 	}
 }
@@ -278,7 +278,7 @@
 	l.cancelled[j.ID] = j
 	l.ending = append(l.ending, j)
 	for i := range j.tasks {
-		if j.tasks[i].m != nil {
+		if j.tasks[i].machine != nil {
 			l.stopTask(j, i, 0, stopCancelled)
 		}
 	}
@@ -329,7 +329,7 @@
 		return false
 	}
 	for i := range j.tasks {
-		if m := j.tasks[i].m; m != nil && l.c.now-max(m.heard, m.contact) > l.overdueReport() {
+		if m := j.tasks[i].machine; m != nil && l.c.now-max(m.heard, m.contact) > l.overdueReport() {
 			return true
 		}
 	}
@@ -343,13 +343,13 @@
 	for _, id := range sortedKeys(l.cancelled) {
 		j := l.cancelled[id]
 		switch {
-		case !j.loaded || j.placed > 0 || l.awaitedStill(id):
+		case !j.loaded || j.placed > 0 || l.hasLiveDependents(id):
 			j.goneAt = 0
 		case j.goneAt == 0:
 			j.goneAt = l.c.now
 		}
-		if l.goneLong(j) && !j.goneSaid {
-			j.goneSaid = true
+		if l.goneLong(j) && !j.goneAnnounced {
+			j.goneAnnounced = true
 			e.Gone = append(e.Gone, id)
 		}
 	}
@@ -373,6 +373,6 @@
 // that runs other work is given the time to come back while the user still asks,
 // but for what the cloud's answer takes.
 func (l *leader) cancelLate(j *job) bool {
-	return j.told && l.c.now-j.toldAt > l.c.cancelTime()*3/5 ||
+	return j.acknowledged && l.c.now-j.acknowledgedAt > l.c.cancelTime()*3/5 ||
 		j.cancelled && l.c.now-j.askedAt > userPatience*4/5
 }
--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -17,20 +17,20 @@
 
 // candidate is a job with tasks to place, and what orders it.
 type candidate struct {
-	j          *job
-	guaranteed bool
-	slack      float64
-	work       float64
-	pending    []int
-	held       int  // tasks for which room is being made
-	noOffer    bool // no machine can be rented for it just now
-	power      int  // the rank by which it may stop other work
+	job            *job
+	guaranteed     bool
+	slack          float64
+	work           float64
+	pending        []int
+	reserved       int  // tasks for which room is being made
+	noOffer        bool // no machine can be rented for it just now
+	preemptionRank int  // the rank by which it may stop other work
 }
 
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
 // whole, once nothing of its last attempt is left.
 func (j *job) pendingTasks() []int {
-	if !j.loaded || j.waits || j.cancelled || j.final || j.ended || j.stale || j.done == len(j.tasks) {
+	if !j.loaded || j.waits || j.cancelled || j.endPending || j.ended || j.stale || j.done == len(j.tasks) {
 		return nil
 	}
 	if j.placed == len(j.tasks) || j.Shape == wire.ShapeGang && j.placed > 0 {
@@ -38,7 +38,7 @@
 	}
 	var out []int
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.m == nil && !t.done {
+		if t := &j.tasks[i]; t.machine == nil && !t.done {
 			out = append(out, i)
 		}
 	}
@@ -55,12 +55,12 @@
 		if len(p) == 0 {
 			continue
 		}
-		c := &candidate{j: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p, power: l.power(j)}
+		c := &candidate{job: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p, preemptionRank: l.preemptionRank(j)}
 		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
 			// One task makes a job begin. Where more jobs wait than there is
 			// room for, all tasks of one ahead of the next kept every job of
 			// a class from beginning for six minutes.
-			out = append(out, &candidate{j: j, guaranteed: j.within, slack: c.slack, work: c.work - 1, pending: p[:1:1], power: c.power})
+			out = append(out, &candidate{job: j, guaranteed: j.within, slack: c.slack, work: c.work - 1, pending: p[:1:1], preemptionRank: c.preemptionRank})
 			c.pending = p[1:]
 		}
 		out = append(out, c)
@@ -70,8 +70,8 @@
 		if x.guaranteed != y.guaranteed {
 			return x.guaranteed
 		}
-		if x.j.rank != y.j.rank {
-			return x.j.rank > y.j.rank
+		if x.job.rank != y.job.rank {
+			return x.job.rank > y.job.rank
 		}
 		if x.slack != y.slack {
 			return x.slack < y.slack
@@ -79,14 +79,14 @@
 		if x.work != y.work {
 			return x.work < y.work
 		}
-		return x.j.order < y.j.order
+		return x.job.order < y.job.order
 	})
 	return out
 }
 
-// power is the rank by which a job may stop other work. That of a dependent
+// preemptionRank is the rank by which a job may stop other work. That of a dependent
 // counts once the chain would be late without it.
-func (l *leader) power(j *job) int {
+func (l *leader) preemptionRank(j *job) int {
 	if own := priorityRank[j.Priority]; j.rank > own && l.slack(j) > l.runEstimate(j) {
 		return own
 	}
--- a/internal/core/chains_test.go
+++ b/internal/core/chains_test.go
@@ -128,7 +128,7 @@
 }
 
 // TestCancelCost cancels the root of large graphs, also under a leader that finds
-// the wish on record. Every job that needs it is over before the root is, in as
+// the request on record. Every job that needs it is over before the root is, in as
 // few transactions as the ends fill: a chain that took one for each job would
 // take longer than cancel_s where the state service answers slowly.
 func TestCancelCost(t *testing.T) {
@@ -190,7 +190,7 @@
 // nextLeader has a new leader load the records, of which one tells that its user
 // wants it cancelled.
 func nextLeader(b *harness, old *leader, cancelled string) *leader {
-	old.gone = true
+	old.deposed = true
 	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
 	b.c.lead = l
 	for _, key := range sortedKeys(b.store) {
@@ -219,11 +219,11 @@
 			recordGraph(b, l, g)
 			before := l.deps.steps
 			for _, id := range g.order {
-				if j := l.jobs[id]; j.waits && !j.free {
+				if j := l.jobs[id]; j.waits && !j.awaitedDone {
 					t.Fatalf("%s still waits though all before it are done", id)
 				}
 				j := l.jobs[id]
-				j.waits, j.free = false, false // as when its record says that it goes on
+				j.waits, j.awaitedDone = false, false // as when its record says that it goes on
 				l.deps.drop(id)
 				delete(l.jobs, id)
 				l.awaitedOver(id, wire.StatusDone)
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -69,7 +69,7 @@
 			return false
 		}
 	}
-	return !j.final
+	return !j.endPending
 }
 
 // attemptKey names an attempt at a task.
@@ -123,7 +123,7 @@
 	body := encode(wire.Orders{Token: l.term, Session: session, Commands: cmds})
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
 		m.doBusy--
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		known := r.Status == 200 || r.Status == 409 || r.Status == 400 || r.NotSent
--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -81,7 +81,7 @@
 // moveReplicas has a machine's replicas move to others, given in their order.
 func (l *leader) moveReplicas(m *machine, to []*machine) {
 	for k, p := range m.placed {
-		p.j.moveTo[p.i] = to[k]
+		p.job.moveTo[p.index] = to[k]
 	}
 	l.cordon(m, drainConsolidated)
 	m.evict = true
@@ -118,8 +118,8 @@
 // movable tells whether all that a machine does is to run settled replicas.
 func (m *machine) movable() bool {
 	for _, p := range m.placed {
-		t := &p.j.tasks[p.i]
-		if p.j.Shape != wire.ShapeService || t.state != wire.TaskRunning || t.stop != nil {
+		t := &p.job.tasks[p.index]
+		if p.job.Shape != wire.ShapeService || t.state != wire.TaskRunning || t.stop != nil {
 			return false
 		}
 	}
@@ -128,7 +128,7 @@
 
 // jobZone names a job in a zone.
 type jobZone struct {
-	j    *job
+	job  *job
 	zone string
 }
 
@@ -142,15 +142,15 @@
 	added := map[jobZone]int{}
 	var to []*machine
 	for _, p := range m.placed {
-		if p.j.OneZone {
+		if p.job.OneZone {
 			return nil
 		}
-		best := l.moveTarget(m, p.j, targets, free, added)
+		best := l.moveTarget(m, p.job, targets, free, added)
 		if best == nil {
 			return nil
 		}
-		free[best] = free[best].Sub(size(&p.j.Job))
-		added[jobZone{p.j, best.key.zone}]++
+		free[best] = free[best].Sub(size(&p.job.Job))
+		added[jobZone{p.job, best.key.zone}]++
 		to = append(to, l.machines[best.machine])
 	}
 	return to
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,8 +46,8 @@
 
 	forwards    map[uint64]*forward
 	nextForward uint64
-	keep        keeper
-	visitors    map[string]*visitor // workers that report here
+	extensions  leaseExtensions
+	reporters   map[string]*reporter // workers that report here
 	digestAt    time.Duration
 	countsAt    time.Duration
 	counts      map[string]wire.JobCount // last digest of the leader
@@ -55,7 +55,7 @@
 
 type peerState struct {
 	heard time.Duration
-	testimony
+	peerExtensions
 	storeOK     bool
 	hearsLeader bool
 	ever        bool
@@ -76,7 +76,7 @@
 		calls:    map[uint64]func(Result){},
 		types:    map[string]*wire.MachineType{},
 		peers:    map[string]*peerState{},
-		forwards: map[uint64]*forward{}, visitors: map[string]*visitor{},
+		forwards: map[uint64]*forward{}, reporters: map[string]*reporter{},
 	}
 	for _, p := range cfg.Peers {
 		c.peers[p.Name] = &peerState{}
@@ -121,7 +121,7 @@
 	if c.now >= c.digestAt {
 		c.digestAt = c.now + c.ttl()/4
 		c.sendDigest()
-		c.tickVisitors()
+		c.tickReporters()
 	}
 	if c.lead != nil {
 		c.lead.tick()
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -240,7 +240,7 @@
 // stepDown ends this controller's leadership.
 func (c *Core) stepDown(why stepDownReason) {
 	c.log.Info("step down", "term", c.lead.term, "why", why)
-	c.lead.gone = true
+	c.lead.deposed = true
 	c.elect.leaderHeard = c.now
 	c.lead = nil
 	c.elect.leader = ""
--- a/internal/core/failures.go
+++ b/internal/core/failures.go
@@ -8,10 +8,10 @@
 // only avoided where there is a choice.
 func (l *leader) taskFailed(j *job, m *machine) {
 	m.failed[j.ID] = true
-	j.failOn[m.name] = true
-	if len(j.failOn) > 1 {
-		j.fails++
-		j.retryAt = l.c.now + min(time.Second<<min(j.fails, 6), 2*l.c.lease())
+	j.failedOn[m.name] = true
+	if len(j.failedOn) > 1 {
+		j.failures++
+		j.retryAt = l.c.now + min(time.Second<<min(j.failures, 6), 2*l.c.lease())
 	} else {
 		j.retryAt = l.c.now + l.c.report()/5
 	}
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -23,7 +23,7 @@
 func (l *leader) review(m *machine, heardTerm bool) {
 	for _, p := range m.placed {
 		t := p.task()
-		if t.m != m {
+		if t.machine != m {
 			continue // released by an earlier one of its gang
 		}
 		if t.session < m.session {
@@ -50,10 +50,10 @@
 }
 
 // observe takes in the state of a task that a report shows.
-func (l *leader) observe(p ref, w wire.Task) {
-	t := &p.j.tasks[p.i]
+func (l *leader) observe(p taskRef, w wire.Task) {
+	t := &p.job.tasks[p.index]
 	if t.ours && !t.seen {
-		t.m.deafSince = 0 // it has heard that start
+		t.machine.deafSince = 0 // it has heard that start
 	}
 	t.seen, t.copied, t.recorded = true, true, true
 	if w.State == wire.TaskExited {
@@ -63,7 +63,7 @@
 	if w.State == wire.TaskRunning && t.state != wire.TaskRunning {
 		t.upAt = l.c.now
 		if t.ours {
-			t.m.failed = map[string]bool{} // it can start tasks after all
+			t.machine.failed = map[string]bool{} // it can start tasks after all
 		}
 	}
 	t.state = w.State
@@ -78,7 +78,7 @@
 	m.lostTerm = true
 	l.c.log.Info("worker's lease ran out", "machine", m.name, "tasks", len(m.placed))
 	for _, p := range m.placed {
-		if t := p.task(); t.m == m && t.session <= m.session {
+		if t := p.task(); t.machine == m && t.session <= m.session {
 			l.lost(p, lossLease)
 		}
 	}
@@ -89,7 +89,7 @@
 func (l *leader) machineGone(m *machine) {
 	l.c.log.Info("machine gone", "machine", m.name)
 	for _, p := range m.placed {
-		if p.task().m == m {
+		if p.task().machine == m {
 			l.lost(p, lossMachine)
 		}
 	}
@@ -97,20 +97,20 @@
 }
 
 // lost releases a task that is certainly gone without an end of its own.
-func (l *leader) lost(p ref, why lossReason) {
-	l.c.log.Debug("task lost", "task", p.name, "machine", p.j.tasks[p.i].m.name, "why", why)
-	gang := p.j.Shape == wire.ShapeGang && !p.j.tasks[p.i].done
-	l.release(p.j, p.i)
+func (l *leader) lost(p taskRef, why lossReason) {
+	l.c.log.Debug("task lost", "task", p.name, "machine", p.job.tasks[p.index].machine.name, "why", why)
+	gang := p.job.Shape == wire.ShapeGang && !p.job.tasks[p.index].done
+	l.release(p.job, p.index)
 	if gang {
-		l.breakGang(p.j)
+		l.breakGang(p.job)
 	}
 }
 
 // exited releases a task that has ended, by its cause.
-func (l *leader) exited(p ref, w wire.Task) {
-	j, i := p.j, p.i
+func (l *leader) exited(p taskRef, w wire.Task) {
+	j, i := p.job, p.index
 	t := &j.tasks[i]
-	m := t.m
+	m := t.machine
 	if w.Cause != wire.CauseDone && w.Cause != wire.CauseStopped {
 		l.c.log.Info("task ended", "task", taskName(j.ID, i), "machine", m.name, "cause", w.Cause)
 	} else {
@@ -140,7 +140,7 @@
 // a whole, once all of it is gone.
 func (l *leader) breakGang(j *job) {
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.m != nil && t.stop == nil {
+		if t := &j.tasks[i]; t.machine != nil && t.stop == nil {
 			l.stopTask(j, i, 0, stopGangBroken)
 		}
 	}
--- a/internal/core/gone_test.go
+++ b/internal/core/gone_test.go
@@ -26,8 +26,8 @@
 		if status, body := l.handleReport(encode(r), "n0"); status != 200 {
 			t.Fatalf("report %d: %d %s", i, status, body)
 		}
-		if x := &j.tasks[0]; x.m != m || x.state != wire.TaskRunning {
-			t.Fatalf("after report %d the running task is taken for %q on %v", i, x.state, x.m)
+		if x := &j.tasks[0]; x.machine != m || x.state != wire.TaskRunning {
+			t.Fatalf("after report %d the running task is taken for %q on %v", i, x.state, x.machine)
 		}
 	}
 }
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -32,7 +32,7 @@
 		path += "&since=" + after
 	}
 	l.c.call(Call{Dest: DestCloud, Method: "GET", Path: path, Timeout: cloudTimeout}, func(r Result) {
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		page, ok := parseList(r.Body)
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -11,47 +11,90 @@
 // job is an unfinished job.
 type job struct {
 	wire.Job
-	rec       openRecord // as recorded
-	rank      int        // of the priority, or of a higher one that a dependent has
-	due       float64    // time of day, in s, by which it has to be done; see raise
-	within    bool       // fits into its team's guarantee
-	waits     bool       // for jobs that are not done
-	free      bool       // all that it awaited is done, which is to be recorded
-	list      listRef    // of the awaited jobs, if it is spread over records
-	listRead  int        // records of it that have been read
-	since     int64      // ms, time of day from which its waiting counts
-	order     uint64     // version of the first record seen: submission order
-	version   uint64     // of the open record
-	writing   bool       // the open record is being written
-	cancelled bool
-	askedAt   time.Duration // its user asked to cancel it
-	goneAt    time.Duration // cancelled and without a task since then
-	goneSaid  bool          // the other controllers were told so
-	told      bool          // the user may have been told so
-	toldAt    time.Duration
-	stale     bool          // the open record must be read again
-	oversize  bool          // the open record is larger than what the state service takes now
-	refusals  int           // of its records, in a row
-	writeNot  time.Duration // its records are not to be sent before
-	numbered  bool          // its placement records are numbered, see placements.go
-	tried     bool          // a placement record was sent under this term
-	fence     bool          // the open record is to be written before others, see mayWrite
-
-	tasks     []task
-	next      uint64   // next attempt number
-	chunks    []chunk  // in the order of their tasks
-	old       []string // placement records that chunks have taken the place of
-	done      int
-	placed    int
-	loaded    bool
-	final     bool // the end is being recorded
-	ended     bool // the end is recorded
-	retryAt   time.Duration
-	fails     int
-	preempted int              // how often it made way, as a gang
-	failOn    map[string]bool  // machines on which it failed
-	moveTo    map[int]*machine // where moving replicas have their room
-	held      []*machine       // kept for it, see preempt
+	rec     openRecord // as recorded
+	version uint64     // of the open record
+	order   uint64     // version of the first record seen: submission order
+	since   int64      // ms, time of day from which its waiting counts
+
+	tasks       []task
+	done        int
+	placed      int
+	nextAttempt uint64
+
+	jobRank
+	jobDependencies
+	jobCancellation
+	jobRecords
+	jobRetries
+
+	preempted  int              // how often it made way, as a gang
+	moveTo     map[int]*machine // where moving replicas have their room
+	reservedOn []*machine       // kept for it, see preempt
+}
+
+// jobRank is what orders a job among those that wait for room.
+type jobRank struct {
+	rank   int     // of the priority, or of a higher one that a dependent has
+	due    float64 // time of day, in s, by which it has to be done; see inherit
+	within bool    // fits into its team's guarantee
+}
+
+// jobDependencies is what a job keeps of the jobs that it awaits, beside the
+// graph (dependencies.go).
+type jobDependencies struct {
+	waits       bool    // for jobs that are not done
+	awaitedDone bool    // all that it awaited is done, which is to be recorded
+	list        listRef // of the awaited jobs, if it is spread over records
+	listRead    int     // records of it that have been read
+}
+
+// jobCancellation is how far the cancellation of a job has come, see cancel.go.
+type jobCancellation struct {
+	cancelled      bool
+	askedAt        time.Duration // its user asked to cancel it
+	goneAt         time.Duration // cancelled and without a task since then
+	goneAnnounced  bool          // the other controllers were told so
+	acknowledged   bool          // the user may have been told so
+	acknowledgedAt time.Duration
+}
+
+// jobRecords is the state of a job's records in the state service.
+type jobRecords struct {
+	loaded bool
+
+	openWritePending bool // the open record is being written
+	stale            bool // the open record must be read again
+	oversize         bool // the open record is larger than what the state service takes now
+	fence            bool // the open record is to be written before others, see mayWrite
+
+	chunks        []chunk  // placement records, in the order of their tasks
+	superseded    []string // placement records that chunks have taken the place of
+	numbered      bool     // its placement records are numbered, see placements.go
+	placementSent bool     // a placement record was sent under this term
+
+	endPending bool // the end is being recorded
+	ended      bool // the end is recorded
+
+	refusals          int           // of its records, in a row
+	writeBackoffUntil time.Duration // its records are not to be sent before
+}
+
+// jobRetries is what a job keeps of its tasks' failures.
+type jobRetries struct {
+	retryAt  time.Duration
+	failures int
+	failedOn map[string]bool // machines on which it failed
+}
+
+// newJob makes a job of an open record that was read at a version.
+func newJob(rec openRecord, version uint64) *job {
+	return &job{
+		Job: rec.Job, rec: rec, version: version, order: version, since: rec.At,
+		tasks: make([]task, rec.Job.Tasks), nextAttempt: 1,
+		jobRank:    jobRank{rank: priorityRank[rec.Job.Priority], due: ownDue(&rec)},
+		jobRetries: jobRetries{failedOn: map[string]bool{}},
+		moveTo:     map[int]*machine{},
+	}
 }
 
 // task is one task. A task with a machine counts in full (its place, its
@@ -59,7 +102,7 @@
 type task struct {
 	done     bool
 	attempt  uint64
-	m        *machine
+	machine  *machine
 	zone     string // of the machine: known even before the machine reports
 	session  uint64 // of the worker, at the start
 	recorded bool   // the placement is in the state service
@@ -72,7 +115,7 @@
 	stop     *stop
 }
 
-// stop is a wish that a task ends.
+// stop is a request that a task ends.
 type stop struct {
 	grace float64
 	at    time.Duration
@@ -89,8 +132,8 @@
 // bind makes a task count on a machine.
 func (l *leader) bind(j *job, i int, m *machine) {
 	t := &j.tasks[i]
-	t.m = m
-	m.add(ref{j, i, taskName(j.ID, i)})
+	t.machine = m
+	m.add(taskRef{j, i, taskName(j.ID, i)})
 	m.count(j, 1)
 	j.placed++
 }
@@ -99,36 +142,36 @@
 func (m *machine) count(j *job, n int) {
 	r := times(size(&j.Job), n)
 	m.used = m.used.Add(r)
-	m.soft[j.rank] = m.soft[j.rank].Add(r)
+	m.usedByRank[j.rank] = m.usedByRank[j.rank].Add(r)
 	if j.CheckpointS > 0 {
-		m.saves[j.rank] = m.saves[j.rank].Add(r)
+		m.checkpointedByRank[j.rank] = m.checkpointedByRank[j.rank].Add(r)
 	}
 }
 
 // release ends the counting of a task. Only gone.go decides to call it.
 func (l *leader) release(j *job, i int) {
 	t := &j.tasks[i]
-	m := t.m
+	m := t.machine
 	m.remove(j, i)
 	m.count(j, -1)
 	if len(m.placed) == 0 {
-		m.used, m.soft, m.saves = topology.Resources{}, [ranks]topology.Resources{}, [ranks]topology.Resources{}
+		m.used, m.usedByRank, m.checkpointedByRank = topology.Resources{}, [ranks]topology.Resources{}, [ranks]topology.Resources{}
 		m.idleSince = l.c.now
 	}
 	j.placed--
 	done := t.done
 	*t = task{done: done}
-	l.touch(j, i, true)
+	l.markDirty(j, i, true)
 	l.passes.requested = true
 }
 
-// touch marks a task's record for writing: at once, or, where nothing is lost
+// markDirty marks a task's record for writing: at once, or, where nothing is lost
 // with it but the knowledge that the task is over, gathered with what follows
 // in two reports' time. The worker remembers an end until it is recorded.
 // Written one by one, the ends of arrays took most of the state service's
 // changes, and their last ones are written in vain, since the job's own end
 // deletes the record.
-func (l *leader) touch(j *job, i int, later bool) {
+func (l *leader) markDirty(j *job, i int, later bool) {
 	ch := j.chunkOf(i)
 	at := l.c.now
 	if later {
@@ -156,7 +199,7 @@
 	if !j.tasks[i].done {
 		j.tasks[i].done = true
 		j.done++
-		l.touch(j, i, true)
+		l.markDirty(j, i, true)
 	}
 }
 
@@ -196,7 +239,7 @@
 		}
 	}
 	if !j.cancelled { // else they were told when it was cancelled
-		l.reclaim(before)
+		l.recomputeInherited(before)
 	}
 	at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order >= j.order })
 	for ; at < len(l.order) && l.order[at].order == j.order; at++ {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -12,7 +12,7 @@
 	term        uint64
 	termVersion uint64
 	grant       uint64
-	gone        bool // the term is over
+	deposed     bool // the term is over
 	ready       bool // the records are loaded
 
 	jobs     map[string]*job
@@ -88,7 +88,7 @@
 // settle runs after every input: decisions first, where it is time for them,
 // then the records they need.
 func (l *leader) settle(decide bool) {
-	if l.gone || !l.ready {
+	if l.deposed || !l.ready {
 		return
 	}
 	if decide && l.passes.requested && l.c.now >= l.passes.notBefore {
--- a/internal/core/leaseextension.go
+++ b/internal/core/leaseextension.go
@@ -23,8 +23,8 @@
 // Workers that have not seen the leader's term are none of this: case 4 does
 // not apply to them, since a deposed leader may extend their leases as well.
 
-// keeper is what a controller knows of the leases it has extended.
-type keeper struct {
+// leaseExtensions is what a controller knows of the leases it has extended.
+type leaseExtensions struct {
 	term     uint64                    // of the leader that from is about
 	from     time.Duration             // our clock: this leader has our digests until then
 	extended map[string]leaseExtension // leases extended, not yet known to the leader
@@ -46,7 +46,7 @@
 
 // noteEcho takes in the leader's digest, on another controller.
 func (c *Core) noteEcho(d *wire.Digest) {
-	k := &c.keep
+	k := &c.extensions
 	if d.EchoBoot != c.boot || d.Term < k.term {
 		return
 	}
@@ -72,12 +72,12 @@
 	if !ok || r.Token == 0 || !c.mayExtendLeases() {
 		return false
 	}
-	k := &c.keep
+	k := &c.extensions
 	if k.extended == nil {
 		k.extended = map[string]leaseExtension{}
 	}
 	if x, ok := k.extended[r.Machine]; !ok || c.now-x.at > c.lease() {
-		c.log.Debug("lease kept without the leader", "machine", r.Machine)
+		c.log.Debug("lease extended without the leader", "machine", r.Machine)
 	}
 	k.extended[r.Machine] = leaseExtension{c.now, max(r.Token, k.extended[r.Machine].token)}
 	c.answer(req, statusOK, wire.Orders{Token: r.Token, Commands: []wire.Command{}}, 0)
@@ -85,7 +85,7 @@
 }
 
 // list is what a digest says of the extensions.
-func (k *keeper) list(now time.Duration) []wire.Kept {
+func (k *leaseExtensions) list(now time.Duration) []wire.Kept {
 	var out []wire.Kept
 	for _, name := range sortedKeys(k.extended) {
 		out = append(out, wire.Kept{Machine: name, AgeMS: int64((now - k.extended[name].at) / time.Millisecond)})
@@ -93,8 +93,8 @@
 	return out
 }
 
-// testimony is what a controller's digests say of the leases it extends.
-type testimony struct {
+// peerExtensions is what a controller's digests say of the leases it extends.
+type peerExtensions struct {
 	boot   uint64
 	clock  time.Duration // its clock at its newest digest
 	until  time.Duration // our clock: it has testified for all before
@@ -103,7 +103,7 @@
 
 // noteExtensions takes in another controller's digest.
 func (c *Core) noteExtensions(p *peerState, d *wire.Digest) {
-	t := &p.testimony
+	t := &p.peerExtensions
 	if d.Boot != t.boot {
 		t.unsure = c.now
 		t.boot, t.clock = d.Boot, 0
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -9,15 +9,15 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// ref names a task that counts on a machine.
-type ref struct {
-	j    *job
-	i    int
-	name string
+// taskRef names a task that counts on a machine.
+type taskRef struct {
+	job   *job
+	index int
+	name  string
 }
 
-// task returns the task that a ref names.
-func (p ref) task() *task { return &p.j.tasks[p.i] }
+// task returns the task that a reference names.
+func (p taskRef) task() *task { return &p.job.tasks[p.index] }
 
 // machine is what the leader knows of a machine.
 type machine struct {
@@ -40,13 +40,13 @@
 	// placed is ordered by name. It is replaced and never changed in place, so
 	// that whoever walks over it may release tasks; one that is released on
 	// the way no longer has this machine.
-	placed    []ref
-	used      topology.Resources
-	soft      [ranks]topology.Resources // what each priority uses
-	saves     [ranks]topology.Resources // what of it is work that saves
-	stopping  topology.Resources        // what is on its way out, at the last pass
-	idleSince time.Duration
-	images    []image // believed to be cached, latest use first
+	placed             []taskRef
+	used               topology.Resources
+	usedByRank         [ranks]topology.Resources // what each priority uses
+	checkpointedByRank [ranks]topology.Resources // what of it is work that saves
+	stopping           topology.Resources        // what is on its way out, at the last pass
+	idleSince          time.Duration
+	images             []image // believed to be cached, latest use first
 
 	listedAs  wire.MachineState
 	listedAt  time.Duration
@@ -94,18 +94,18 @@
 }
 
 // add has a task count on the machine.
-func (m *machine) add(p ref) {
-	at, _ := slices.BinarySearchFunc(m.placed, p.name, func(p ref, name string) int { return strings.Compare(p.name, name) })
-	placed := make([]ref, 0, len(m.placed)+1)
+func (m *machine) add(p taskRef) {
+	at, _ := slices.BinarySearchFunc(m.placed, p.name, func(p taskRef, name string) int { return strings.Compare(p.name, name) })
+	placed := make([]taskRef, 0, len(m.placed)+1)
 	placed = append(append(placed, m.placed[:at]...), p)
 	m.placed = append(placed, m.placed[at:]...)
 }
 
 // remove has a task no longer count on the machine.
 func (m *machine) remove(j *job, i int) {
-	placed := make([]ref, 0, len(m.placed))
+	placed := make([]taskRef, 0, len(m.placed))
 	for _, p := range m.placed {
-		if p.j != j || p.i != i {
+		if p.job != j || p.index != i {
 			placed = append(placed, p)
 		}
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -13,7 +13,7 @@
 // forward is a worker's report that waits for the leader's answer.
 type forward struct {
 	req    uint64
-	from   *visitor
+	from   *reporter
 	body   []byte
 	until  time.Duration
 	sentTo string
@@ -27,21 +27,21 @@
 // controller forwards it to the leader, and holds it for a moment while there is
 // none.
 func (c *Core) onReport(req uint64, body []byte) {
-	v, home := c.noteReporter(body)
-	if home != "" {
-		c.redirect(req, home)
+	worker, preferred := c.noteReporter(body)
+	if preferred != "" {
+		c.redirect(req, preferred)
 		return
 	}
 	if c.lead != nil {
-		v.answered = c.now
+		worker.answered = c.now
 		c.answerReport(req, body)
 		return
 	}
-	if !c.hearsLeader() && c.answerWithoutLeader(req, v, body) {
+	if !c.hearsLeader() && c.answerWithoutLeader(req, worker, body) {
 		return
 	}
 	c.nextForward++
-	c.forwards[c.nextForward] = &forward{req: req, from: v, body: body, until: c.now + forwardTimeout}
+	c.forwards[c.nextForward] = &forward{req: req, from: worker, body: body, until: c.now + forwardTimeout}
 	c.forwardToLeader(c.nextForward)
 }
 
@@ -59,21 +59,21 @@
 // answerWithoutLeader answers a report while the leader is not heard, if there
 // is an answer: where else to report to, an extension of the worker's lease, or
 // that nobody is there to wait for.
-func (c *Core) answerWithoutLeader(req uint64, v *visitor, body []byte) bool {
+func (c *Core) answerWithoutLeader(req uint64, worker *reporter, body []byte) bool {
 	if to := c.redirectPeer(); to != "" {
 		c.redirect(req, to)
 		return true
 	}
-	if c.leaderAlive() && v.mayRedirect(c) && (v.idle || !c.mayExtendLeases()) {
+	if c.leaderAlive() && worker.mayRedirect(c) && (worker.idle || !c.mayExtendLeases()) {
 		// Only the controllers may be apart: the worker asks the leader
 		// itself, and comes back if it does not reach it either. One that
 		// has tasks is not risked while its lease can be kept.
-		v.redirected, v.redirectedTo = c.now, c.elect.leader
+		worker.redirected, worker.redirectedTo = c.now, c.elect.leader
 		c.redirect(req, c.elect.leader)
 		return true
 	}
-	if v.redirectedTo == c.elect.leader && c.now-v.redirected < 2*c.lease() {
-		v.returned = c.now
+	if worker.redirectedTo == c.elect.leader && c.now-worker.redirected < 2*c.lease() {
+		worker.returned = c.now
 	}
 	if c.extendLease(req, body) {
 		return true
@@ -241,7 +241,7 @@
 
 // sendDigest tells the other controllers of this one.
 func (c *Core) sendDigest() {
-	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.keep.list(c.now)}
+	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.extensions.list(c.now)}
 	for _, id := range sortedKeys(c.users.cancels) {
 		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels[id].version})
 	}
@@ -354,8 +354,8 @@
 	}
 	// With all peers out of reach, workers that did not find the leader either
 	// speak against it.
-	for _, v := range c.visitors {
-		if v.returned != 0 && c.now-v.returned < c.lease() && c.now-c.elect.leaderHeard > 2*c.lease() {
+	for _, worker := range c.reporters {
+		if worker.returned != 0 && c.now-worker.returned < c.lease() && c.now-c.elect.leaderHeard > 2*c.lease() {
 			return true
 		}
 	}
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -87,7 +87,7 @@
 		c := New(&config.Settings{Name: "n0", Peers: []config.Peer{{Name: "n1", Zone: "b"}}}, nil, 1, nil)
 		c.elect.leader = "n1"
 		c.peers["n1"].version = version
-		c.forwards[7] = &forward{req: 1, from: &visitor{}, body: body}
+		c.forwards[7] = &forward{req: 1, from: &reporter{}, body: body}
 		c.forwardToLeader(7)
 		if len(c.out.Sends) != 1 || !bytes.Equal(c.out.Sends[0].Msg.Forward.Body, want) {
 			t.Errorf("to a leader of version %d: %+v", version, c.out.Sends)
--- a/internal/core/pipeline_times_test.go
+++ b/internal/core/pipeline_times_test.go
@@ -46,7 +46,7 @@
 	b.ask("GET", "/submissions/"+jobID(1), "") // known here
 	happened := false
 	b.answer = func(txn *wire.Txn, carryOut func() int) int {
-		if !happened && len(txn.Writes) == 1 { // the wish
+		if !happened && len(txn.Writes) == 1 { // the request
 			happened = true
 			b.c.lead.markDone(l.jobs[jobID(1)], 0)
 			b.answer = nil
@@ -116,7 +116,7 @@
 	tried := 0
 	b.watch = func() {
 		tried++
-		l.jobs[jobID(2)].free = false // once: it would be tried at every answer
+		l.jobs[jobID(2)].awaitedDone = false // once: it would be tried at every answer
 	}
 	within(b, func() { l.awaitedOver(jobID(1), wire.StatusDone) })
 	b.run(2 * time.Second)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -17,7 +17,7 @@
 	}
 	in := map[string]int{}
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.m != nil {
+		if t := &j.tasks[i]; t.machine != nil {
 			in[t.zone]++
 		}
 	}
@@ -71,11 +71,11 @@
 	}
 	cands := l.candidates()
 	for _, c := range l.resumed(cands) {
-		if l.c.now < c.j.retryAt {
+		if l.c.now < c.job.retryAt {
 			continue
 		}
 		if l.passes.visits > p.visitLimit {
-			l.passes.resume, l.passes.requested = c.j, true
+			l.passes.resume, l.passes.requested = c.job, true
 			break
 		}
 		p.placeCandidate(c)
@@ -104,9 +104,9 @@
 // none. A job whose class may wait only so long starts where its image comes in
 // time, if there is room or room can be made there.
 func (p *placementPass) placeCandidate(c *candidate) {
-	l, j := p.l, c.j
+	l, j := p.l, c.job
 	key := shapeOf(c)
-	plain := len(j.failOn) == 0 && !j.Spread
+	plain := len(j.failedOn) == 0 && !j.Spread
 	if !math.IsInf(l.c.slowFetch(j.Class), 1) {
 		if !p.noMachine[key.needs] {
 			l.fill(p.tree, c, p.usage, true)
@@ -115,18 +115,18 @@
 			l.preempt(c, p.usage, true)
 		}
 	}
-	if len(c.pending) > c.held && !p.full[key] && !p.noMachine[key.needs] {
+	if len(c.pending) > c.reserved && !p.full[key] && !p.noMachine[key.needs] {
 		l.fill(p.tree, c, p.usage, false)
-		if len(c.pending) > c.held && l.heldFor(j) == 0 {
+		if len(c.pending) > c.reserved && l.reservedFor(j) == 0 {
 			p.full[key] = plain
 			// Whether a spread job finds room depends on where its other
 			// tasks are; that none has room, on the machines alone.
 			p.noMachine[key.needs] = !l.anyRoom(p.tree, j)
 		}
 	}
-	if len(c.pending) > c.held && !p.noVictims[key] {
+	if len(c.pending) > c.reserved && !p.noVictims[key] {
 		nobody := l.preempt(c, p.usage, false)
-		p.noVictims[key] = c.held == 0 && (plain || nobody)
+		p.noVictims[key] = c.reserved == 0 && (plain || nobody)
 	}
 }
 
@@ -152,7 +152,7 @@
 func (l *leader) resumed(cands []*candidate) []*candidate {
 	from := l.passes.resume
 	l.passes.resume = nil
-	at := slices.IndexFunc(cands, func(c *candidate) bool { return c.j == from })
+	at := slices.IndexFunc(cands, func(c *candidate) bool { return c.job == from })
 	if at <= 0 {
 		return cands
 	}
@@ -171,11 +171,11 @@
 // fill places what of a job fits, a gang as a whole. quick leaves out machines
 // on which the image would come too late.
 func (l *leader) fill(tree *topology.Tree, c *candidate, usage map[string]topology.Resources, quick bool) {
-	j, n := c.j, 1
+	j, n := c.job, 1
 	if j.Shape == wire.ShapeGang {
 		n = len(c.pending)
 	}
-	for len(c.pending) >= n+c.held && len(c.pending) > 0 && underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) {
+	for len(c.pending) >= n+c.reserved && len(c.pending) > 0 && underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) {
 		if !l.placeTasks(tree, c, c.pending[:n], quick) {
 			return
 		}
@@ -187,7 +187,7 @@
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
-	req := l.placementRequest(c.j, tasks, quick)
+	req := l.placementRequest(c.job, tasks, quick)
 	l.passes.visits += len(l.passes.leaves)
 	where := tree.Place(req)
 	if where == nil {
@@ -197,7 +197,7 @@
 	for k, leaf := range where {
 		machines[k] = l.passes.leaves[leaf.Key]
 	}
-	l.bindTasks(c.j, tasks, machines)
+	l.bindTasks(c.job, tasks, machines)
 	return true
 }
 
@@ -267,17 +267,17 @@
 // bindTasks binds tasks that start together to machines, given in their order.
 // The tasks of a gang share an attempt.
 func (l *leader) bindTasks(j *job, tasks []int, machines []*machine) {
-	attempt := j.next
+	attempt := j.nextAttempt
 	for k, i := range tasks {
 		m, t := machines[k], &j.tasks[i]
 		if j.Shape != wire.ShapeGang {
-			attempt = j.next
-			j.next++
+			attempt = j.nextAttempt
+			j.nextAttempt++
 		}
 		t.attempt, t.zone, t.session, t.ours, t.placedAt = attempt, m.zone, m.session, true, l.c.now
 		delete(j.moveTo, i)
 		l.bind(j, i, m)
-		l.touch(j, i, false)
+		l.markDirty(j, i, false)
 		if m.reserved == j {
 			if m.reservedTasks--; m.reservedTasks < 1 {
 				m.reserved = nil
@@ -286,7 +286,7 @@
 		l.c.log.Debug("place", "task", taskName(j.ID, i), "attempt", attempt, "machine", m.name, "image", m.hasImage(j.Image))
 	}
 	if j.Shape == wire.ShapeGang {
-		j.next++
+		j.nextAttempt++
 	}
 }
 
@@ -315,5 +315,5 @@
 // avoid keeps a job away from machines on which it failed, until it has
 // failed on so many that the job is the likelier cause.
 func (l *leader) avoid(j *job, m *machine) bool {
-	return len(j.failOn) < maxFailedOn && j.failOn[m.name]
+	return len(j.failedOn) < maxFailedOn && j.failedOn[m.name]
 }
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -145,7 +145,7 @@
 
 // placeKeys lists a job's placement records.
 func (j *job) placeKeys() []string {
-	keys := slices.Clone(j.old)
+	keys := slices.Clone(j.superseded)
 	for i := range j.chunks {
 		if j.chunks[i].version != 0 {
 			keys = append(keys, j.chunks[i].key)
@@ -159,11 +159,11 @@
 	return append(j.placeKeys(), j.list.keys()...)
 }
 
-// relay moves a job from numbered records to those that name their range. The
+// switchToRanges moves a job from numbered records to those that name their range. The
 // old ones go on holding for ranges that are not written yet.
-func (l *leader) relay(j *job) {
+func (l *leader) switchToRanges(j *job) {
 	before := j.chunks
-	j.old = j.placeKeys()
+	j.superseded = j.placeKeys()
 	j.chunks, j.numbered = nil, false
 	l.fillRanges(j)
 	for _, b := range before {
@@ -193,25 +193,25 @@
 	}
 	switch {
 	case !dirty:
-	case j.tried && !j.cancelled:
+	case j.placementSent && !j.cancelled:
 		j.fence = true
 		return false
 	default:
-		l.relay(j)
+		l.switchToRanges(j)
 	}
 	return true
 }
 
 func encodeChunk(j *job, ch *chunk) ([]byte, []placeEntry) {
-	rec := placeRecord{Next: j.next}
+	rec := placeRecord{Next: j.nextAttempt}
 	var starts []placeEntry
 	for i := ch.from; i < ch.to; i++ {
 		t := &j.tasks[i]
 		if t.done {
 			rec.Done = append(rec.Done, i)
 		}
-		if t.m != nil {
-			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.m.name, Zone: t.zone, Session: t.session}
+		if t.machine != nil {
+			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.machine.name, Zone: t.zone, Session: t.session}
 			rec.Tasks = append(rec.Tasks, e)
 			if !t.recorded {
 				starts = append(starts, e)
@@ -279,13 +279,13 @@
 		f.to = min(f.to, len(j.tasks))
 		switch {
 		case f.from >= f.to:
-			j.old = append(j.old, f.key)
+			j.superseded = append(j.superseded, f.key)
 		case named && f.numbered:
-			j.old = append(j.old, f.key)
+			j.superseded = append(j.superseded, f.key)
 		default:
 			j.chunks = append(j.chunks, chunk{key: f.key, from: f.from, to: f.to, version: f.version})
 		}
-		j.next = max(j.next, f.rec.Next)
+		j.nextAttempt = max(j.nextAttempt, f.rec.Next)
 		for _, i := range f.rec.Done {
 			if i < len(j.tasks) && !j.tasks[i].done {
 				j.tasks[i].done = true
@@ -326,7 +326,7 @@
 // rereadChunk reads the version of a placement record that is not known.
 func (l *leader) rereadChunk(j *job, key string) {
 	l.c.get(key, func(r Result) {
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		n := slices.IndexFunc(j.chunks, func(ch chunk) bool { return ch.key == key })
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -11,8 +11,8 @@
 
 // preemption is room for one more task on a machine, and who has to go for it.
 type preemption struct {
-	m       *machine
-	victims []ref
+	machine *machine
+	victims []taskRef
 	cost    float64 // seconds of a task's work that are lost
 }
 
@@ -32,11 +32,11 @@
 // It tells whether there is nobody to stop on any machine, wherever the job's
 // other tasks are.
 func (l *leader) preempt(c *candidate, usage map[string]topology.Resources, quick bool) (nobody bool) {
-	j := c.j
-	if c.held = l.heldFor(j); c.held > 0 {
+	j := c.job
+	if c.reserved = l.reservedFor(j); c.reserved > 0 {
 		return false
 	}
-	if c.power == 0 && !c.guaranteed {
+	if c.preemptionRank == 0 && !c.guaranteed {
 		return true
 	}
 	_, offered := l.offer(nil, &j.Job, nil)
@@ -52,7 +52,7 @@
 	if len(best) == 0 || j.Shape == wire.ShapeGang && len(best) < want {
 		return false
 	}
-	c.held = len(best)
+	c.reserved = len(best)
 	l.reserve(j, best, l.stopVictims(j, best))
 	return false
 }
@@ -60,7 +60,7 @@
 // preemptionsWanted is for how many of a candidate's tasks room is to be made,
 // within its team's limit.
 func (l *leader) preemptionsWanted(c *candidate, usage map[string]topology.Resources) int {
-	j := c.j
+	j := c.job
 	fits := func(n int) bool { return underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) }
 	if j.Shape == wire.ShapeGang {
 		if !fits(len(c.pending)) {
@@ -78,7 +78,7 @@
 // bestPreemptions finds room for up to want tasks: for a job that is bound to
 // one zone, in the zone with the most of it, at the least loss.
 func (l *leader) bestPreemptions(c *candidate, want int, quick bool) []preemption {
-	if !c.j.OneZone {
+	if !c.job.OneZone {
 		return l.preemptions(c, want, "", quick)
 	}
 	var best []preemption
@@ -97,14 +97,14 @@
 	wait := 0.0
 	for _, s := range chosen {
 		for _, v := range s.victims {
-			grace := l.preemptGrace(v.j)
+			grace := l.preemptGrace(v.job)
 			wait = max(wait, grace)
-			l.c.log.Info("preempt", "task", v.name, "machine", s.m.name, "for", j.ID, "grace_s", grace)
-			if v.j.Shape == wire.ShapeGang {
-				v.j.preempted++
-				l.stopGang(v.j, grace, stopPreempted)
+			l.c.log.Info("preempt", "task", v.name, "machine", s.machine.name, "for", j.ID, "grace_s", grace)
+			if v.job.Shape == wire.ShapeGang {
+				v.job.preempted++
+				l.stopGang(v.job, grace, stopPreempted)
 			} else {
-				l.stopTask(v.j, v.i, grace, stopPreempted)
+				l.stopTask(v.job, v.index, grace, stopPreempted)
 			}
 		}
 	}
@@ -114,17 +114,17 @@
 // reserve keeps the preemptions' machines for a job until the room is there,
 // wait seconds from now.
 func (l *leader) reserve(j *job, chosen []preemption, wait float64) {
-	j.held = nil
+	j.reservedOn = nil
 	for _, s := range chosen {
-		s.m.reserved, s.m.reservedTasks = j, 0
-		if !slices.Contains(j.held, s.m) {
-			j.held = append(j.held, s.m)
+		s.machine.reserved, s.machine.reservedTasks = j, 0
+		if !slices.Contains(j.reservedOn, s.machine) {
+			j.reservedOn = append(j.reservedOn, s.machine)
 		}
 	}
 	until := l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
 	for _, s := range chosen {
-		s.m.reservedTasks++
-		s.m.reservedUntil = until
+		s.machine.reservedTasks++
+		s.machine.reservedUntil = until
 	}
 }
 
@@ -180,10 +180,10 @@
 	return sum
 }
 
-// heldFor counts the tasks for which room is being made.
-func (l *leader) heldFor(j *job) int {
+// reservedFor counts the tasks for which room is being made.
+func (l *leader) reservedFor(j *job) int {
 	n := 0
-	for _, m := range j.held {
+	for _, m := range j.reservedOn {
 		if m.reserved == j && l.c.now < m.reservedUntil {
 			n += m.reservedTasks
 		}
@@ -205,7 +205,7 @@
 func (l *leader) anyPreemption(c *candidate) bool {
 	l.passes.visits += len(l.passes.leaves)
 	for _, m := range l.passes.leaves {
-		if eligible(&c.j.Job, m.typ, m.zone, m.spot) && l.roomByPreemption(c, m).Holds(size(&c.j.Job)) {
+		if eligible(&c.job.Job, m.typ, m.zone, m.spot) && l.roomByPreemption(c, m).Holds(size(&c.job.Job)) {
 			return true
 		}
 	}
@@ -218,11 +218,11 @@
 func (l *leader) roomByPreemption(c *candidate, m *machine) topology.Resources {
 	r, _ := l.total(m)
 	r = r.Sub(m.used).Add(m.stopping)
-	for _, s := range m.soft[:c.power] {
+	for _, s := range m.usedByRank[:c.preemptionRank] {
 		r = r.Add(s)
 	}
 	if c.guaranteed {
-		r = r.Add(m.saves[c.power]) // see mayPreempt
+		r = r.Add(m.checkpointedByRank[c.preemptionRank]) // see mayPreempt
 	}
 	return r
 }
@@ -230,12 +230,12 @@
 // preemptions finds room for up to want tasks, in one zone or anywhere, at the
 // least loss: free room first.
 func (l *leader) preemptions(c *candidate, want int, zone string, quick bool) []preemption {
-	wait := l.c.slowFetch(c.j.Class)
-	zoneRoom := l.zoneRoom(c.j)
+	wait := l.c.slowFetch(c.job.Class)
+	zoneRoom := l.zoneRoom(c.job)
 	var all []preemption
 	l.passes.visits += len(l.passes.leaves)
 	for _, m := range l.passes.leaves {
-		if zone != "" && m.zone != zone || !l.mayPreemptOn(c, m) || quick && l.slow(c.j, m, wait) {
+		if zone != "" && m.zone != zone || !l.mayPreemptOn(c, m) || quick && l.slow(c.job, m, wait) {
 			continue
 		}
 		if zoneRoom != nil && zoneRoom(m.zone) < 1 {
@@ -245,7 +245,7 @@
 		all = append(all, l.preemptionsOn(c, m, whole.Sub(m.used), want, quick)...)
 	}
 	// The preemptions of one machine build on each other: a later one never costs
-	// less, see seatsOn, so the order by cost keeps theirs.
+	// less, see preemptionsOn, so the order by cost keeps theirs.
 	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
 	return choosePreemptions(all, want, zoneRoom)
 }
@@ -253,7 +253,7 @@
 // mayPreemptOn tells whether room for a candidate's task can be made on a
 // machine.
 func (l *leader) mayPreemptOn(c *candidate, m *machine) bool {
-	return l.roomByPreemption(c, m).Holds(size(&c.j.Job)) && l.mayTake(c.j, m) && (m.reserved == nil || l.c.now >= m.reservedUntil)
+	return l.roomByPreemption(c, m).Holds(size(&c.job.Job)) && l.mayTake(c.job, m) && (m.reserved == nil || l.c.now >= m.reservedUntil)
 }
 
 // choosePreemptions takes the first preemptions that the zones' bounds allow. A
@@ -266,17 +266,17 @@
 		if len(out) == want {
 			break
 		}
-		if zoneRoom != nil && inZone[s.m.zone] >= zoneRoom(s.m.zone) {
+		if zoneRoom != nil && inZone[s.machine.zone] >= zoneRoom(s.machine.zone) {
 			continue
 		}
-		inZone[s.m.zone]++
-		var victims []ref
+		inZone[s.machine.zone]++
+		var victims []taskRef
 		for _, v := range s.victims {
-			if v.j.Shape == wire.ShapeGang {
-				if stopped[v.j] {
+			if v.job.Shape == wire.ShapeGang {
+				if stopped[v.job] {
 					continue
 				}
-				stopped[v.j] = true
+				stopped[v.job] = true
 			}
 			victims = append(victims, v)
 		}
@@ -288,19 +288,19 @@
 
 // victim is a task that may be stopped, and what that loses.
 type victim struct {
-	r    ref
+	r    taskRef
 	loss float64
 }
 
 // preemptionsOn lists the preemptions on one machine, cheapest first; each
 // needs those before it. free is what nobody uses there.
 func (l *leader) preemptionsOn(c *candidate, m *machine, free topology.Resources, want int, quick bool) []preemption {
-	need := size(&c.j.Job)
+	need := size(&c.job.Job)
 	var victims []victim
 	counted := false
 	var out []preemption
 	for len(out) < want {
-		s := preemption{m: m}
+		s := preemption{machine: m}
 		if !counted && !free.Holds(need) {
 			counted = true
 			victims, free = l.victimsOn(c, m, free, quick)
@@ -311,7 +311,7 @@
 			}
 			v := victims[0]
 			victims = victims[1:]
-			free = free.Add(size(&v.r.j.Job))
+			free = free.Add(size(&v.r.job.Job))
 			s.victims = append(s.victims, v.r)
 			s.cost += v.loss
 		}
@@ -332,13 +332,13 @@
 	for _, p := range m.placed {
 		t := p.task()
 		if t.stop != nil {
-			free = free.Add(size(&p.j.Job))
+			free = free.Add(size(&p.job.Job))
 			continue
 		}
-		if !l.mayPreempt(c, p.j) || quick && p.j.rank == c.power {
+		if !l.mayPreempt(c, p.job) || quick && p.job.rank == c.preemptionRank {
 			continue
 		}
-		victims = append(victims, victim{p, l.victimCost(p.j, t, whole)})
+		victims = append(victims, victim{p, l.victimCost(p.job, t, whole)})
 	}
 	sort.SliceStable(victims, func(a, b int) bool { return victims[a].loss < victims[b].loss })
 	return victims, free
@@ -355,9 +355,9 @@
 func worthGang(c *candidate, v *job) bool {
 	n, k := float64(len(v.tasks)), float64(len(c.pending))
 	if v.GPUs > 0 {
-		return v.GPUs*n <= c.j.GPUs*k
+		return v.GPUs*n <= c.job.GPUs*k
 	}
-	return v.CPUs*n <= c.j.CPUs*k
+	return v.CPUs*n <= c.job.CPUs*k
 }
 
 // mayPreempt tells whether a task may be stopped for a job: for a higher
@@ -368,8 +368,8 @@
 	if v.Shape == wire.ShapeGang && !c.noOffer && !worthGang(c, v) {
 		return false
 	}
-	if v.rank != c.power {
-		return v.rank < c.power
+	if v.rank != c.preemptionRank {
+		return v.rank < c.preemptionRank
 	}
-	return c.guaranteed && v.Team != c.j.Team && !v.within && v.CheckpointS > 0
+	return c.guaranteed && v.Team != c.job.Team && !v.within && v.CheckpointS > 0
 }
--- a/internal/core/probes.go
+++ b/internal/core/probes.go
@@ -22,10 +22,10 @@
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout()}, func(r Result) {
 		l.probing--
 		rep, ok := decodeReport(r.Body)
-		if l.gone || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
+		if l.deposed || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
 			m.probeBusy = false
 			switch {
-			case l.gone:
+			case l.deposed:
 			case r.Status == 0:
 				m.probeFailed = asked
 				l.probeControl(m)
@@ -37,7 +37,7 @@
 		body := encode(wire.Orders{Token: l.term, Session: rep.Session, Commands: []wire.Command{}})
 		l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
 			m.probeBusy = false
-			if !l.gone && (r.Status == 200 || r.Status == 409) {
+			if !l.deposed && (r.Status == 200 || r.Status == 409) {
 				l.onDirectReport(m, r.Body)
 			}
 		})
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -43,7 +43,7 @@
 	for _, m := range l.byName {
 		m.stopping = topology.Resources{}
 		for _, p := range m.placed {
-			j := p.j
+			j := p.job
 			u[j.Team] = u[j.Team].Add(size(&j.Job))
 			if p.task().stop != nil {
 				m.stopping = m.stopping.Add(size(&j.Job))
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -134,7 +134,7 @@
 		b.remove(key)
 	}
 	b.bytes += endBytes
-	j.final = true
+	j.endPending = true
 	b.onAnswer(func(answer batchOutcome) { b.endAnswered(j, final, keys[deleted:], answer) })
 	return true
 }
@@ -143,7 +143,7 @@
 // over are deleted by later batches.
 func (b *recordBatch) endAnswered(j *job, final finalRecord, leftOver []string, answer batchOutcome) {
 	l := b.leader
-	j.final = false
+	j.endPending = false
 	if !answer.committed {
 		if j.cancelled {
 			l.ending = append(l.ending, j)
@@ -165,7 +165,7 @@
 // awaited is done, and of those that are to be written before others.
 func (b *recordBatch) addOpenRecords() {
 	for _, j := range b.leader.order {
-		if !j.writable() || j.cancelled || !j.free && !j.fence || !b.leader.mayWriteOpen(j) {
+		if !j.writable() || j.cancelled || !j.awaitedDone && !j.fence || !b.leader.mayWriteOpen(j) {
 			continue
 		}
 		if !b.reserve(1) {
@@ -178,7 +178,7 @@
 // addOpenRecord adds the open record of a job, for which there is room.
 func (b *recordBatch) addOpenRecord(j *job) {
 	rec := j.rec
-	if j.free {
+	if j.awaitedDone {
 		rec.ReadyAt = b.leader.c.wall
 		b.requireAwaitedOver(j)
 	}
@@ -186,7 +186,7 @@
 	b.bytes += len(body) + recordOverhead
 	b.addWriter(j)
 	b.put(prefixOpen+j.ID, body)
-	j.writing = true
+	j.openWritePending = true
 	b.onAnswer(func(answer batchOutcome) { b.leader.openRecordAnswered(j, rec, answer) })
 }
 
@@ -204,7 +204,7 @@
 
 // openRecordAnswered takes in the answer to the open record of a job that goes on.
 func (l *leader) openRecordAnswered(j *job, rec openRecord, answer batchOutcome) {
-	j.writing = false
+	j.openWritePending = false
 	if !answer.committed {
 		l.records.dirty = true
 		return
@@ -216,14 +216,14 @@
 	l.noteReady(j)
 	if j.fence {
 		j.fence, l.records.dirty = false, true
-		l.relay(j)
+		l.switchToRanges(j)
 	}
 }
 
 // addPlacements adds the placement records that have changed.
 func (b *recordBatch) addPlacements() {
 	for _, j := range b.leader.order {
-		if !j.writable() || b.leader.putOffWrite(j) {
+		if !j.writable() || b.leader.inWriteBackoff(j) {
 			continue
 		}
 		if b.ranges && !b.leader.mayWrite(j) {
@@ -264,7 +264,7 @@
 	b.bytes += len(body) + recordOverhead
 	b.require(ch.key, ch.version)
 	b.put(ch.key, body)
-	ch.dirty, ch.busy, j.tried = false, true, true
+	ch.dirty, ch.busy, j.placementSent = false, true, true
 	b.onAnswer(func(answer batchOutcome) { b.leader.placementAnswered(j, ch, starts, answer) })
 }
 
@@ -278,7 +278,7 @@
 	}
 	ch.version = answer.version
 	for _, s := range starts {
-		if t := &j.tasks[s.Task]; t.m != nil && t.attempt == s.Attempt {
+		if t := &j.tasks[s.Task]; t.machine != nil && t.attempt == s.Attempt {
 			t.recorded = true
 		}
 	}
@@ -316,7 +316,7 @@
 func (b *recordBatch) onResult(r Result) {
 	l := b.leader
 	l.records.busy = false
-	if l.gone {
+	if l.deposed {
 		return
 	}
 	answer := b.outcome(r)
--- a/internal/core/record_batch_test.go
+++ b/internal/core/record_batch_test.go
@@ -66,7 +66,7 @@
 			l.records.leftOver = []string{numberedKey(jobID(9), 0)}
 			placedJob(b, l, jobID(1), 1)
 			record(b, l, wire.Job{ID: jobID(2)}, nil)
-			l.jobs[jobID(2)].free = true
+			l.jobs[jobID(2)].awaitedDone = true
 			record(b, l, wire.Job{ID: jobID(3)}, nil)
 			l.jobs[jobID(3)].cancelled = true
 			l.ending = []*job{l.jobs[jobID(3)]}
@@ -91,7 +91,7 @@
 		{"an end with more records than fit", 5, func(b *harness, l *leader) {
 			doneJob(b, l, jobID(1))
 			for n := range 9 {
-				l.jobs[jobID(1)].old = append(l.jobs[jobID(1)].old, numberedKey(jobID(1), 1+n))
+				l.jobs[jobID(1)].superseded = append(l.jobs[jobID(1)].superseded, numberedKey(jobID(1), 1+n))
 			}
 		}, append(slices.Clone(end), slices.Repeat([]string{"remove place"}, 3)...), false},
 		{"left-over records after all else only", 5, func(b *harness, l *leader) {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -33,8 +33,10 @@
 	ReadyAt int64 `json:"ra,omitempty"`
 }
 
-// told tells whether the user may have been told that the job is cancelled.
-func (r *openRecord) told() bool { return r.Cancelled && (r.CancelledAt != 0 || r.AskedAt == 0) }
+// acknowledged tells whether the user may have been told that the job is cancelled.
+func (r *openRecord) acknowledged() bool {
+	return r.Cancelled && (r.CancelledAt != 0 || r.AskedAt == 0)
+}
 
 // finalRecord is the value of an ended job's record, which is never changed.
 type finalRecord struct {
--- a/internal/core/records_load.go
+++ b/internal/core/records_load.go
@@ -29,7 +29,7 @@
 func (l *leader) page(prefix, after string, f func(*wire.Page)) {
 	l.c.readPage(prefix, after, true, func(p *wire.Page) {
 		switch {
-		case l.gone:
+		case l.deposed:
 		case p == nil:
 			l.loading.retry, l.loading.retryAt = func() { l.page(prefix, after, f) }, l.c.now+l.c.ttl()/20
 		default:
@@ -74,7 +74,7 @@
 		j.loaded = true
 		l.resolve(j)
 	}
-	l.raise(l.order...)
+	l.inherit(l.order...)
 	waiting := 0
 	for _, j := range l.order {
 		if j.waits {
@@ -92,7 +92,7 @@
 	hold := 20 * time.Second
 	path := "/changes?under=" + prefixOpen + "&since=" + strconv.FormatUint(l.loading.revision, 10) + "&holdMs=" + strconv.Itoa(int(hold/time.Millisecond))
 	l.c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: hold + l.c.lease()/2, Watch: true}, func(r Result) {
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		if r.Status == 410 {
@@ -127,8 +127,8 @@
 		if f, ok := l.c.users.final[id]; ok && f.Status != "" {
 			return // an old event of a job that is over
 		}
-		j = &job{Job: rec.Job, rec: rec, rank: priorityRank[rec.Job.Priority], due: ownDue(&rec), since: rec.At, order: version, version: version, next: 1,
-			tasks: make([]task, rec.Job.Tasks), loaded: l.ready, failOn: map[string]bool{}, moveTo: map[int]*machine{}}
+		j = newJob(rec, version)
+		j.loaded = l.ready
 		l.layOut(j)
 		l.jobs[id] = j
 		at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order > j.order })
@@ -141,6 +141,6 @@
 	}
 	j.version, j.rec = version, rec
 	l.noteReady(j)
-	l.noteWish(j, rec)
+	l.noteCancellation(j, rec)
 	l.passes.requested = true
 }
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -42,12 +42,12 @@
 // writable tells whether a job's records may be written: its end is not, and the
 // version of its open record is known and not about to change.
 func (j *job) writable() bool {
-	return j.loaded && !j.ended && !j.stale && !j.final && !j.writing
+	return j.loaded && !j.ended && !j.stale && !j.endPending && !j.openWritePending
 }
 
 // mayEnd tells whether nothing on record keeps a job's end from being recorded.
 func (l *leader) mayEnd(j *job) bool {
-	return !j.ended && !j.stale && !j.final && !j.writing && (j.finished() || j.over()) && !j.staleChunk() && !l.putOffWrite(j)
+	return !j.ended && !j.stale && !j.endPending && !j.openWritePending && (j.finished() || j.over()) && !j.staleChunk() && !l.inWriteBackoff(j)
 }
 
 // endCancelled has the ends of cancelled jobs recorded as far as there is room:
@@ -60,7 +60,7 @@
 	l.ending = nil
 	for k, j := range list {
 		switch {
-		case l.jobs[j.ID] != j || j.ended || j.final || l.deps.needed(j.ID):
+		case l.jobs[j.ID] != j || j.ended || j.endPending || l.deps.needed(j.ID):
 		case l.mayHaveUnread(j) || !l.mayEnd(j):
 			l.ending = append(l.ending, j)
 		case !l.endWithAwaited(j, end):
@@ -79,7 +79,7 @@
 	for at := []*job{j}; len(at) > 0; at = at[1:] {
 		l.deps.eachAwaited(at[0].ID, func(a string) {
 			x := l.jobs[a]
-			if x != nil && x.cancelled && l.mayEnd(x) && !l.awaitedStill(a) && end(x) {
+			if x != nil && x.cancelled && l.mayEnd(x) && !l.hasLiveDependents(a) && end(x) {
 				at = append(at, x)
 			}
 		})
@@ -116,7 +116,7 @@
 
 func (l *leader) rereadOpen(j *job) {
 	l.c.get(prefixOpen+j.ID, func(r Result) {
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		var it wire.Item
--- a/internal/core/refused.go
+++ b/internal/core/refused.go
@@ -44,7 +44,7 @@
 				j.oversize, l.c.fewerOps = true, 0
 			}
 			j.refusals++
-			j.writeNot = l.c.now + l.c.ttl()<<min(j.refusals, 8)/8
+			j.writeBackoffUntil = l.c.now + l.c.ttl()<<min(j.refusals, 8)/8
 			l.c.log.Info("the state service refuses a job's records", "job", j.ID, "times", j.refusals)
 		}
 	}
@@ -60,12 +60,12 @@
 	return false
 }
 
-// putOffWrite tells whether a job's records were refused a moment ago.
-func (l *leader) putOffWrite(j *job) bool {
-	if l.c.now >= j.writeNot {
+// inWriteBackoff tells whether a job's records were refused a moment ago.
+func (l *leader) inWriteBackoff(j *job) bool {
+	if l.c.now >= j.writeBackoffUntil {
 		return false
 	}
-	l.writeBy(j.writeNot)
+	l.writeBy(j.writeBackoffUntil)
 	return true
 }
 
@@ -80,23 +80,23 @@
 	rec := j.rec
 	rec.ReadyAt = max(rec.ReadyAt, l.c.wall)
 	if !j.oversize && len(encode(rec)) <= l.c.maxValue() {
-		return !l.putOffWrite(j)
+		return !l.inWriteBackoff(j)
 	}
-	if j.free {
+	if j.awaitedDone {
 		j.rec = rec
 		l.noteReady(j)
 	}
 	if j.fence {
 		j.fence, l.records.dirty = false, true
-		l.relay(j)
+		l.switchToRanges(j)
 	}
 	return false
 }
 
-// least is an open record of a cancelled job without what only matters to one that
-// is to run: so that a wish to cancel can be recorded where the service has come
+// reduced is an open record of a cancelled job without what only matters to one that
+// is to run: so that a cancellation request can be recorded where the service has come
 // to take less than the description.
-func (r openRecord) least() openRecord {
+func (r openRecord) reduced() openRecord {
 	j := r.Job
 	if len(j.Class) > 64 {
 		j.Class = ""
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -44,10 +44,10 @@
 // placeTasks places tasks of a job on machines of its own and has them recorded.
 func placeTasks(l *leader, j *job, from, to int) {
 	for i := from; i < to; i++ {
-		j.tasks[i] = task{attempt: j.next, zone: "a", session: 1, ours: true}
-		j.next++
+		j.tasks[i] = task{attempt: j.nextAttempt, zone: "a", session: 1, ours: true}
+		j.nextAttempt++
 		l.bind(j, i, l.machine(fmt.Sprintf("n-%s-%06d", j.ID, i)))
-		l.touch(j, i, false)
+		l.markDirty(j, i, false)
 	}
 }
 
@@ -68,7 +68,7 @@
 	l.adopt(l.jobs[id], found)
 	n := 0
 	for i := range tasks {
-		if l.jobs[id].tasks[i].m != nil {
+		if l.jobs[id].tasks[i].machine != nil {
 			n++
 		}
 	}
@@ -122,9 +122,9 @@
 			for n := range 6 {
 				j := l.jobs[jobID(n)]
 				for i := 0; i < 300; i += 7 {
-					j.tasks[i].attempt, j.tasks[i].recorded = j.next, false
-					j.next++
-					l.touch(j, i, false)
+					j.tasks[i].attempt, j.tasks[i].recorded = j.nextAttempt, false
+					j.nextAttempt++
+					l.markDirty(j, i, false)
 				}
 			}
 			l.markDone(l.jobs[jobID(8)], 0)
@@ -172,7 +172,7 @@
 }
 
 // TestLongDescriptionCancelled cancels a job whose open record is larger than the
-// service takes by now: the wish is recorded without what only a job that is to
+// service takes by now: the request is recorded without what only a job that is to
 // run needs, the job and what needs it end, and hardly a write is refused.
 func TestLongDescriptionCancelled(t *testing.T) {
 	for _, tc := range []struct {
@@ -188,7 +188,7 @@
 			placeTasks(l, j, 0, 1)
 			b.run(time.Second)
 			refused := lower(b, 5, 2048)
-			var rec openRecord // with the wish
+			var rec openRecord // with the request
 			b.watch = func() {
 				if it := b.store[prefixOpen+jobID(1)]; it.Key != "" {
 					rec = openRecord{}
@@ -260,7 +260,7 @@
 			}
 			// The next leader finds it out by itself.
 			next := nextLeader(b, l, "")
-			if k := next.jobs[jobID(2)]; k.waits && !k.free {
+			if k := next.jobs[jobID(2)]; k.waits && !k.awaitedDone {
 				t.Error("it waits again under the next leader")
 			}
 		})
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -114,7 +114,7 @@
 	asked := l.c.now
 	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines", Body: encode(r.req), Timeout: cloudTimeout}, func(res Result) {
 		r.busy = false
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		key := r.key()
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		key := offerKey{m.typ, m.zone, m.spot}
-		p.bins = append(p.bins, &bin{machine: m.name, key: key, free: total.Sub(m.used), preemptible: m.soft})
+		p.bins = append(p.bins, &bin{machine: m.name, key: key, free: total.Sub(m.used), preemptible: m.usedByRank})
 	}
 	for _, r := range l.fleet.rents {
 		t := l.c.types[r.req.Type]
@@ -107,7 +107,7 @@
 func (p *rentalPlan) packPending(cands []*candidate, usage map[string]topology.Resources) {
 	planned := maps.Clone(usage)
 	for _, c := range cands {
-		if len(c.j.failOn) < maxFailedOn {
+		if len(c.job.failedOn) < maxFailedOn {
 			p.packCandidate(c, planned)
 		}
 	}
@@ -115,19 +115,19 @@
 
 // packCandidate packs a candidate's tasks and adds them to their team's usage.
 func (p *rentalPlan) packCandidate(c *candidate, usage map[string]topology.Resources) {
-	l, j := p.l, c.j
+	l, j := p.l, c.job
 	// Room that is being made for it is not rented as well, also where the
 	// pass did not come to it.
-	c.held = max(c.held, l.heldFor(j))
+	c.reserved = max(c.reserved, l.reservedFor(j))
 	zoneRoom := l.zoneRoom(j)
 	added := map[string]int{} // by zone
 	var last *bin
-	for k := c.held; k < len(c.pending) && k < maxPlannedTasks; k++ {
+	for k := c.reserved; k < len(c.pending) && k < maxPlannedTasks; k++ {
 		if !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), 1) {
 			return
 		}
 		zoneAllowed := func(zone string) bool {
-			if j.OneZone && k > c.held {
+			if j.OneZone && k > c.reserved {
 				return added[zone] > 0
 			}
 			return zoneRoom == nil || added[zone] < zoneRoom(zone)
--- a/internal/core/rentalplan_test.go
+++ b/internal/core/rentalplan_test.go
@@ -13,7 +13,7 @@
 // planCandidate is a job of team vision whose tasks all wait for room.
 func planCandidate(spec wire.Job, tasks int) *candidate {
 	spec.Team = "vision"
-	c := &candidate{j: &job{Job: spec, tasks: make([]task, tasks), failOn: map[string]bool{}}}
+	c := &candidate{job: &job{Job: spec, tasks: make([]task, tasks), jobRetries: jobRetries{failedOn: map[string]bool{}}}}
 	for i := range tasks {
 		c.pending = append(c.pending, i)
 	}
@@ -115,7 +115,7 @@
 			name: "a job that fails everywhere",
 			cands: []*candidate{func() *candidate {
 				c := planCandidate(wire.Job{CPUs: 2, MemGB: 1}, 1)
-				c.j.failOn = map[string]bool{"n-1": true, "n-2": true, "n-3": true}
+				c.job.failedOn = map[string]bool{"n-1": true, "n-2": true, "n-3": true}
 				return c
 			}()},
 		},
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -28,7 +28,7 @@
 	l.c.commit(&wire.Txn{If: []wire.Cond{l.termCond()}}, true, func(r Result) {
 		f.returnBusy = false
 		switch {
-		case l.gone:
+		case l.deposed:
 		case r.Status == 409:
 			l.c.stepDown(stepDownTermChanged)
 		case r.Status == 200, l.c.hearsPeer():
@@ -59,7 +59,7 @@
 	f.returnBusy = true
 	l.c.call(Call{Dest: DestCloud, Method: "POST", Path: "/machines/return", Body: encode(wire.MachineNames{Machines: names}), Timeout: cloudTimeout, Urgent: true}, func(r Result) {
 		f.returnBusy = false
-		if l.gone {
+		if l.deposed {
 			return
 		}
 		if r.Status != 200 {
@@ -83,18 +83,18 @@
 		return
 	}
 	for _, p := range m.placed {
-		if t := p.task(); t.m != m || t.stop != nil {
+		if t := p.task(); t.machine != m || t.stop != nil {
 			continue
 		}
 		grace := 0.0
-		if p.j.CheckpointS > 0 {
-			grace = p.j.SaveS
+		if p.job.CheckpointS > 0 {
+			grace = p.job.SaveS
 		}
-		if p.j.Shape == wire.ShapeGang {
-			l.stopGang(p.j, grace, stopDrained)
+		if p.job.Shape == wire.ShapeGang {
+			l.stopGang(p.job, grace, stopDrained)
 			continue
 		}
-		l.stopTask(p.j, p.i, grace, stopDrained)
+		l.stopTask(p.job, p.index, grace, stopDrained)
 	}
 }
 
--- a/internal/core/routes.go
+++ b/internal/core/routes.go
@@ -78,7 +78,7 @@
 		return f.final.status(id)
 	}
 	s := wire.JobStatus{ID: id, Status: wire.StatusPending}
-	if f.open.rec.told() {
+	if f.open.rec.acknowledged() {
 		s.Status = wire.StatusCancelled
 		return s
 	}
--- a/internal/core/shape.go
+++ b/internal/core/shape.go
@@ -28,9 +28,9 @@
 
 // shapeOf is the shape of a candidate's tasks.
 func shapeOf(c *candidate) shape {
-	j := c.j
+	j := c.job
 	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
-		rank: c.power, guaranteed: c.guaranteed, team: j.Team}
+		rank: c.preemptionRank, guaranteed: c.guaranteed, team: j.Team}
 	if j.Shape == wire.ShapeGang {
 		s.gang, s.oneZone = len(c.pending), j.OneZone
 	} else if j.OneZone {
--- a/internal/core/stops.go
+++ b/internal/core/stops.go
@@ -9,11 +9,11 @@
 // stopTask asks a task to end. Grace 0 ends it without a save.
 func (l *leader) stopTask(j *job, i int, grace float64, why stopReason) {
 	t := &j.tasks[i]
-	if t.m == nil || t.stop != nil && (t.stop.grace == 0 || grace > 0) {
+	if t.machine == nil || t.stop != nil && (t.stop.grace == 0 || grace > 0) {
 		return
 	}
 	t.stop = &stop{grace: grace, at: l.c.now, hard: grace == 0}
-	l.c.log.Debug("stop task", "task", taskName(j.ID, i), "machine", t.m.name, "why", why, "grace_s", grace)
+	l.c.log.Debug("stop task", "task", taskName(j.ID, i), "machine", t.machine.name, "why", why, "grace_s", grace)
 	if !t.recorded || !t.copied {
 		// Not recorded yet or never sent: nothing started.
 		if t.ours && !t.copied {
@@ -21,7 +21,7 @@
 		}
 		return
 	}
-	l.fleet.commandNow[t.m.name] = true
+	l.fleet.commandNow[t.machine.name] = true
 }
 
 // stopCommand is the command that stops a task; nil while the worker need not be
@@ -41,7 +41,7 @@
 // fails.
 func (l *leader) stopGang(j *job, grace float64, why stopReason) {
 	for i := range j.tasks {
-		if j.tasks[i].m != nil {
+		if j.tasks[i].machine != nil {
 			l.stopTask(j, i, grace, why)
 		}
 	}
@@ -54,7 +54,7 @@
 		for _, p := range m.placed {
 			t := p.task()
 			switch {
-			case t.m != m: // released by an earlier one
+			case t.machine != m: // released by an earlier one
 			case t.stop == nil:
 				l.stopIfOver(p)
 				l.checkDeaf(m, t)
@@ -72,11 +72,11 @@
 }
 
 // stopIfOver stops a task of a job that is cancelled or over.
-func (l *leader) stopIfOver(p ref) {
-	if p.j.cancelled {
-		l.stopTask(p.j, p.i, 0, stopCancelled)
-	} else if p.j.ended || p.task().done {
-		l.stopTask(p.j, p.i, 0, stopJobOver)
+func (l *leader) stopIfOver(p taskRef) {
+	if p.job.cancelled {
+		l.stopTask(p.job, p.index, 0, stopCancelled)
+	} else if p.job.ended || p.task().done {
+		l.stopTask(p.job, p.index, 0, stopJobOver)
 	}
 }
 
@@ -84,7 +84,7 @@
 // while but a task's start never shows. Reports that were held back and come
 // all at once do not tell that.
 func (l *leader) checkDeaf(m *machine, t *task) {
-	if t.m == nil || !t.ours || !t.recorded || t.seen || m.deafSince != 0 {
+	if t.machine == nil || !t.ours || !t.recorded || t.seen || m.deafSince != 0 {
 		return
 	}
 	reports := l.c.now-m.heard < 2*l.c.report()
@@ -96,14 +96,14 @@
 
 // repeatStop ends a save that takes too long, and returns the machine if the
 // end of cancelled work is not confirmed in time.
-func (l *leader) repeatStop(m *machine, p ref) {
+func (l *leader) repeatStop(m *machine, p taskRef) {
 	s := p.task().stop
 	if !s.hard && l.c.now-s.at > 2*time.Duration(s.grace*float64(time.Second)) {
 		s.hard = true
 		s.grace = 0
 		l.fleet.commandNow[m.name] = true
 	}
-	if l.cancelLate(p.j) && !l.justBack(m, p.j) {
+	if l.cancelLate(p.job) && !l.justBack(m, p.job) {
 		l.returnMachine(m, drainUnconfirmed)
 	}
 }
@@ -113,5 +113,5 @@
 // confirms it. Returned at once, a machine that was cut off lost all that it ran.
 // Where the user was told already there is no time for that.
 func (l *leader) justBack(m *machine, j *job) bool {
-	return !j.told && m.heard != 0 && l.c.now-m.reportsSince < 2*l.c.report()
+	return !j.acknowledged && m.heard != 0 && l.c.now-m.reportsSince < 2*l.c.report()
 }
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -49,7 +49,7 @@
 		// A leader that takes over tells how many wait with the records loaded.
 		l.c.log.Info("job waits", "job", j.ID, "for", len(j.Awaits))
 		l.resolve(j)
-		l.raise(j)
+		l.inherit(j)
 	}
 }
 
@@ -91,7 +91,7 @@
 	l.c.find(id, func(f found) {
 		l.lookups.running--
 		switch {
-		case l.gone:
+		case l.deposed:
 		case f.final != nil:
 			delete(l.lookups.due, id)
 			l.awaitedOver(id, f.final.Status)
@@ -126,7 +126,7 @@
 	}
 	for _, y := range l.deps.done(id) {
 		if j := l.jobs[y]; j != nil && j.waits && !j.cancelled {
-			j.free = true
+			j.awaitedDone = true
 			l.records.dirty = true
 		}
 	}
@@ -138,7 +138,7 @@
 		return
 	}
 	l.c.log.Info("job goes on", "job", j.ID)
-	j.waits, j.free = false, false
+	j.waits, j.awaitedDone = false, false
 	j.since = j.rec.ReadyAt
 	l.deps.drop(j.ID)
 	l.noteArrival(j)
@@ -162,17 +162,17 @@
 		l.markCancelled(l.jobs[id])
 		l.deps.eachAwaited(id, func(a string) { before = append(before, a) })
 	}
-	l.reclaim(before)
+	l.recomputeInherited(before)
 }
 
-// awaitedStill tells whether any dependent of a job is not over, or may not be.
-func (l *leader) awaitedStill(id string) bool {
+// hasLiveDependents tells whether any dependent of a job is not over, or may not be.
+func (l *leader) hasLiveDependents(id string) bool {
 	if j := l.jobs[id]; j != nil && l.mayHaveUnread(j) {
 		return true
 	}
 	return l.deps.anyDependent(id, func(y string) bool {
 		j := l.jobs[y]
-		return j != nil && !j.ended && !j.final
+		return j != nil && !j.ended && !j.endPending
 	})
 }
 
@@ -188,13 +188,13 @@
 	return float64(rec.At)/1000 + *rec.Job.DeadlineS
 }
 
-// raise gives the jobs that others need the highest priority among these, and the
+// inherit gives the jobs that others need the highest priority among these, and the
 // time by which they have to be done so that the rest of the chain can be, if
 // either is more urgent than their own: users name both on the last job only. A
 // job is looked at after all of its dependents that change, and so once: taken up
 // by way of each path, a job of a layered graph would be looked at as often as
 // there are paths.
-func (l *leader) raise(dependents ...*job) {
+func (l *leader) inherit(dependents ...*job) {
 	var changed worklist
 	for _, j := range dependents {
 		changed.add(j.ID, l.deps.level[j.ID])
@@ -210,15 +210,15 @@
 			if x == nil || x.cancelled || x.rank >= j.rank && x.due <= due {
 				return
 			}
-			l.claim(x, max(x.rank, j.rank), min(x.due, due))
-			l.further(&changed, id, a)
+			l.setInherited(x, max(x.rank, j.rank), min(x.due, due))
+			l.queueAwaited(&changed, id, a)
 		})
 	}
 }
 
-// reclaim finds out what jobs are left with when one that needed them is not
+// recomputeInherited finds out what jobs are left with when one that needed them is not
 // there any more, or is cancelled.
-func (l *leader) reclaim(ids []string) {
+func (l *leader) recomputeInherited(ids []string) {
 	var changed worklist
 	for _, id := range ids {
 		changed.add(id, l.deps.level[id])
@@ -228,25 +228,25 @@
 		if j == nil || j.cancelled || j.rank == priorityRank[j.Priority] && j.due == ownDue(&j.rec) {
 			continue
 		}
-		rank, due := l.claims(j)
+		rank, due := l.inherited(j)
 		if rank == j.rank && due == j.due {
 			continue
 		}
-		l.claim(j, rank, due)
-		l.deps.eachAwaited(id, func(a string) { l.further(&changed, id, a) })
+		l.setInherited(j, rank, due)
+		l.deps.eachAwaited(id, func(a string) { l.queueAwaited(&changed, id, a) })
 	}
 }
 
-// further has an awaited job looked at after a job that has changed.
-func (l *leader) further(changed *worklist, id, awaited string) {
+// queueAwaited has an awaited job looked at after a job that has changed.
+func (l *leader) queueAwaited(changed *worklist, id, awaited string) {
 	if level := l.deps.level[awaited]; level < l.deps.level[id] {
 		changed.add(awaited, level)
 	}
 }
 
-// claims returns the rank of a job and the time by which it has to be done, as its
+// inherited returns the rank of a job and the time by which it has to be done, as its
 // user and its dependents want it.
-func (l *leader) claims(j *job) (rank int, due float64) {
+func (l *leader) inherited(j *job) (rank int, due float64) {
 	rank, due = priorityRank[j.Priority], ownDue(&j.rec)
 	l.deps.eachDependent(j.ID, func(y string) {
 		if o := l.jobs[y]; o != nil && !o.cancelled {
@@ -256,8 +256,8 @@
 	return rank, due
 }
 
-// claim changes a job's rank and the time by which it has to be done.
-func (l *leader) claim(j *job, rank int, due float64) {
+// setInherited changes a job's rank and the time by which it has to be done.
+func (l *leader) setInherited(j *job, rank int, due float64) {
 	if rank != j.rank {
 		l.setRank(j, rank)
 	}
@@ -268,13 +268,13 @@
 // setRank changes a job's rank, and with it what machines count by rank.
 func (l *leader) setRank(j *job, rank int) {
 	for i := range j.tasks {
-		if m := j.tasks[i].m; m != nil {
+		if m := j.tasks[i].machine; m != nil {
 			m.count(j, -1)
 		}
 	}
 	j.rank = rank
 	for i := range j.tasks {
-		if m := j.tasks[i].m; m != nil {
+		if m := j.tasks[i].machine; m != nil {
 			m.count(j, 1)
 		}
 	}
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -60,8 +60,8 @@
 			t.Errorf("%s: rank %d, due %.0f s before the end, want %.0f", id, j.rank, end-j.due, end-want)
 		}
 	}
-	if m.soft[priorityRank[wire.PriorityUrgent]].CPUs != 4 || m.soft[0].CPUs != 0 {
-		t.Errorf("the machine counts %v by priority", m.soft)
+	if m.usedByRank[priorityRank[wire.PriorityUrgent]].CPUs != 4 || m.usedByRank[0].CPUs != 0 {
+		t.Errorf("the machine counts %v by priority", m.usedByRank)
 	}
 	l.forget(l.jobs["job-3"])
 	if j := l.jobs["job-1"]; j.rank != 0 || !math.IsInf(j.due, 1) {
@@ -193,9 +193,9 @@
 	for i := range j.tasks[:60] {
 		m := l.machine(fmt.Sprintf("n-%06d", i))
 		j.tasks[i] = task{attempt: uint64(i + 1), zone: "a", session: 1, ours: true}
-		j.next = uint64(i + 2)
+		j.nextAttempt = uint64(i + 2)
 		l.bind(j, i, m)
-		l.touch(j, i, false)
+		l.markDirty(j, i, false)
 	}
 	b.run(1e9)
 	late := ""
@@ -244,8 +244,8 @@
 		}
 	}
 	n.adopt(n.jobs["job-1"], found)
-	if got := n.jobs["job-1"]; got.placed != 60 || got.next != 61 || got.numbered {
-		t.Errorf("a next leader finds %d tasks placed, next attempt %d, numbered %v", got.placed, got.next, got.numbered)
+	if got := n.jobs["job-1"]; got.placed != 60 || got.nextAttempt != 61 || got.numbered {
+		t.Errorf("a next leader finds %d tasks placed, next attempt %d, numbered %v", got.placed, got.nextAttempt, got.numbered)
 	}
 }
 
@@ -261,7 +261,7 @@
 		{key: "p/job-1/0-12", version: 9, from: 0, to: 12, rec: placeRecord{Next: 50, Tasks: []placeEntry{
 			{Task: 2, Attempt: 45, Machine: "n-000002", Zone: "b", Session: 3}}}},
 	})
-	if j.tasks[1].m != nil || j.tasks[2].m == nil || j.tasks[2].m.name != "n-000002" || j.tasks[20].m == nil || !j.tasks[3].done || j.next != 50 {
+	if j.tasks[1].machine != nil || j.tasks[2].machine == nil || j.tasks[2].machine.name != "n-000002" || j.tasks[20].machine == nil || !j.tasks[3].done || j.nextAttempt != 50 {
 		t.Errorf("read as %+v", j.tasks[:21])
 	}
 	for i := range j.tasks {
@@ -284,14 +284,14 @@
 		r.Job.Priority, r.Job.DeadlineS, r.Job.EstimateS = wire.PriorityUrgent, &due, 20
 	})
 	j, urgent := l.jobs["job-1"], priorityRank[wire.PriorityUrgent]
-	if j.rank != urgent || l.power(j) != 0 {
-		t.Errorf("with 50 s to spare of 30: rank %d, stops by %d", j.rank, l.power(j))
+	if j.rank != urgent || l.preemptionRank(j) != 0 {
+		t.Errorf("with 50 s to spare of 30: rank %d, stops by %d", j.rank, l.preemptionRank(j))
 	}
 	b.c.wall += 25_000
-	if l.power(j) != urgent {
-		t.Errorf("with 25 s to spare of 30 it stops by %d", l.power(j))
+	if l.preemptionRank(j) != urgent {
+		t.Errorf("with 25 s to spare of 30 it stops by %d", l.preemptionRank(j))
 	}
-	if l.power(l.jobs["job-2"]) != urgent {
+	if l.preemptionRank(l.jobs["job-2"]) != urgent {
 		t.Error("a job's own priority counts at all times")
 	}
 }
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -224,7 +224,7 @@
 		}
 	case wire.StatusCancelled:
 		if !u.calledOff(j) {
-			u.w.check.broken("went_back", "%s: cancelled without its user's wish", j.id)
+			u.w.check.broken("went_back", "%s: cancelled without its user's request", j.id)
 		}
 		if j.final == "" {
 			j.cancelled = u.w.now
