Rent for the next stage of a chain while the last awaited job runs

Cause: a job that waits for others was no demand until the last of them was done. Its array of 60 to 240 tasks then waited for a boot of 30 to 40 s, with the deadline of the whole chain running. The job is known from its submission, so machines for it are rented, and idle ones kept, once what it awaits ends sooner than a machine boots.

--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -36,6 +36,11 @@
 	if j.placed == len(j.tasks) || j.Shape == wire.ShapeGang && j.placed > 0 {
 		return nil
 	}
+	return j.unplacedTasks()
+}
+
+// unplacedTasks lists the tasks that are not done and count on no machine.
+func (j *job) unplacedTasks() []int {
 	var out []int
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.machine == nil && !t.done {
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -75,31 +75,35 @@
 
 // eachAwaited calls a function for what a job still awaits.
 func (d *dependencies) eachAwaited(id string, f func(a string)) {
-	s := d.awaited[id]
-	if s == nil {
-		return
-	}
-	for _, a := range s.names {
-		if a != "" {
-			d.steps++
-			f(a)
-		}
-	}
+	d.anyAwaited(id, func(a string) bool {
+		f(a)
+		return false
+	})
+}
+
+// anyAwaited tells whether a function is true for a job that a job still awaits.
+// It looks no further than the first.
+func (d *dependencies) anyAwaited(id string, f func(a string) bool) bool {
+	return d.any(d.awaited[id], f)
 }
 
 // anyDependent tells whether a function is true for a job that awaits a job. It
 // looks no further than the first.
 func (d *dependencies) anyDependent(id string, f func(y string) bool) bool {
-	s := d.dependents[id]
+	return d.any(d.dependents[id], f)
+}
+
+// any tells whether a function is true for a name of a set, which may be nil.
+func (d *dependencies) any(s *nameSet, f func(name string) bool) bool {
 	if s == nil {
 		return false
 	}
-	for _, y := range s.names {
-		if y == "" {
+	for _, name := range s.names {
+		if name == "" {
 			continue
 		}
 		d.steps++
-		if f(y) {
+		if f(name) {
 			return true
 		}
 	}
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -69,10 +69,12 @@
 )
 
 // plan rents for the tasks that found no room, and keeps or rents some room
-// for the work that is expected while a machine boots.
+// for the work that goes on or is expected while a machine boots.
 func (l *leader) plan(cands []*candidate, usage map[string]topology.Resources) {
 	p := newRentalPlan(l)
-	p.packPending(cands, usage)
+	planned := maps.Clone(usage)
+	p.packPending(cands, planned)
+	p.packNextStages(planned)
 	p.packExpected()
 	l.consolidate(p.bins, cands)
 	l.fleet.keepIdle = p.usedMachines()
@@ -103,12 +105,12 @@
 	return p
 }
 
-// packPending packs the candidates' tasks, within their teams' limits.
+// packPending packs the candidates' tasks, within their teams' limits, and adds
+// them to the teams' usage.
 func (p *rentalPlan) packPending(cands []*candidate, usage map[string]topology.Resources) {
-	planned := maps.Clone(usage)
 	for _, c := range cands {
 		if len(c.job.failedOn) < maxFailedOn {
-			p.packCandidate(c, planned)
+			p.packCandidate(c, usage)
 		}
 	}
 }
