Accept jobs that await one whose record the state service takes no more

Such a job, recorded before the limits fell, cannot be marked as needed: every submission that awaited it was answered 503 until its user gave up. It is accepted without the mark now. What the mark is for holds otherwise: a record so large is cancelled as that of a needed job, whoever records it, so the word of a leader that cannot read is not enough. A refused transaction of marks is also tried smaller at once instead of with the user's next try.

--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -9,7 +9,9 @@
 // condition that those which are not over are as they were read: so of a
 // cancellation and a dependent that is accepted meanwhile, one sees the other.
 // It marks them as needed, which keeps a cancellation from being answered on the
-// word of a leader that cannot read new dependents. Only what is not over goes
+// word of a leader that cannot read new dependents. A record that the service has
+// come to take no more is left unmarked: its cancellation is recorded as that of a
+// needed job, see recordCancellation. Only what is not over goes
 // on record, for an end never reverts; of a list that is longer than a
 // transaction's conditions the rest has been read before, and the leader looks
 // again. A list that does not fit into the open record is spread over records of
@@ -48,7 +50,7 @@
 		if len(p.conds) < c.maxConds() {
 			p.conds = append(p.conds, wire.Cond{Key: prefixOpen + a, Version: k.version})
 		}
-		if !k.rec.Needed {
+		if c.canMark(k) {
 			rec := k.rec
 			rec.Needed = true
 			p.marks[a] = rec
@@ -59,6 +61,41 @@
 	return p, len(p.writes) <= c.limits().TxnOps
 }
 
+// canMark tells whether an awaited job's open record is to be marked as needed, and
+// the state service still takes a record of that size.
+func (c *Core) canMark(k *known) bool {
+	if k.rec.Needed || k.unwritable {
+		return false
+	}
+	rec := k.rec
+	rec.Needed = true
+	return len(encode(rec)) <= c.maxValue()
+}
+
+// mayMarkOtherwise takes in that the state service has refused a transaction with
+// marks. It tells whether smaller ones may do, or one with fewer marks.
+func (c *Core) mayMarkOtherwise(writes int, marks map[string]openRecord) bool {
+	smaller := c.refusedTxn(writes)
+	fewer := c.noteUnwritable(marks)
+	return smaller || fewer
+}
+
+// noteUnwritable takes the large ones among refused marks for the cause of the
+// refusal. It tells whether there are any.
+func (c *Core) noteUnwritable(marks map[string]openRecord) bool {
+	found := false
+	for id, rec := range marks {
+		if k := c.users.open[id]; k != nil && mayBeUnmarked(rec) {
+			k.unwritable, found = true, true
+		}
+	}
+	return found
+}
+
+// mayBeUnmarked tells whether an open record is so large that the state service may
+// have refused to have it marked as needed.
+func mayBeUnmarked(rec openRecord) bool { return len(encode(rec)) > smallValue }
+
 func (p *prepared) write(key string, v []byte) {
 	p.writes = append(p.writes, wire.Write{Put: key, Value: v})
 	p.bytes += len(v) + writeOverhead
@@ -131,7 +168,7 @@
 			s.withdrawn = true
 		default:
 			s.unfinished = append(s.unfinished, a)
-			if !k.rec.Needed {
+			if c.canMark(k) {
 				unmarked = append(unmarked, a)
 			}
 		}
@@ -195,11 +232,10 @@
 				delete(c.users.open, id)
 			}
 		default:
-			if r.Status == statusBadRequest {
-				c.refusedTxn(len(txn.Writes))
+			if r.Status != statusBadRequest || !c.mayMarkOtherwise(len(txn.Writes), marks) {
+				c.answerRetry(s.req, errorStoreSilent)
+				return
 			}
-			c.answerRetry(s.req, errorStoreSilent)
-			return
 		}
 		c.checkAwaited(s)
 	})
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -89,6 +89,7 @@
 func (c *Core) recordCancellation(req uint64, id string, k *known, tries int, least bool) {
 	rec := k.rec
 	rec.Cancelled, rec.AskedAt = true, c.wall
+	rec.Needed = rec.Needed || mayBeUnmarked(rec)
 	if least || len(encode(rec)) > c.maxValue() {
 		rec, least = rec.reduced(), true
 	}
--- a/internal/core/jobcache.go
+++ b/internal/core/jobcache.go
@@ -5,9 +5,11 @@
 	"github.com/segmentio/encoding/json"
 )
 
+// known is what a controller remembers of an open job.
 type known struct {
-	version uint64
-	rec     openRecord
+	version    uint64
+	rec        openRecord
+	unwritable bool // the state service does not take a record of this size any more
 }
 
 // maxKnown is how many jobs of a kind are remembered, open or final: a hundred
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -322,3 +322,79 @@
 		t.Errorf("%d transactions refused in 120 s", refused)
 	}
 }
+
+// TestLongDescriptionIsAwaited submits jobs that await one whose open record is
+// larger than the service takes by now. They are accepted though it cannot be marked
+// as needed. Its cancellation is recorded as that of a needed job, and takes them
+// along.
+func TestLongDescriptionIsAwaited(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		settings func(*config.Settings)
+		others   int  // unfinished jobs that are awaited beside it
+		late     bool // the leader learns of the dependent after the job's end
+		most     int
+	}{
+		{"announced", announced(5, 2), 0, false, 0},
+		{"silent", silent, 0, false, 2},
+		{"among more than a transaction marks", announced(5, 2), 9, false, 0},
+		{"silent, among more than a transaction marks", silent, 9, false, 6},
+		{"the leader learns of the dependent late", announced(5, 2), 0, true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, l := leading(t, tc.settings)
+			record(b, l, longJob(jobID(1), 40), nil)
+			placeTasks(l, l.jobs[jobID(1)], 0, 1)
+			names := []string{`"` + jobID(1) + `"`}
+			for n := range tc.others {
+				record(b, l, wire.Job{ID: jobID(10 + n)}, nil)
+				names = append(names, `"`+jobID(10+n)+`"`)
+			}
+			b.run(time.Second)
+			refused := lower(b, 5, 2048)
+			var request openRecord
+			b.watch = func() {
+				if it := b.store[prefixOpen+jobID(1)]; it.Key != "" {
+					request = openRecord{}
+					stdjson.Unmarshal(it.Value, &request)
+				}
+			}
+			dependent := jobID(2)
+			if a := b.ask("POST", "/submissions", named(2, "["+strings.Join(names, ",")+"]")); a.Status != 201 {
+				t.Fatalf("the dependent is answered %d %s", a.Status, a.Body)
+			}
+			if request.Needed {
+				t.Error("a record that is too large was written")
+			}
+			learn := func() {
+				item := b.store[prefixOpen+dependent]
+				var rec openRecord
+				if err := stdjson.Unmarshal(item.Value, &rec); err != nil {
+					t.Fatal(err)
+				}
+				l.noteOpen(dependent, item.Version, rec)
+			}
+			if !tc.late {
+				learn()
+			}
+			b.nextReq++
+			b.step(Request{ID: b.nextReq, Method: "POST", Path: "/submissions/" + jobID(1) + "/cancel"})
+			b.run(3 * time.Second)
+			if tc.late {
+				learn()
+				b.run(time.Second)
+			}
+			if !request.Cancelled || !request.Needed {
+				t.Errorf("the cancellation is recorded as %+v", request)
+			}
+			for _, id := range []string{jobID(1), dependent} {
+				if final := string(b.store[prefixFinal+id].Value); !strings.Contains(final, string(wire.StatusCancelled)) {
+					t.Errorf("%s ended as %q", id, final)
+				}
+			}
+			if *refused > tc.most {
+				t.Errorf("%d transactions refused, want at most %d", *refused, tc.most)
+			}
+		})
+	}
+}
--- a/internal/core/storecalls.go
+++ b/internal/core/storecalls.go
@@ -41,12 +41,15 @@
 
 // refusedTxn takes in that the service found a transaction malformed: its limits
 // are lower than they were said to be. Else what does not fit would be sent again
-// for ever, and hold up everything behind it.
-func (c *Core) refusedTxn(writes int) {
-	if writes > 2 {
-		c.fewerOps = max(2, writes*3/4)
-		c.log.Info("the state service takes fewer changes at a time", "changes", c.fewerOps)
+// for ever, and hold up everything behind it. It tells whether the same changes may
+// do in smaller transactions.
+func (c *Core) refusedTxn(writes int) bool {
+	if writes <= 2 {
+		return false
 	}
+	c.fewerOps = max(2, writes*3/4)
+	c.log.Info("the state service takes fewer changes at a time", "changes", c.fewerOps)
+	return true
 }
 
 func (c *Core) get(key string, f func(Result)) {
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -270,11 +270,15 @@
 // found malformed go alone: one of them may be too large for the service, and
 // alone it does not hold up the others.
 func (c *Core) submitsMalformed(batch *submitBatch) {
-	c.refusedTxn(len(batch.txn.Writes))
 	if len(batch.submits) == 1 {
+		if c.mayMarkOtherwise(len(batch.txn.Writes), batch.marks) {
+			c.checkAwaited(batch.submits[0])
+			return
+		}
 		c.answerRetry(batch.submits[0].req, "the state service refuses the record")
 		return
 	}
+	c.refusedTxn(len(batch.txn.Writes))
 	for _, s := range batch.submits {
 		s.alone = true
 		c.users.submits = append(c.users.submits, s)
