--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,88 +147,124 @@
 // check names all that is missing or impossible; given tells whether a key is in
 // the file, for a limit of 0 is not one that is left out.
 func (s *Settings) check(given func(key ...string) bool) error {
-	var faults []string
-	bad := func(format string, a ...any) { faults = append(faults, fmt.Sprintf(format, a...)) }
-	addr := func(name, v string) {
-		host, port, err := net.SplitHostPort(v)
-		if err != nil || net.ParseIP(host) == nil {
-			bad("%s: %q is not an IP address with a port", name, v)
-			return
-		}
-		if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
-			bad("%s: %q has no usable port", name, v)
-		}
+	var f faults
+	if s.Name == "" {
+		f.add("host_name: missing")
 	}
-	positive := func(name string, v float64) {
-		if !(v > 0) {
-			bad("%s: must be greater than 0, is %v", name, v)
-		}
+	f.addr("listen", s.Listen)
+	f.addr("back", s.PeerListen)
+	f.addr("external.cloud", s.External.Cloud)
+	f.addr("external.state", s.External.State)
+	s.checkPeers(&f)
+	d := &s.Deployment
+	d.checkTeams(&f)
+	d.Workers.check(&f)
+	d.State.check(&f, given)
+	f.positive("deployment.cloud.rps", d.Cloud.RPS)
+	if d.Cloud.ListLagS < 0 {
+		f.add("deployment.cloud.list_lag_s: below 0")
 	}
-	if s.Name == "" {
-		bad("host_name: missing")
+	f.positive("deployment.machine_limits.ram_mb", d.Limits.RAMMB)
+	f.positive("deployment.machine_limits.max_connections", float64(d.Limits.MaxConnections))
+	return f.err()
+}
+
+// faults collects what is wrong with settings.
+type faults []string
+
+func (f *faults) add(format string, a ...any) { *f = append(*f, fmt.Sprintf(format, a...)) }
+
+// err is all faults as one error; nil if there are none.
+func (f *faults) err() error {
+	if len(*f) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(*f, "; "))
+}
+
+func (f *faults) addr(name, v string) {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil || net.ParseIP(host) == nil {
+		f.add("%s: %q is not an IP address with a port", name, v)
+		return
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		f.add("%s: %q has no usable port", name, v)
+	}
+}
+
+func (f *faults) positive(name string, v float64) {
+	if !(v > 0) {
+		f.add("%s: must be greater than 0, is %v", name, v)
 	}
-	addr("listen", s.Listen)
-	addr("back", s.PeerListen)
-	addr("external.cloud", s.External.Cloud)
-	addr("external.state", s.External.State)
+}
+
+func (s *Settings) checkPeers(f *faults) {
 	seen := map[string]bool{s.Name: true}
 	for i, p := range s.Peers {
 		if p.Name == "" || seen[p.Name] {
-			bad("peers[%d].host_name: %q is missing or repeated", i, p.Name)
+			f.add("peers[%d].host_name: %q is missing or repeated", i, p.Name)
 		}
 		seen[p.Name] = true
-		addr(fmt.Sprintf("peers[%d].peer_addr", i), p.Addr)
+		f.addr(fmt.Sprintf("peers[%d].peer_addr", i), p.Addr)
 	}
-	d := &s.Deployment
-	teams := map[string]bool{}
+}
+
+func (d *Deployment) checkTeams(f *faults) {
+	seen := map[string]bool{}
 	for i, t := range d.Teams {
-		if t.Name == "" || teams[t.Name] {
-			bad("deployment.teams[%d].name: %q is missing or repeated", i, t.Name)
+		if t.Name == "" || seen[t.Name] {
+			f.add("deployment.teams[%d].name: %q is missing or repeated", i, t.Name)
 		}
-		teams[t.Name] = true
+		seen[t.Name] = true
 		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
-			bad("deployment.teams[%d]: an amount is below 0", i)
+			f.add("deployment.teams[%d]: an amount is below 0", i)
 		}
 	}
-	positive("deployment.workers.report_s", d.Workers.ReportS)
-	positive("deployment.workers.lease_s", d.Workers.LeaseS)
-	positive("deployment.workers.gang_wait_s", d.Workers.GangWaitS)
-	positive("deployment.workers.gang_peer_s", d.Workers.GangPeerS)
-	positive("deployment.workers.cancel_s", d.Workers.CancelS)
-	positive("deployment.state.rps", d.State.RPS)
-	positive("deployment.state.write_rps", d.State.WriteRPS)
-	positive("deployment.state.value_kb", d.State.ValueKB)
-	positive("deployment.state.txn_ops", float64(d.State.TxnOps))
-	if n := d.State.Next; n != nil {
-		for _, f := range []struct {
-			name string
-			v    float64
-		}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}, {"txn_ops", float64(n.TxnOps)}} {
-			if given("deployment", "state", "next", f.name) {
-				positive("deployment.state.next."+f.name, f.v)
+}
+
+func (w *Workers) check(f *faults) {
+	f.positive("deployment.workers.report_s", w.ReportS)
+	f.positive("deployment.workers.lease_s", w.LeaseS)
+	f.positive("deployment.workers.gang_wait_s", w.GangWaitS)
+	f.positive("deployment.workers.gang_peer_s", w.GangPeerS)
+	f.positive("deployment.workers.cancel_s", w.CancelS)
+}
+
+// minTxnOps is the least number of changes in a transaction: the end of a job takes
+// two.
+const minTxnOps = 2
+
+func (s *State) check(f *faults, given func(key ...string) bool) {
+	for _, limit := range s.named() {
+		f.positive("deployment.state."+limit.name, limit.value)
+	}
+	if s.Next != nil {
+		for _, limit := range s.Next.named() {
+			if given("deployment", "state", "next", limit.name) {
+				f.positive("deployment.state.next."+limit.name, limit.value)
 			}
 		}
 		if given("deployment", "state", "next", "next") {
-			bad("deployment.state.next.next: unexpected")
+			f.add("deployment.state.next.next: unexpected")
 		}
 	}
-	// An end of a job takes two changes.
-	if d.State.TxnOps == 1 {
-		bad("deployment.state.txn_ops: must be at least 2, is 1")
-	}
-	if n := d.State.Next; n != nil && n.TxnOps == 1 {
-		bad("deployment.state.next.txn_ops: must be at least 2, is 1")
-	}
-	positive("deployment.cloud.rps", d.Cloud.RPS)
-	if d.Cloud.ListLagS < 0 {
-		bad("deployment.cloud.list_lag_s: below 0")
+	if s.TxnOps == minTxnOps-1 {
+		f.add("deployment.state.txn_ops: must be at least %d, is %d", minTxnOps, s.TxnOps)
 	}
-	positive("deployment.machine_limits.ram_mb", d.Limits.RAMMB)
-	positive("deployment.machine_limits.max_connections", float64(d.Limits.MaxConnections))
-	if faults != nil {
-		return errors.New(strings.Join(faults, "; "))
+	if s.Next != nil && s.Next.TxnOps == minTxnOps-1 {
+		f.add("deployment.state.next.txn_ops: must be at least %d, is %d", minTxnOps, s.Next.TxnOps)
 	}
-	return nil
+}
+
+// namedLimit is a limit of the state service by its name in the file.
+type namedLimit struct {
+	name  string
+	value float64
+}
+
+func (s *State) named() []namedLimit {
+	return []namedLimit{{"rps", s.RPS}, {"write_rps", s.WriteRPS}, {"value_kb", s.ValueKB}, {"txn_ops", float64(s.TxnOps)}}
 }
 
 // Operator is the operators' own optional file.
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -34,6 +34,17 @@
 
 func offer(typ, zone string, spot bool) string { return fmt.Sprint(typ, "/", zone, "/", spot) }
 
+// rented is how many machines are rented now.
+func (c *cloudService) rented() int {
+	n := 0
+	for _, m := range c.machines {
+		if !m.gone {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *cloudService) names() []string {
 	names := make([]string, 0, len(c.machines))
 	for n := range c.machines {
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -38,6 +38,7 @@
 
 type line struct {
 	no   int
+	act  bool // something that happens at a time
 	at   time.Duration
 	word string
 	args []string
@@ -89,71 +90,12 @@
 	}()
 	s = &Scenario{cfg: defaults(), seed: 1, seeds: 1}
 	for no, raw := range strings.Split(text, "\n") {
-		raw, _, _ = strings.Cut(raw, "#")
-		f := strings.Fields(raw)
-		if len(f) == 0 {
-			continue
-		}
-		l := line{no: no + 1, opt: map[string]string{}}
-		at := false
-		if f[0] == "at" {
-			t, err := strconv.ParseFloat(f[1], 64)
-			if err != nil {
-				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
-			}
-			l.at, at = seconds(t), true
-			f = f[2:]
-		}
-		l.word = f[0]
-		for _, a := range f[1:] {
-			if k, v, ok := strings.Cut(a, "="); ok {
-				l.opt[k] = v
-			} else {
-				l.args = append(l.args, a)
-			}
+		l, ok, err := parseLine(no+1, raw)
+		if err == nil && ok {
+			err = s.take(l)
 		}
-		switch {
-		case at:
-			s.acts = append(s.acts, l)
-		case l.word == "seed":
-			s.seed, err = strconv.ParseUint(l.arg(0), 10, 64)
-			if err != nil {
-				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
-			}
-		case l.word == "seeds":
-			s.seeds, err = strconv.Atoi(l.arg(0))
-			if err != nil {
-				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
-			}
-		case l.word == "controllers":
-			s.cfg.Deployment.Size, err = strconv.Atoi(l.arg(0))
-			if err != nil {
-				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
-			}
-		case l.word == "until":
-			t, err := strconv.ParseFloat(l.arg(0), 64)
-			if err != nil {
-				return nil, fmt.Errorf("scenario: line %d: %w", l.no, err)
-			}
-			s.until = seconds(t)
-		case l.word == "team":
-			s.cfg.Deployment.Teams = append(s.cfg.Deployment.Teams, config.Team{Name: l.arg(0),
-				CPUs: l.num("cpus", 0), CPUsMax: l.num("cpus_max", 0), GPUs: l.num("gpus", 0), GPUsMax: l.num("gpus_max", 0)})
-		case l.word == "wait" || l.word == "finished":
-			s.cfg.Deployment.Objectives = append(s.cfg.Deployment.Objectives,
-				config.Objective{Kind: l.word, Class: l.arg(0), WithinS: l.num("within", 1), Share: 0.9})
-		case l.word == "workers":
-			d := &s.cfg.Deployment.Workers
-			d.ReportS, d.LeaseS, d.CancelS = l.num("report", d.ReportS), l.num("lease", d.LeaseS), l.num("cancel", d.CancelS)
-		case l.word == "next":
-			next := l.limits(s.cfg.Deployment.State)
-			s.cfg.Deployment.State.Next = &next
-		case l.word == "type":
-			s.setup = append(s.setup, l)
-		case l.word == "expect":
-			s.expect = append(s.expect, l)
-		default:
-			return nil, fmt.Errorf("scenario: line %d: unknown word %q", l.no, l.word)
+		if err != nil {
+			return nil, fmt.Errorf("scenario: line %d: %w", no+1, err)
 		}
 	}
 	if s.until == 0 {
@@ -162,6 +104,72 @@
 	return s, nil
 }
 
+// parseLine reads a line; not ok if there is nothing on it.
+func parseLine(no int, raw string) (l line, ok bool, err error) {
+	raw, _, _ = strings.Cut(raw, "#")
+	words := strings.Fields(raw)
+	if len(words) == 0 {
+		return line{}, false, nil
+	}
+	l = line{no: no, opt: map[string]string{}}
+	if words[0] == "at" {
+		t, err := strconv.ParseFloat(words[1], 64)
+		if err != nil {
+			return line{}, false, err
+		}
+		l.at, l.act = seconds(t), true
+		words = words[2:]
+	}
+	l.word = words[0]
+	for _, a := range words[1:] {
+		if k, v, ok := strings.Cut(a, "="); ok {
+			l.opt[k] = v
+		} else {
+			l.args = append(l.args, a)
+		}
+	}
+	return l, true, nil
+}
+
+// take takes a line into the scenario.
+func (s *Scenario) take(l line) (err error) {
+	if l.act {
+		s.acts = append(s.acts, l)
+		return nil
+	}
+	d := &s.cfg.Deployment
+	switch l.word {
+	case "seed":
+		s.seed, err = strconv.ParseUint(l.arg(0), 10, 64)
+	case "seeds":
+		s.seeds, err = strconv.Atoi(l.arg(0))
+	case "controllers":
+		d.Size, err = strconv.Atoi(l.arg(0))
+	case "until":
+		var t float64
+		t, err = strconv.ParseFloat(l.arg(0), 64)
+		s.until = seconds(t)
+	case "team":
+		d.Teams = append(d.Teams, config.Team{Name: l.arg(0),
+			CPUs: l.num("cpus", 0), CPUsMax: l.num("cpus_max", 0), GPUs: l.num("gpus", 0), GPUsMax: l.num("gpus_max", 0)})
+	case "wait", "finished":
+		d.Objectives = append(d.Objectives, config.Objective{Kind: l.word, Class: l.arg(0), WithinS: l.num("within", 1), Share: 0.9})
+	case "workers":
+		w := &d.Workers
+		w.ReportS, w.LeaseS, w.CancelS = l.num("report", w.ReportS), l.num("lease", w.LeaseS), l.num("cancel", w.CancelS)
+	case "next":
+		next := l.limits(d.State)
+		d.State.Next = &next
+	case "type":
+		s.setup = append(s.setup, l)
+	case "expect":
+		s.expect = append(s.expect, l)
+	default:
+		return fmt.Errorf("unknown word %q", l.word)
+	}
+	return err
+}
+
 // Run plays the scenario and returns what went wrong.
 func (s *Scenario) Run(log *slog.Logger) (w *World, faults []string) {
 	if log == nil {
@@ -396,12 +404,20 @@
 	return d, true
 }
 
+// act brings about what a line says.
 func (w *World) act(l line) {
 	if l.has("busy") && w.busiest() == nil {
 		return // no machine is up to suffer it
 	}
 	d := seconds(l.num("for", 10))
 	w.trace("act %s %v", l.word, l.args)
+	if !w.actOfUsers(l, d) && !w.actOnControllers(l, d) && !w.actOnServices(l, d) && !w.actOnMachines(l, d) {
+		panic(fmt.Sprintf("line %d: unknown act %q", l.no, l.word))
+	}
+}
+
+// actOfUsers has users do something; false if the line is of another kind.
+func (w *World) actOfUsers(l line, d time.Duration) bool {
 	switch l.word {
 	case "submit":
 		when := whenAccepted
@@ -413,6 +429,22 @@
 		w.users.submit(w.job(l), when)
 	case "cancel":
 		w.users.cancel(l.arg(0))
+	case "cancel_now":
+		w.users.cancelNow(int(l.num("count", 1)), seconds(l.num("hang", 0)))
+	case "cancel_at_end":
+		w.endCancels = late{l.num("share", 0.5), w.now + d}
+	case "odd_requests":
+		w.users.odd(w.now + d)
+	default:
+		return false
+	}
+	return true
+}
+
+// actOnControllers ends controllers or cuts connections; false if the line is of
+// another kind.
+func (w *World) actOnControllers(l line, d time.Duration) bool {
+	switch l.word {
 	case "crash":
 		for _, n := range w.nodesOf(l.arg(0)) {
 			n.crash(seconds(l.num("for", 3)))
@@ -423,6 +455,22 @@
 		if !l.has("oneway") {
 			w.cuts = append(w.cuts, &cut{b, a, w.now + d, l.has("hold")})
 		}
+	case "isolate": // a controller loses state service and peers, both ways
+		for _, n := range w.nodesOf(l.arg(0)) {
+			for _, other := range []string{"state", "nodes"} {
+				w.cuts = append(w.cuts, &cut{n.name, other, w.now + d, false}, &cut{other, n.name, w.now + d, false})
+			}
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// actOnServices troubles the state service or the cloud; false if the line is of
+// another kind.
+func (w *World) actOnServices(l line, d time.Duration) bool {
+	switch l.word {
 	case "outage":
 		if l.arg(0) == "state" {
 			w.store.beginOutage(d)
@@ -435,36 +483,35 @@
 		w.store.refuse[w.endpoint(l.arg(0))] = w.now + d
 	case "late_writes": // transactions without an answer, carried out late
 		w.store.late = late{l.num("share", 0.1), w.now + d}
-	case "late_reports": // copies of reports that come again
-		w.lateReports = late{l.num("share", 0.1), w.now + d}
-	case "isolate": // a controller loses state service and peers, both ways
-		for _, n := range w.nodesOf(l.arg(0)) {
-			for _, other := range []string{"state", "nodes"} {
-				w.cuts = append(w.cuts, &cut{n.name, other, w.now + d, false}, &cut{other, n.name, w.now + d, false})
-			}
-		}
 	case "limits": // the state service has lower limits from now on
 		w.store.limit(l.limits(w.cfg.Deployment.State))
-	case "cancel_now":
-		w.users.cancelNow(int(l.num("count", 1)), seconds(l.num("hang", 0)))
-	case "cancel_at_end":
-		w.endCancels = late{l.num("share", 0.5), w.now + d}
-	case "odd_requests":
-		w.users.odd(w.now + d)
+	case "noboot":
+		w.cloud.noBoot = w.now + d
+	default:
+		return false
+	}
+	return true
+}
+
+// actOnMachines troubles machines or their reports; false if the line is of another
+// kind.
+func (w *World) actOnMachines(l line, d time.Duration) bool {
+	switch l.word {
 	case "kill", "take", "hang", "faulty", "deaf", "mute":
 		for _, m := range w.machinesOf(l) {
 			w.strike(l.word, m, d)
 		}
-	case "noboot":
-		w.cloud.noBoot = w.now + d
+	case "late_reports": // copies of reports that come again
+		w.lateReports = late{l.num("share", 0.1), w.now + d}
 	case "copies": // late copies of a machine's reports
 		for _, name := range w.cloud.names() {
 			m := w.cloud.machines[name]
 			m.copyUntil, m.copyDelay = w.now+d, seconds(l.num("delay", 15))
 		}
 	default:
-		panic(fmt.Sprintf("line %d: unknown act %q", l.no, l.word))
+		return false
 	}
+	return true
 }
 
 func (w *World) running(id string) int {
@@ -479,62 +526,52 @@
 	return n
 }
 
-// expected judges a line of expectations at the end.
+// expected judges a line of expectations at the end. It returns what is wrong.
 func (w *World) expected(l line) string {
-	switch l.word {
-	case "expect":
-		what := l.arg(0)
-		if what == "machines" {
-			n := 0
-			for _, m := range w.cloud.machines {
-				if !m.gone {
-					n++
-				}
-			}
-			if most := int(l.num("most", 1e9)); n > most {
-				return fmt.Sprintf("%d machines, at most %d expected", n, most)
-			}
-			return ""
-		}
-		if what == "rented" {
-			if most := int(l.num("most", 1e9)); w.cloud.next > most {
-				return fmt.Sprintf("%d machines were rented, at most %d expected", w.cloud.next, most)
-			}
-			return ""
-		}
-		if what == "expired" {
-			if most := int(l.num("most", 0)); w.expired > most {
-				return fmt.Sprintf("%d tasks lost their worker's lease, at most %d expected", w.expired, most)
-			}
-			return ""
+	what := l.arg(0)
+	switch what {
+	case "machines":
+		return atMost(w.cloud.rented(), l.num("most", 1e9), "machines")
+	case "rented":
+		return atMost(w.cloud.next, l.num("most", 1e9), "machines rented in all")
+	case "expired":
+		return atMost(w.expired, l.num("most", 0), "tasks that lost their worker's lease")
+	case "starts":
+		return atMost(w.started, l.num("most", 1e9), "starts")
+	}
+	j := w.users.jobs[what]
+	if j == nil {
+		return "no such job " + what
+	}
+	return w.expectedJob(j, l)
+}
+
+// atMost tells what is wrong with a number that is beyond a bound.
+func atMost(n int, most float64, what string) string {
+	if float64(n) <= most {
+		return ""
+	}
+	return fmt.Sprintf("%d %s, at most %.0f expected", n, what, most)
+}
+
+// expectedJob judges a line that expects something of a job.
+func (w *World) expectedJob(j *userJob, l line) string {
+	switch want := l.arg(1); want {
+	case "running":
+		if n, want := w.running(j.id), int(l.num("tasks", 1)); n != want {
+			return fmt.Sprintf("%s: %d tasks run, %d expected", j.id, n, want)
 		}
-		if what == "starts" {
-			if most := int(l.num("most", 1e9)); w.started > most {
-				return fmt.Sprintf("%d starts, at most %d expected", w.started, most)
-			}
-			return ""
+	case "refused":
+		if want := int(l.num("status", 422)); j.refused != want {
+			return fmt.Sprintf("%s: refused with %d, %d expected", j.id, j.refused, want)
 		}
-		j := w.users.jobs[what]
-		if j == nil {
-			return "no such job " + what
+	case "over":
+		if j.final == "" {
+			return fmt.Sprintf("%s: told %q, not over", j.id, j.last.Status)
 		}
-		switch l.arg(1) {
-		case "running":
-			if n, want := w.running(what), int(l.num("tasks", 1)); n != want {
-				return fmt.Sprintf("%s: %d tasks run, %d expected", what, n, want)
-			}
-		case "refused":
-			if want := int(l.num("status", 422)); j.refused != want {
-				return fmt.Sprintf("%s: refused with %d, %d expected", what, j.refused, want)
-			}
-		case "over":
-			if j.final == "" {
-				return fmt.Sprintf("%s: told %q, not over", what, j.last.Status)
-			}
-		default:
-			if j.last.Status != wire.JobState(l.arg(1)) {
-				return fmt.Sprintf("%s: told %q, %q expected", what, j.last.Status, l.arg(1))
-			}
+	default:
+		if j.last.Status != wire.JobState(want) {
+			return fmt.Sprintf("%s: told %q, %q expected", j.id, j.last.Status, want)
 		}
 	}
 	return ""
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -105,6 +105,10 @@
 	})
 }
 
+// sender answers a request with a status and a value.
+type sender func(status int, v any)
+
+// handle serves a request of a controller.
 func (s *stateService) handle(from, method, path string, body []byte, reply func(int, []byte)) {
 	send := func(status int, v any) {
 		b, _ := json.Marshal(v)
@@ -120,99 +124,133 @@
 		return
 	}
 	u, _ := url.Parse(path)
-	q := u.Query()
 	switch {
 	case method == "GET" && u.Path == "/store":
-		limit, _ := strconv.Atoi(q.Get("limit"))
-		if limit == 0 || limit > 1000 {
-			limit = 1000
-		}
-		size := 0
-		p := wire.Page{Items: []wire.Item{}, Revision: s.rev}
-		var keys []string
-		for k := range s.keys {
-			if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
-				keys = append(keys, k)
-			}
-		}
-		sort.Strings(keys)
-		for _, k := range keys {
-			if size += len(k) + len(s.keys[k].value); len(p.Items) >= limit || size > 512<<10 {
-				p.More = true
-				break
-			}
-			p.Items = append(p.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
-		}
-		send(200, p)
+		send(200, s.page(u.Query()))
 	case method == "GET" && strings.HasPrefix(u.Path, "/store/"):
-		k := u.Path[len("/store/"):]
-		if e := s.keys[k]; e != nil {
-			send(200, wire.Item{Key: k, Value: e.value, Version: e.version, Lease: e.lease})
-		} else {
-			send(404, wire.TxnResult{Revision: s.rev})
-		}
+		s.get(strings.TrimPrefix(u.Path, "/store/"), send)
 	case method == "GET" && u.Path == "/changes":
-		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
-		if len(s.log) > 0 && len(s.log) >= maxLog && since < s.log[0].rev {
-			send(410, struct{}{})
-			return
-		}
-		hold, _ := strconv.Atoi(q.Get("holdMs"))
-		wt := &watcher{under: q.Get("under"), since: since, reply: reply}
-		if !s.offer(wt) {
-			s.watchers = append(s.watchers, wt)
-			s.w.after(time.Duration(hold)*time.Millisecond, func() {
-				if !wt.over {
-					wt.over = true
-					send(200, wire.Changes{Revision: s.rev, Events: []wire.Event{}})
-				}
-			})
-		}
+		s.watch(u.Query(), send, reply)
 	case method == "POST" && u.Path == "/commit":
-		var t wire.Txn
-		if json.Unmarshal(body, &t) != nil {
-			send(400, struct{}{})
-			return
-		}
-		if len(body) > 64<<10 {
-			s.w.check.broken("limits", "a transaction of %d bytes", len(body))
-		}
-		s.judge(&t)
-		if s.tooLarge(&t) {
-			s.refused++
-			send(400, map[string]string{"error": "too large"})
-			return
-		}
-		if _, ok := s.writes.TakeAt(s.w.clock(), float64(len(t.Writes)), false, 0); !ok {
-			s.busy++
-			send(429, struct{}{})
-			return
-		}
-		if s.late.strikes(s.w) {
-			s.w.after(2*time.Second+time.Duration(s.w.rng.Int64N(int64(10*time.Second))), func() { s.commitLate(&t) })
-			return
-		}
-		s.commit(&t, send)
+		s.takeTxn(body, send)
 	case method == "POST" && u.Path == "/grants":
-		var g wire.GrantRequest
-		json.Unmarshal(body, &g)
-		s.next++
-		s.ttl[s.next] = time.Duration(g.TTLMs) * time.Millisecond
-		s.leases[s.next] = s.w.now + s.ttl[s.next]
-		send(200, wire.Grant{Lease: s.next})
+		s.grant(body, send)
 	case method == "POST" && strings.HasSuffix(u.Path, "/extend"):
-		id, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
-		if _, ok := s.leases[id]; !ok {
-			send(404, struct{}{})
-			return
-		}
-		s.leases[id] = s.w.now + s.ttl[id]
-		send(200, struct{}{})
+		s.extend(strings.Split(u.Path, "/")[2], send)
 	default:
 		send(400, struct{}{})
 	}
 }
 
+const (
+	maxPageItems = 1000
+	maxPageBytes = 512 << 10
+	maxTxnBytes  = 64 << 10
+)
+
+// page lists keys in order.
+func (s *stateService) page(q url.Values) wire.Page {
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	if limit == 0 || limit > maxPageItems {
+		limit = maxPageItems
+	}
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	p := wire.Page{Items: []wire.Item{}, Revision: s.rev}
+	size := 0
+	for _, k := range keys {
+		if size += len(k) + len(s.keys[k].value); len(p.Items) >= limit || size > maxPageBytes {
+			p.More = true
+			break
+		}
+		p.Items = append(p.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
+	}
+	return p
+}
+
+func (s *stateService) get(key string, send sender) {
+	e := s.keys[key]
+	if e == nil {
+		send(404, wire.TxnResult{Revision: s.rev})
+		return
+	}
+	send(200, wire.Item{Key: key, Value: e.value, Version: e.version, Lease: e.lease})
+}
+
+// watch answers once keys have changed, or when its time is over.
+func (s *stateService) watch(q url.Values, send sender, reply func(int, []byte)) {
+	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+	if len(s.log) >= maxLog && since < s.log[0].rev {
+		send(410, struct{}{})
+		return
+	}
+	wt := &watcher{under: q.Get("under"), since: since, reply: reply}
+	if s.offer(wt) {
+		return
+	}
+	s.watchers = append(s.watchers, wt)
+	hold, _ := strconv.Atoi(q.Get("holdMs"))
+	s.w.after(time.Duration(hold)*time.Millisecond, func() {
+		if !wt.over {
+			wt.over = true
+			send(200, wire.Changes{Revision: s.rev, Events: []wire.Event{}})
+		}
+	})
+}
+
+// takeTxn takes a transaction: carries it out, does so late and unanswered, or
+// refuses it.
+func (s *stateService) takeTxn(body []byte, send sender) {
+	var t wire.Txn
+	if json.Unmarshal(body, &t) != nil {
+		send(400, struct{}{})
+		return
+	}
+	if len(body) > maxTxnBytes {
+		s.w.check.broken("limits", "a transaction of %d bytes", len(body))
+	}
+	s.judge(&t)
+	if s.tooLarge(&t) {
+		s.refused++
+		send(400, map[string]string{"error": "too large"})
+		return
+	}
+	if _, ok := s.writes.TakeAt(s.w.clock(), float64(len(t.Writes)), false, 0); !ok {
+		s.busy++
+		send(429, struct{}{})
+		return
+	}
+	if s.late.strikes(s.w) {
+		s.w.after(2*time.Second+time.Duration(s.w.rng.Int64N(int64(10*time.Second))), func() { s.commitLate(&t) })
+		return
+	}
+	s.commit(&t, send)
+}
+
+func (s *stateService) grant(body []byte, send sender) {
+	var g wire.GrantRequest
+	json.Unmarshal(body, &g)
+	s.next++
+	s.ttl[s.next] = time.Duration(g.TTLMs) * time.Millisecond
+	s.leases[s.next] = s.w.now + s.ttl[s.next]
+	send(200, wire.Grant{Lease: s.next})
+}
+
+func (s *stateService) extend(lease string, send sender) {
+	id, _ := strconv.ParseUint(lease, 10, 64)
+	if _, ok := s.leases[id]; !ok {
+		send(404, struct{}{})
+		return
+	}
+	s.leases[id] = s.w.now + s.ttl[id]
+	send(200, struct{}{})
+}
+
 // slowly carries a request out after the time that the service takes over it.
 func (s *stateService) slowly(f func()) {
 	if s.w.now < s.slowUntil {
@@ -272,47 +310,57 @@
 	}
 }
 
-func (s *stateService) commit(t *wire.Txn, send func(int, any)) {
-	var failed []string
-	for _, c := range t.If {
-		have := uint64(0)
-		if e := s.keys[c.Key]; e != nil {
-			have = e.version
-		}
-		if have != c.Version {
-			failed = append(failed, c.Key)
-		}
-	}
+// commit carries a transaction out if its conditions hold.
+func (s *stateService) commit(t *wire.Txn, send sender) {
 	for _, w := range t.Writes {
-		if w.Lease != 0 {
-			if _, ok := s.leases[w.Lease]; !ok {
-				send(400, map[string]string{"error": "no such lease"})
-				return
-			}
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			send(400, map[string]string{"error": "no such lease"})
+			return
 		}
 	}
-	if failed != nil {
+	if failed := s.failedConds(t); failed != nil {
 		send(409, wire.TxnResult{Failed: failed, Revision: s.rev})
 		return
 	}
 	if len(t.Writes) > 0 {
 		s.rev++
 		for _, w := range t.Writes {
-			if w.Delete != "" {
-				if s.keys[w.Delete] != nil {
-					delete(s.keys, w.Delete)
-					s.log = append(s.log, change{wire.Event{Delete: w.Delete, Version: s.rev}, w.Delete, s.rev})
-				}
-				continue
-			}
-			s.keys[w.Put] = &entry{w.Value, s.rev, w.Lease}
-			s.log = append(s.log, change{wire.Event{Put: w.Put, Value: w.Value, Version: s.rev}, w.Put, s.rev})
+			s.apply(w)
 		}
 		s.notify()
 	}
 	send(200, wire.TxnResult{Revision: s.rev})
 }
 
+// failedConds lists the keys whose conditions do not hold.
+func (s *stateService) failedConds(t *wire.Txn) []string {
+	var failed []string
+	for _, c := range t.If {
+		have := uint64(0)
+		if e := s.keys[c.Key]; e != nil {
+			have = e.version
+		}
+		if have != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	return failed
+}
+
+// apply makes a change under the present revision.
+func (s *stateService) apply(w wire.Write) {
+	if w.Delete == "" {
+		s.keys[w.Put] = &entry{w.Value, s.rev, w.Lease}
+		s.log = append(s.log, change{wire.Event{Put: w.Put, Value: w.Value, Version: s.rev}, w.Put, s.rev})
+		return
+	}
+	if s.keys[w.Delete] != nil {
+		delete(s.keys, w.Delete)
+		s.log = append(s.log, change{wire.Event{Delete: w.Delete, Version: s.rev}, w.Delete, s.rev})
+	}
+}
+
+// offer answers a watcher if keys of its have changed.
 func (s *stateService) offer(wt *watcher) bool {
 	var ch wire.Changes
 	for _, c := range s.log {
