--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -110,127 +110,160 @@
 	return r, n + m, nil
 }
 
+// lineEnd ends a line of a header.
+const lineEnd = "\r\n"
+
+// parseHeader reads a header and the empty line behind it.
 func parseHeader(b []byte) (*header, int, error) {
-	end := bytes.Index(b, []byte("\r\n\r\n"))
-	if end < 0 {
-		if len(b) > MaxHeader {
-			return nil, 0, ErrTooLarge
-		}
+	end := bytes.Index(b, []byte(lineEnd+lineEnd))
+	switch {
+	case end < 0 && len(b) <= MaxHeader:
 		return nil, 0, ErrPartial
-	}
-	if end > MaxHeader {
+	case end < 0 || end > MaxHeader:
 		return nil, 0, ErrTooLarge
 	}
-	h := &header{}
-	rest := b[:end]
-	i := bytes.Index(rest, []byte("\r\n"))
-	if i < 0 {
-		h.start, rest = rest, nil
-	} else {
-		h.start, rest = rest[:i], rest[i+2:]
-	}
-	if len(h.start) == 0 {
+	start, rest := cutLine(b[:end])
+	if len(start) == 0 {
 		return nil, 0, ErrMalformed
 	}
+	h := &header{start: start}
 	for len(rest) > 0 {
-		line := rest
-		if i := bytes.Index(rest, []byte("\r\n")); i >= 0 {
-			line, rest = rest[:i], rest[i+2:]
-		} else {
-			rest = nil
-		}
-		c := bytes.IndexByte(line, ':')
-		if c <= 0 || line[0] == ' ' || line[0] == '\t' || line[c-1] == ' ' {
-			return nil, 0, ErrMalformed
-		}
-		name, value := line[:c], bytes.TrimSpace(line[c+1:])
-		switch {
-		case foldEq(name, "content-length"):
-			n, err := strconv.ParseUint(string(value), 10, 31)
-			if err != nil || h.hasLength && int(n) != h.length || len(value) > 0 && value[0] == '+' {
-				return nil, 0, ErrMalformed
-			}
-			h.length, h.hasLength = int(n), true
-		case foldEq(name, "transfer-encoding"):
-			if !foldEq(value, "chunked") {
-				return nil, 0, ErrMalformed
-			}
-			h.chunked = true
-		case foldEq(name, "connection"):
-			v := strings.ToLower(string(value))
-			h.close = h.close || strings.Contains(v, "close")
-			h.keepAlive = h.keepAlive || strings.Contains(v, "keep-alive")
-		case foldEq(name, "retry-after"):
-			h.retryAfter = string(value)
+		var line []byte
+		line, rest = cutLine(rest)
+		if err := h.addLine(line); err != nil {
+			return nil, 0, err
 		}
 	}
 	if h.chunked && h.hasLength {
 		return nil, 0, ErrMalformed
 	}
-	return h, end + 4, nil
+	return h, end + 2*len(lineEnd), nil
+}
+
+// cutLine splits the first line off.
+func cutLine(b []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(b, []byte(lineEnd))
+	return line, rest
+}
+
+// addLine takes a line with a field into the header.
+func (h *header) addLine(line []byte) error {
+	colon := bytes.IndexByte(line, ':')
+	if colon <= 0 || line[0] == ' ' || line[0] == '\t' || line[colon-1] == ' ' {
+		return ErrMalformed
+	}
+	return h.set(line[:colon], bytes.TrimSpace(line[colon+1:]))
+}
+
+// set takes in a field that matters here; others are left alone.
+func (h *header) set(name, value []byte) error {
+	switch {
+	case foldEq(name, "content-length"):
+		n, err := strconv.ParseUint(string(value), 10, 31)
+		if err != nil || h.hasLength && int(n) != h.length || len(value) > 0 && value[0] == '+' {
+			return ErrMalformed
+		}
+		h.length, h.hasLength = int(n), true
+	case foldEq(name, "transfer-encoding"):
+		if !foldEq(value, "chunked") {
+			return ErrMalformed
+		}
+		h.chunked = true
+	case foldEq(name, "connection"):
+		v := strings.ToLower(string(value))
+		h.close = h.close || strings.Contains(v, "close")
+		h.keepAlive = h.keepAlive || strings.Contains(v, "keep-alive")
+	case foldEq(name, "retry-after"):
+		h.retryAfter = string(value)
+	}
+	return nil
 }
 
 func foldEq(b []byte, lower string) bool {
 	return len(b) == len(lower) && strings.EqualFold(string(b), lower)
 }
 
+// parseBody reads the body that a header announces.
 func parseBody(b []byte, h *header, limit int) ([]byte, int, error) {
-	if !h.chunked {
-		if h.length > limit {
-			return nil, 0, ErrTooLarge
-		}
-		if len(b) < h.length {
-			return nil, 0, ErrPartial
-		}
-		return append([]byte(nil), b[:h.length]...), h.length, nil
+	if h.chunked {
+		return parseChunks(b, limit)
 	}
-	var body []byte
-	n := 0
+	if h.length > limit {
+		return nil, 0, ErrTooLarge
+	}
+	if len(b) < h.length {
+		return nil, 0, ErrPartial
+	}
+	return append([]byte(nil), b[:h.length]...), h.length, nil
+}
+
+// maxChunkLine bounds the line with a chunk's size.
+const maxChunkLine = 1024
+
+// parseChunks reads a body in chunks, up to the trailers' end.
+func parseChunks(b []byte, limit int) (body []byte, n int, err error) {
 	for {
-		i := bytes.Index(b[n:], []byte("\r\n"))
-		if i < 0 {
-			if len(b)-n > 1024 {
-				return nil, 0, ErrMalformed
-			}
-			return nil, 0, ErrPartial
-		}
-		size := string(b[n : n+i])
-		if j := strings.IndexByte(size, ';'); j >= 0 {
-			size = size[:j]
-		}
-		c, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		size, width, err := parseChunkSize(b[n:])
 		if err != nil {
-			return nil, 0, ErrMalformed
+			return nil, 0, err
 		}
-		n += i + 2
-		if len(body)+int(c) > limit {
+		n += width
+		if len(body)+size > limit {
 			return nil, 0, ErrTooLarge
 		}
-		if c == 0 {
-			// Trailers, if any, end with an empty line.
-			for {
-				j := bytes.Index(b[n:], []byte("\r\n"))
-				if j < 0 {
-					if len(b)-n > MaxHeader {
-						return nil, 0, ErrTooLarge
-					}
-					return nil, 0, ErrPartial
-				}
-				n += j + 2
-				if j == 0 {
-					return body, n, nil
-				}
+		if size == 0 {
+			width, err := skipTrailers(b[n:])
+			if err != nil {
+				return nil, 0, err
 			}
+			return body, n + width, nil
 		}
-		if len(b) < n+int(c)+2 {
+		if len(b) < n+size+len(lineEnd) {
 			return nil, 0, ErrPartial
 		}
-		body = append(body, b[n:n+int(c)]...)
-		n += int(c)
-		if b[n] != '\r' || b[n+1] != '\n' {
+		body = append(body, b[n:n+size]...)
+		n += size
+		if string(b[n:n+len(lineEnd)]) != lineEnd {
 			return nil, 0, ErrMalformed
 		}
-		n += 2
+		n += len(lineEnd)
+	}
+}
+
+// parseChunkSize reads the line with a chunk's size, whatever extensions follow it
+// there. It returns how many bytes the line takes as well.
+func parseChunkSize(b []byte) (size, width int, err error) {
+	end := bytes.Index(b, []byte(lineEnd))
+	if end < 0 {
+		if len(b) > maxChunkLine {
+			return 0, 0, ErrMalformed
+		}
+		return 0, 0, ErrPartial
+	}
+	digits, _, _ := strings.Cut(string(b[:end]), ";")
+	n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+	if err != nil {
+		return 0, 0, ErrMalformed
+	}
+	return int(n), end + len(lineEnd), nil
+}
+
+// skipTrailers returns how many bytes the trailers take, if there are any, and the
+// empty line that ends them.
+func skipTrailers(b []byte) (int, error) {
+	n := 0
+	for {
+		end := bytes.Index(b[n:], []byte(lineEnd))
+		if end < 0 {
+			if len(b)-n > MaxHeader {
+				return 0, ErrTooLarge
+			}
+			return 0, ErrPartial
+		}
+		n += end + len(lineEnd)
+		if end == 0 {
+			return n, nil
+		}
 	}
 }
 
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -7,50 +7,61 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// commands lists what a worker should be told now. inAnswer marks the answer
-// to a report, which is never executed late.
-func (l *leader) commands(m *machine, inAnswer bool) []wire.Command {
-	cmds := []wire.Command{}
-	zero := 0.0
+// commands lists what a worker should be told now.
+func (l *leader) commands(m *machine) []wire.Command {
+	commands := []wire.Command{}
 	for _, p := range m.placed {
-		name, t := p.name, p.task()
-		if t.session != m.session {
-			continue
+		if t := p.task(); t.session == m.session {
+			commands = l.appendPlaced(commands, p.name, t)
 		}
-		if !t.seen {
-			if t.recorded && t.ours && (t.stop == nil || t.copied) {
-				cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: name, Attempt: t.attempt})
-				t.copied = true
-				if t.stop != nil {
-					// A copy of the start may still be under way. Starting
-					// and stopping it here pins the attempt, so that the
-					// copy has no effect when it comes.
-					cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: t.attempt, GraceS: &zero})
-				}
-			}
-			continue
+	}
+	for _, listed := range m.tasks {
+		if t := m.placedTask(listed.Task); t == nil || t.attempt != listed.Attempt {
+			commands = l.appendUnplaced(commands, m, listed)
 		}
+	}
+	return commands
+}
+
+// appendPlaced adds the commands for a task that counts on the machine.
+func (l *leader) appendPlaced(commands []wire.Command, name string, t *task) []wire.Command {
+	if t.seen {
 		if t.stop != nil {
-			if c := l.stopCommand(name, t); c != nil {
-				cmds = append(cmds, *c)
+			if stop := l.stopCommand(name, t); stop != nil {
+				commands = append(commands, *stop)
 			}
 		}
+		return commands
 	}
-	for _, w := range m.tasks {
-		name := w.Task
-		if t := m.placedTask(name); t != nil && t.attempt == w.Attempt {
-			continue
-		}
-		if w.State != wire.TaskExited {
-			// Nothing here counts on it: a start that was overtaken.
-			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: w.Attempt, GraceS: &zero})
-			continue
-		}
-		if l.mayForget(m, name, w.Attempt) {
-			cmds = append(cmds, wire.Command{Verb: wire.VerbForget, Task: name, Attempt: w.Attempt})
-		}
+	if !t.recorded || !t.ours || t.stop != nil && !t.copied {
+		return commands
 	}
-	return cmds
+	t.copied = true
+	commands = append(commands, wire.Command{Verb: wire.VerbStart, Task: name, Attempt: t.attempt})
+	if t.stop != nil {
+		// A copy of the start may still be under way. Starting and stopping it here
+		// pins the attempt, so that the copy has no effect when it comes.
+		commands = append(commands, stopNow(name, t.attempt))
+	}
+	return commands
+}
+
+// appendUnplaced adds the command for a task that the worker lists and that does not
+// count on the machine: a start that was overtaken, or an attempt that is over.
+func (l *leader) appendUnplaced(commands []wire.Command, m *machine, listed wire.Task) []wire.Command {
+	if listed.State != wire.TaskExited {
+		return append(commands, stopNow(listed.Task, listed.Attempt))
+	}
+	if l.mayForget(m, listed.Task, listed.Attempt) {
+		return append(commands, wire.Command{Verb: wire.VerbForget, Task: listed.Task, Attempt: listed.Attempt})
+	}
+	return commands
+}
+
+// stopNow is the command that ends a task without a save.
+func stopNow(name string, attempt uint64) wire.Command {
+	grace := 0.0
+	return wire.Command{Verb: wire.VerbStop, Task: name, Attempt: attempt, GraceS: &grace}
 }
 
 // mayForget tells whether an exited task may be removed from the worker's
@@ -100,41 +111,37 @@
 	}
 }
 
+// mayCommand tells whether direct commands may be sent to a machine now.
+func (l *leader) mayCommand(m *machine) bool {
+	return l.ready && m.addr != "" && m.doBusy == 0 && l.c.now >= m.doRetry && m.token >= l.term && !m.returning
+}
+
 // sendCommands sends a worker its commands at once instead of with the answer to
 // its next report.
 func (l *leader) sendCommands(m *machine) {
-	if m.addr == "" || m.doBusy > 0 || l.c.now < m.doRetry || m.token < l.term || m.returning || !l.ready {
+	if !l.mayCommand(m) {
 		return
 	}
-	cmds := l.commands(m, false)
-	if len(cmds) == 0 {
+	commands := l.commands(m)
+	if len(commands) == 0 {
 		return
 	}
-	var starts []string
-	for _, c := range cmds {
-		if c.Verb == wire.VerbStart {
-			k := attemptKey(c.Task, c.Attempt)
-			m.doPending[k]++
-			starts = append(starts, k)
-		}
+	starts := startKeys(commands)
+	for _, key := range starts {
+		m.doPending[key]++
 	}
 	m.doBusy++
 	session := m.session
-	body := encode(wire.Orders{Token: l.term, Session: session, Commands: cmds})
+	body := encode(wire.Orders{Token: l.term, Session: session, Commands: commands})
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
 		m.doBusy--
 		if l.deposed {
 			return
 		}
-		known := r.Status == 200 || r.Status == 409 || r.Status == 400 || r.NotSent
-		if m.session == session && known {
-			for _, k := range starts {
-				if m.doPending[k]--; m.doPending[k] <= 0 {
-					delete(m.doPending, k)
-				}
-			}
+		if m.session == session && outcomeKnown(r) {
+			m.startsEnded(starts)
 		}
-		if r.Status != 200 && r.Status != 409 {
+		if r.Status != statusOK && r.Status != statusConflict {
 			m.doRetry = l.c.now + l.c.lease()/2
 			return
 		}
@@ -142,6 +149,32 @@
 	})
 }
 
+// startKeys names the attempts that commands start.
+func startKeys(commands []wire.Command) []string {
+	var keys []string
+	for _, c := range commands {
+		if c.Verb == wire.VerbStart {
+			keys = append(keys, attemptKey(c.Task, c.Attempt))
+		}
+	}
+	return keys
+}
+
+// outcomeKnown tells whether direct commands were certainly carried out, or
+// certainly not and never will be.
+func outcomeKnown(r Result) bool {
+	return r.Status == statusOK || r.Status == statusConflict || r.Status == statusBadRequest || r.NotSent
+}
+
+// startsEnded notes that no copy of direct starts is under way any more.
+func (m *machine) startsEnded(keys []string) {
+	for _, key := range keys {
+		if m.doPending[key]--; m.doPending[key] <= 0 {
+			delete(m.doPending, key)
+		}
+	}
+}
+
 // onDirectReport takes in the state with which a worker answers a direct command
 // or a probe.
 func (l *leader) onDirectReport(m *machine, body []byte) {
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -103,10 +103,7 @@
 		return
 	}
 	j.numbered = true
-	per := l.c.numberedTasks()
-	for from := 0; from < len(j.tasks); from += per {
-		j.chunks = append(j.chunks, chunk{key: numberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))})
-	}
+	l.fillNumbered(j)
 }
 
 // fillRanges adds chunks that name their range for the tasks that none covers.
@@ -261,14 +258,7 @@
 
 // adopt takes in a job's placement records.
 func (l *leader) adopt(j *job, found []loadedPlace) {
-	covered := make([]bool, len(j.tasks)) // by a record that names its range
-	named := false
-	for _, f := range found {
-		named = named || !f.numbered
-		for i := f.from; !f.numbered && i < min(f.to, len(j.tasks)); i++ {
-			covered[i] = true
-		}
-	}
+	covered, named := namedRanges(found, len(j.tasks))
 	if named && l.c.limits().ValueKB >= l.c.cfg.Deployment.State.ValueKB {
 		// A leader before this one found out that the service takes less than the
 		// settings say.
@@ -277,47 +267,72 @@
 	j.chunks = nil
 	for _, f := range found {
 		f.to = min(f.to, len(j.tasks))
-		switch {
-		case f.from >= f.to:
-			j.superseded = append(j.superseded, f.key)
-		case named && f.numbered:
+		if f.from >= f.to || named && f.numbered {
 			j.superseded = append(j.superseded, f.key)
-		default:
+		} else {
 			j.chunks = append(j.chunks, chunk{key: f.key, from: f.from, to: f.to, version: f.version})
 		}
-		j.nextAttempt = max(j.nextAttempt, f.rec.Next)
-		for _, i := range f.rec.Done {
-			if i < len(j.tasks) && !j.tasks[i].done {
-				j.tasks[i].done = true
-				j.done++
-			}
-		}
-		for _, e := range f.rec.Tasks {
-			if e.Task >= len(j.tasks) || f.numbered && covered[e.Task] {
-				continue
-			}
-			m := l.machine(e.Machine)
-			t := &j.tasks[e.Task]
-			t.attempt, t.zone, t.session, t.recorded, t.copied = e.Attempt, e.Zone, e.Session, true, true
-			m.zone = e.Zone
-			l.bind(j, e.Task, m)
-		}
+		l.adoptTasks(j, f, covered)
 	}
 	slices.SortFunc(j.chunks, func(a, b chunk) int { return cmp.Compare(a.from, b.from) })
 	j.numbered = !named
 	if named {
 		l.fillRanges(j)
-		return
+	} else {
+		l.fillNumbered(j)
+	}
+}
+
+// namedRanges tells which tasks are covered by records that name their range, and
+// whether there are any such records.
+func namedRanges(found []loadedPlace, tasks int) (covered []bool, named bool) {
+	covered = make([]bool, tasks)
+	for _, f := range found {
+		if f.numbered {
+			continue
+		}
+		named = true
+		for i := f.from; i < min(f.to, tasks); i++ {
+			covered[i] = true
+		}
+	}
+	return covered, named
+}
+
+// adoptTasks takes in what a placement record says of a job's tasks. What a
+// numbered one says of a task that is covered by another record is out of date.
+func (l *leader) adoptTasks(j *job, f loadedPlace, covered []bool) {
+	j.nextAttempt = max(j.nextAttempt, f.rec.Next)
+	for _, i := range f.rec.Done {
+		if i < len(j.tasks) && !j.tasks[i].done {
+			j.tasks[i].done = true
+			j.done++
+		}
+	}
+	for _, e := range f.rec.Tasks {
+		if e.Task >= len(j.tasks) || f.numbered && covered[e.Task] {
+			continue
+		}
+		m := l.machine(e.Machine)
+		t := &j.tasks[e.Task]
+		t.attempt, t.zone, t.session, t.recorded, t.copied = e.Attempt, e.Zone, e.Session, true, true
+		m.zone = e.Zone
+		l.bind(j, e.Task, m)
+	}
+}
+
+// fillNumbered adds numbered chunks for the tasks that none covers.
+func (l *leader) fillNumbered(j *job) {
+	found := map[string]chunk{}
+	for _, ch := range j.chunks {
+		found[ch.key] = ch
 	}
-	have := j.chunks
 	per := l.c.numberedTasks()
 	j.chunks = nil
 	for from := 0; from < len(j.tasks); from += per {
 		ch := chunk{key: numberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))}
-		for _, h := range have {
-			if h.key == ch.key {
-				ch = h
-			}
+		if known, ok := found[ch.key]; ok {
+			ch = known
 		}
 		j.chunks = append(j.chunks, ch)
 	}
--- a/internal/core/probes.go
+++ b/internal/core/probes.go
@@ -7,12 +7,18 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
+// mayProbe tells whether a machine may be asked for its state now. Each probe of a
+// machine that hangs holds a socket: of those for direct commands no more than half
+// go to probes, however many are silent.
+func (l *leader) mayProbe(m *machine) bool {
+	most := max(1, l.c.cfg.Deployment.Limits.MaxConnections/16)
+	return m.addr != "" && !m.probeBusy && l.c.now >= m.probeAt && !m.returning && l.probing < most
+}
+
 // probe asks a silent worker for its state and shows it this term: it may
 // still report to a deposed leader that is cut off from us.
 func (l *leader) probe(m *machine) {
-	// Each probe of a machine that hangs holds a socket: of those for direct
-	// commands no more than half go to probes, however many are silent.
-	if m.addr == "" || m.probeBusy || l.c.now < m.probeAt || m.returning || l.probing >= max(1, l.c.cfg.Deployment.Limits.MaxConnections/16) {
+	if !l.mayProbe(m) {
 		return
 	}
 	l.probing++
@@ -21,26 +27,38 @@
 	m.probeAt = l.c.now + 2*l.c.report()
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "GET", Path: "/status", Timeout: l.probeTimeout()}, func(r Result) {
 		l.probing--
-		rep, ok := decodeReport(r.Body)
-		if l.deposed || r.Status != 200 || !ok || rep.Machine != m.name || rep.Token >= l.term {
-			m.probeBusy = false
-			switch {
-			case l.deposed:
-			case r.Status == 0:
-				m.probeFailed = asked
-				l.probeControl(m)
-			case r.Status == 200:
-				l.onDirectReport(m, r.Body)
-			}
+		m.probeBusy = false
+		if !l.deposed {
+			l.probeAnswered(m, asked, r)
+		}
+	})
+}
+
+// probeAnswered takes in the answer to a probe that was sent at a time.
+func (l *leader) probeAnswered(m *machine, asked time.Duration, r Result) {
+	switch {
+	case r.Status == statusNoAnswer:
+		m.probeFailed = asked
+		l.probeControl(m)
+	case r.Status != statusOK:
+	default:
+		if report, ok := decodeReport(r.Body); ok && report.Machine == m.name && report.Token < l.term {
+			l.showTerm(m, report.Session)
 			return
 		}
-		body := encode(wire.Orders{Token: l.term, Session: rep.Session, Commands: []wire.Command{}})
-		l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
-			m.probeBusy = false
-			if !l.deposed && (r.Status == 200 || r.Status == 409) {
-				l.onDirectReport(m, r.Body)
-			}
-		})
+		l.onDirectReport(m, r.Body)
+	}
+}
+
+// showTerm sends a worker that has not heard this term an empty list of commands.
+func (l *leader) showTerm(m *machine, session uint64) {
+	m.probeBusy = true
+	body := encode(wire.Orders{Token: l.term, Session: session, Commands: []wire.Command{}})
+	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
+		m.probeBusy = false
+		if !l.deposed && (r.Status == statusOK || r.Status == statusConflict) {
+			l.onDirectReport(m, r.Body)
+		}
 	})
 }
 
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -47,7 +47,7 @@
 	}
 	orders := wire.Orders{Token: l.term, Commands: []wire.Command{}}
 	if l.ready && r.Session == m.session {
-		orders.Commands = l.commands(m, true)
+		orders.Commands = l.commands(m)
 	}
 	m.answered = l.c.now
 	return 200, encode(orders)
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -101,39 +101,51 @@
 // minCharge is the least time the cloud charges for a machine.
 const minCharge = 60 * time.Second
 
-// returnIdle gives back machines that nothing needs.
+// returnIdle gives back a machine that nothing needs.
 func (l *leader) returnIdle(m *machine) {
 	if m.returning || l.fleet.returns[m.name] {
 		return
 	}
-	if m.heard == 0 {
-		// A new leader has to give a machine that came up under an earlier
-		// term the time to report first.
-		// One that has placements did come up: another controller may keep it.
-		if l.bootOverdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0 {
-			l.returnMachine(m, drainNeverUp)
-		}
-		return
-	}
-	if len(m.placed) > 0 {
-		return
+	if why := l.unneededFor(m); why != "" {
+		l.returnMachine(m, why)
 	}
-	if m.drain != "" {
-		l.returnMachine(m, m.drain)
-		return
-	}
-	if m.leaving != 0 {
-		l.returnMachine(m, drainTakenByCloud)
-		return
+}
+
+// unneededFor tells why a machine is not needed any more; empty if it is.
+func (l *leader) unneededFor(m *machine) drainReason {
+	switch {
+	case m.heard == 0:
+		if l.neverUp(m) {
+			return drainNeverUp
+		}
+		return ""
+	case len(m.placed) > 0:
+		return ""
+	case m.drain != "":
+		return m.drain
+	case m.leaving != 0:
+		return drainTakenByCloud
+	case l.idleTooLong(m):
+		return drainIdle
 	}
-	idle := 3 * l.c.lease()
+	return ""
+}
+
+// neverUp tells whether a machine that has not reported is given up. A new leader
+// has to give one that came up under an earlier term the time to report first. One
+// that has placements did come up: another controller may have its reports.
+func (l *leader) neverUp(m *machine) bool {
+	return l.bootOverdue(m) > bootGone && l.c.now-l.loadedAt > l.c.lease() && len(m.placed) == 0 && m.contact == 0
+}
+
+// idleTooLong tells whether an empty machine has had no use for long enough.
+func (l *leader) idleTooLong(m *machine) bool {
+	limit := 3 * l.c.lease()
 	if s := l.c.op.IdleReturnS; s != nil {
-		idle = time.Duration(*s * float64(time.Second))
-	}
-	if l.fleet.keepIdle[m.name] || l.c.now-l.loadedAt < idle {
-		return
+		limit = time.Duration(*s * float64(time.Second))
 	}
-	if l.c.now-m.idleSince >= idle && l.c.now-m.createdAt >= minCharge {
-		l.returnMachine(m, drainIdle)
+	if l.fleet.keepIdle[m.name] || l.c.now-l.loadedAt < limit {
+		return false
 	}
+	return l.c.now-m.idleSince >= limit && l.c.now-m.createdAt >= minCharge
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -127,12 +128,20 @@
 	}
 }
 
+// Status codes of answers that do not come from the core, and when to come back
+// after the latter, in seconds.
+const (
+	statusBadRequest  = 400
+	statusUnavailable = 503
+	busyRetry         = 1
+)
+
 // refuse answers a request that cannot be taken now, with when to come back.
 func (n *Node) refuse(c *conn, id uint64) {
 	delete(n.requests, id)
 	c.busy = false
 	if !c.closed {
-		c.out = httpwire.AppendResponse(c.out, 503, []byte(`{"error":"busy"}`), 1, c.ending)
+		c.out = httpwire.AppendResponse(c.out, statusUnavailable, []byte(`{"error":"busy"}`), busyRetry, c.ending)
 	}
 }
 
@@ -227,6 +236,7 @@
 	return evio.None
 }
 
+// data takes what has arrived on a connection.
 func (n *Node) data(ec evio.Conn, in []byte) ([]byte, evio.Action) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -235,52 +245,18 @@
 		return nil, evio.Close
 	}
 	if c.peer != nil {
-		ms, err := c.peer.Feed(in)
-		for _, m := range ms {
-			n.step(core.PeerInput{Message: m}, c)
-		}
-		if err != nil {
-			n.log.Debug("peer stream broken", "err", err)
-			return nil, evio.Close
-		}
-		return nil, evio.None
+		return nil, n.peerData(c, in)
 	}
 	if len(in) > 0 {
 		c.last = time.Now()
 	}
 	c.in = append(c.in, in...)
 	for !c.busy && !c.ending && len(c.in) > 0 {
-		r, size, err := httpwire.ParseRequest(c.in)
-		if err == httpwire.ErrPartial {
-			if c.since.IsZero() {
-				c.since = time.Now()
-			}
-			break
-		}
-		c.since = time.Time{}
-		if err != nil {
-			status := 400
-			c.out = httpwire.AppendResponse(c.out, status, []byte(`{"error":"malformed request"}`), 0, true)
-			c.in, c.ending = nil, true
+		r, more := c.nextRequest()
+		if !more {
 			break
 		}
-		if c.in = c.in[size:]; len(c.in) == 0 {
-			c.in = nil
-		}
-		c.busy, c.ending = true, r.Close
-		n.nextReq++
-		n.requests[n.nextReq] = c
-		req := core.Request{ID: n.nextReq, Method: r.Method, Path: r.Path, Body: r.Body}
-		if !strings.HasPrefix(r.Path, "/submissions") {
-			c.worker = c.worker || r.Path == "/checkin"
-			n.step(req, c)
-			continue
-		}
-		select {
-		case n.queue <- userRequest{req, c, time.Now()}:
-		default:
-			n.refuse(c, req.ID)
-		}
+		n.takeRequest(c, r)
 	}
 	out := c.out
 	c.out = nil
@@ -290,6 +266,60 @@
 	return out, evio.None
 }
 
+// peerData takes what another controller sends.
+func (n *Node) peerData(c *conn, in []byte) evio.Action {
+	messages, err := c.peer.Feed(in)
+	for _, m := range messages {
+		n.step(core.PeerInput{Message: m}, c)
+	}
+	if err != nil {
+		n.log.Debug("peer stream broken", "err", err)
+		return evio.Close
+	}
+	return evio.None
+}
+
+// nextRequest takes a request out of what has arrived; false if it is not whole
+// yet, or malformed, in which case the connection ends with an answer that says so.
+func (c *conn) nextRequest() (*httpwire.Request, bool) {
+	r, size, err := httpwire.ParseRequest(c.in)
+	if errors.Is(err, httpwire.ErrPartial) {
+		if c.since.IsZero() {
+			c.since = time.Now()
+		}
+		return nil, false
+	}
+	c.since = time.Time{}
+	if err != nil {
+		c.out = httpwire.AppendResponse(c.out, statusBadRequest, []byte(`{"error":"malformed request"}`), 0, true)
+		c.in, c.ending = nil, true
+		return nil, false
+	}
+	if c.in = c.in[size:]; len(c.in) == 0 {
+		c.in = nil
+	}
+	return r, true
+}
+
+// takeRequest hands a worker's request to the core, and has a user's wait for its
+// turn.
+func (n *Node) takeRequest(c *conn, r *httpwire.Request) {
+	c.busy, c.ending = true, r.Close
+	n.nextReq++
+	n.requests[n.nextReq] = c
+	req := core.Request{ID: n.nextReq, Method: r.Method, Path: r.Path, Body: r.Body}
+	if !strings.HasPrefix(r.Path, "/submissions") {
+		c.worker = c.worker || r.Path == "/checkin"
+		n.step(req, c)
+		return
+	}
+	select {
+	case n.queue <- userRequest{req, c, time.Now()}:
+	default:
+		n.refuse(c, req.ID)
+	}
+}
+
 // step feeds the core and carries out what it asks for. The caller holds the
 // lock; current is the connection whose data is being handled.
 func (n *Node) step(in core.Input, current *conn) {
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -54,6 +54,14 @@
 	return names
 }
 
+// The most machines that a rental, a return or a page of the list may name.
+const (
+	maxRentedAtOnce   = 50
+	maxReturnedAtOnce = 100
+	maxListed         = 500
+)
+
+// handle serves a request of a controller.
 func (c *cloudService) handle(method, path string, body []byte, reply func(int, []byte)) {
 	send := func(status int, v any) {
 		b, _ := json.Marshal(v)
@@ -71,56 +79,65 @@
 	case path == "/machine_types":
 		send(200, wire.MachineTypes{Types: c.types})
 	case path == "/machines/return":
-		var r wire.MachineNames
-		json.Unmarshal(body, &r)
-		if len(r.Machines) > 100 {
-			c.w.check.broken("limits", "a return of %d machines", len(r.Machines))
-		}
-		for _, n := range r.Machines {
-			c.remove(n)
-		}
+		c.takeBack(body)
 		send(200, struct{}{})
 	case method == "POST":
 		var r wire.RentRequest
 		json.Unmarshal(body, &r)
-		if r.Count > 50 {
+		if r.Count > maxRentedAtOnce {
 			c.w.check.broken("limits", "a rental of %d machines", r.Count)
 		}
 		c.rent(&r, send)
 	case strings.HasPrefix(path, "/machines"):
-		lag := seconds(c.w.cfg.Deployment.Cloud.ListLagS)
-		then := c.w.now - lag
-		list := wire.MachineList{Machines: []wire.Machine{}}
 		u, _ := url.Parse(path)
-		limit, _ := strconv.Atoi(u.Query().Get("limit"))
-		if limit < 1 || limit > 500 {
-			c.w.check.broken("limits", "a list of %d machines", limit)
-		}
-		for _, n := range c.names() {
-			if n <= u.Query().Get("since") {
-				continue
-			}
-			if len(list.Machines) >= limit {
-				list.More = true
-				break
-			}
-			m := c.machines[n]
-			if m.rentedAt > then || m.gone && m.goneAt <= then {
-				continue
-			}
-			status := wire.MachineBooting
-			if m.upAt <= then {
-				status = wire.MachineRunning
-			}
-			list.Machines = append(list.Machines, wire.Machine{Name: n, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
-				Status: status, AgeS: (then - m.rentedAt).Seconds()})
-		}
-		send(200, list)
+		send(200, c.list(u.Query()))
 	default:
 		send(400, struct{}{})
 	}
 }
 
+// takeBack takes returned machines away.
+func (c *cloudService) takeBack(body []byte) {
+	var r wire.MachineNames
+	json.Unmarshal(body, &r)
+	if len(r.Machines) > maxReturnedAtOnce {
+		c.w.check.broken("limits", "a return of %d machines", len(r.Machines))
+	}
+	for _, name := range r.Machines {
+		c.remove(name)
+	}
+}
+
+// list is a page of the machines as they were a while ago.
+func (c *cloudService) list(q url.Values) wire.MachineList {
+	then := c.w.now - seconds(c.w.cfg.Deployment.Cloud.ListLagS)
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	if limit < 1 || limit > maxListed {
+		c.w.check.broken("limits", "a list of %d machines", limit)
+	}
+	list := wire.MachineList{Machines: []wire.Machine{}}
+	for _, name := range c.names() {
+		if name <= q.Get("since") {
+			continue
+		}
+		if len(list.Machines) >= limit {
+			list.More = true
+			break
+		}
+		m := c.machines[name]
+		if m.rentedAt > then || m.gone && m.goneAt <= then {
+			continue
+		}
+		status := wire.MachineBooting
+		if m.upAt <= then {
+			status = wire.MachineRunning
+		}
+		list.Machines = append(list.Machines, wire.Machine{Name: name, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
+			Status: status, AgeS: (then - m.rentedAt).Seconds()})
+	}
+	return list
+}
+
 func (c *cloudService) rent(r *wire.RentRequest, send func(int, any)) {
 	if names, ok := c.granted[r.Request]; ok {
 		send(200, wire.MachineNames{Machines: names})
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -133,67 +133,78 @@
 
 // advance moves one task on.
 func (m *machine) advance(t *task) {
-	w, now := m.w, m.w.now
-	d := w.cfg.Deployment.Workers
+	now, d := m.w.now, m.w.cfg.Deployment.Workers
 	switch t.state {
 	case wire.TaskFetching:
-		if now < t.ready {
-			return
-		}
-		m.images[t.job.Image] = true
-		t.on = true
-		m.changed = true
-		w.check.start(m, t)
-		switch {
-		case t.job.done[t.index]:
-			m.end(t, wire.CauseDone)
-		case m.faulty || t.job.fail:
-			m.end(t, wire.CauseError)
-		case t.job.Shape == wire.ShapeGang:
-			t.state, t.waitFrom = wire.TaskWaiting, now
-			w.gather(t)
-		default:
-			t.run(now)
+		if now >= t.ready {
+			m.fetched(t)
 		}
 	case wire.TaskWaiting:
 		if now-t.waitFrom > seconds(d.GangWaitS) {
 			m.end(t, wire.CauseIncomplete)
 		}
 	case wire.TaskRunning:
-		if t.lostAt != 0 {
-			if now-t.lostAt > seconds(d.GangPeerS) {
-				m.end(t, wire.CausePeers)
-			}
-			return
-		}
-		if t.job.Shape == wire.ShapeService {
-			return
-		}
-		ran := t.progressNow(now)
-		if t.job.CheckpointS > 0 {
-			k := t.key()
-			saved := float64(int(ran/t.job.CheckpointS)) * t.job.CheckpointS
-			t.job.progress[k] = max(t.job.progress[k], saved)
-		}
-		if ran >= t.job.runS {
-			if t.job.Shape == wire.ShapeGang {
-				for i := 0; i < t.job.Tasks; i++ {
-					t.job.done[i] = true
-				}
-			}
-			t.job.done[t.index] = true
-			m.end(t, wire.CauseDone)
-			w.ended(t.job)
+		if t.lostAt == 0 {
+			m.progress(t)
+		} else if now-t.lostAt > seconds(d.GangPeerS) {
+			m.end(t, wire.CausePeers)
 		}
 	case wire.TaskSaving:
 		if now >= t.saveEnd {
-			t.job.progress[t.key()] = max(t.job.progress[t.key()], t.progressNow(t.saveEnd-seconds(t.job.SaveS)))
+			t.save(t.progressNow(t.saveEnd - seconds(t.job.SaveS)))
 			t.saved = true
 			m.end(t, wire.CauseStopped)
 		}
 	}
 }
 
+// fetched has a task begin, or wait for its gang, now that its image is there.
+func (m *machine) fetched(t *task) {
+	w := m.w
+	m.images[t.job.Image] = true
+	t.on = true
+	m.changed = true
+	w.check.start(m, t)
+	switch {
+	case t.job.done[t.index]:
+		m.end(t, wire.CauseDone)
+	case m.faulty || t.job.fail:
+		m.end(t, wire.CauseError)
+	case t.job.Shape == wire.ShapeGang:
+		t.state, t.waitFrom = wire.TaskWaiting, w.now
+		w.gather(t)
+	default:
+		t.run(w.now)
+	}
+}
+
+// progress saves checkpoints of a task that runs, and ends it when it is done.
+func (m *machine) progress(t *task) {
+	if t.job.Shape == wire.ShapeService {
+		return
+	}
+	ran := t.progressNow(m.w.now)
+	if t.job.CheckpointS > 0 {
+		t.save(float64(int(ran/t.job.CheckpointS)) * t.job.CheckpointS)
+	}
+	if ran < t.job.runS {
+		return
+	}
+	if t.job.Shape == wire.ShapeGang {
+		for i := range t.job.Tasks {
+			t.job.done[i] = true
+		}
+	}
+	t.job.done[t.index] = true
+	m.end(t, wire.CauseDone)
+	m.w.ended(t.job)
+}
+
+// save keeps progress outside the machine, if it is more than is saved already.
+func (t *task) save(progress float64) {
+	t.job.progress[t.key()] = max(t.job.progress[t.key()], progress)
+}
+
 func (t *task) key() int {
 	if t.job.Shape == wire.ShapeGang {
 		return 0
@@ -358,43 +369,51 @@
 	reply(status, b)
 }
 
+// execute carries commands out in order.
 func (m *machine) execute(cmds []wire.Command) {
 	for _, c := range cmds {
-		t := m.tasks[c.Task]
-		if old := m.tasks[endedKey(c.Task, c.Attempt)]; old != nil {
+		if m.tasks[endedKey(c.Task, c.Attempt)] != nil { // an earlier attempt, over
 			if c.Verb == wire.VerbForget {
-				delete(m.tasks, endedKey(c.Task, c.Attempt))
-				m.changed = true
+				m.forget(endedKey(c.Task, c.Attempt))
 			}
-			continue // an earlier attempt, over
+			continue
 		}
-		switch c.Verb {
-		case wire.VerbStart:
-			if t == nil || t.attempt != c.Attempt {
-				m.start(c)
-			}
-		case wire.VerbStop:
-			if t == nil || t.attempt != c.Attempt || t.state == wire.TaskExited {
-				continue
-			}
-			m.changed = true
-			switch {
-			case t.state == wire.TaskSaving:
-				if c.GraceS != nil && *c.GraceS == 0 {
-					m.end(t, wire.CauseStopped)
-				}
-			case t.state == wire.TaskRunning && t.job.CheckpointS > 0 && c.GraceS != nil && *c.GraceS >= t.job.SaveS && t.lostAt == 0:
-				t.state = wire.TaskSaving
-				t.saveEnd = m.w.now + seconds(t.job.SaveS)
-			default:
-				m.end(t, wire.CauseStopped)
-			}
-		case wire.VerbForget:
-			if t != nil && t.attempt == c.Attempt && t.state == wire.TaskExited {
-				delete(m.tasks, c.Task)
-				m.changed = true
-			}
+		t := m.tasks[c.Task]
+		here := t != nil && t.attempt == c.Attempt
+		switch {
+		case c.Verb == wire.VerbStart && !here:
+			m.start(c)
+		case c.Verb == wire.VerbStop && here && t.state != wire.TaskExited:
+			m.stop(t, c.GraceS)
+		case c.Verb == wire.VerbForget && here && t.state == wire.TaskExited:
+			m.forget(c.Task)
+		}
+	}
+}
+
+// forget removes a task from the reports.
+func (m *machine) forget(key string) {
+	delete(m.tasks, key)
+	m.changed = true
+}
+
+// stop ends a task, after a save if it can save and is given the time.
+func (m *machine) stop(t *task, graceS *float64) {
+	m.changed = true
+	grace := 0.0
+	if graceS != nil {
+		grace = *graceS
+	}
+	switch {
+	case t.state == wire.TaskSaving:
+		if graceS != nil && grace == 0 {
+			m.end(t, wire.CauseStopped)
 		}
+	case t.state == wire.TaskRunning && t.job.CheckpointS > 0 && graceS != nil && grace >= t.job.SaveS && t.lostAt == 0:
+		t.state = wire.TaskSaving
+		t.saveEnd = m.w.now + seconds(t.job.SaveS)
+	default:
+		m.end(t, wire.CauseStopped)
 	}
 }
 
