--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -63,7 +63,7 @@
 
 // canMark tells whether an awaited job's open record is to be marked as needed, and
 // the state service still takes a record of that size.
-func (c *Core) canMark(k *known) bool {
+func (c *Core) canMark(k *openJob) bool {
 	if k.rec.Needed || k.unwritable {
 		return false
 	}
@@ -124,7 +124,7 @@
 	ask = ask[:min(len(ask), c.maxWaiting()/4)]
 	left, failed, unknown := len(ask), false, ""
 	for _, a := range ask {
-		c.find(a, func(f found) {
+		c.lookUp(a, func(f lookupResult) {
 			switch {
 			case f.failed:
 				failed = true
@@ -225,7 +225,7 @@
 		switch {
 		case r.Status == statusOK && json.Unmarshal(r.Body, &tr) == nil:
 			for _, id := range ids {
-				c.know(id, &known{version: tr.Revision, rec: marks[id]})
+				c.cacheOpen(id, &openJob{version: tr.Revision, rec: marks[id]})
 			}
 		case r.Status == statusConflict || r.Status == statusNoAnswer:
 			for _, id := range ids {
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -68,7 +68,7 @@
 // cancel records the request to cancel a job, and has the request wait until its
 // tasks are gone.
 func (c *Core) cancel(req uint64, id string, tries int) {
-	c.find(id, func(f found) {
+	c.lookUp(id, func(f lookupResult) {
 		switch {
 		case f.failed || tries > 4:
 			c.answerRetry(req, errorStoreSilent)
@@ -86,14 +86,14 @@
 
 // recordCancellation records that a user wants a job cancelled; least if the service does not
 // take the job's whole description any more.
-func (c *Core) recordCancellation(req uint64, id string, k *known, tries int, least bool) {
+func (c *Core) recordCancellation(req uint64, id string, k *openJob, tries int, least bool) {
 	rec := k.rec
 	rec.Cancelled, rec.AskedAt = true, c.wall
 	rec.Needed = rec.Needed || mayBeUnmarked(rec)
 	if least || len(encode(rec)) > c.maxValue() {
 		rec, least = rec.reduced(), true
 	}
-	c.writeOpen(id, k.version, rec, nil, func(now *known, status int) {
+	c.writeOpen(id, k.version, rec, nil, func(now *openJob, status int) {
 		switch {
 		case now != nil:
 			c.awaitGone(req, id, now)
@@ -108,7 +108,7 @@
 }
 
 // writeOpen changes a job's open record; f gets what is known then, or nil.
-func (c *Core) writeOpen(id string, version uint64, rec openRecord, also []wire.Cond, f func(k *known, status int)) {
+func (c *Core) writeOpen(id string, version uint64, rec openRecord, also []wire.Cond, f func(k *openJob, status int)) {
 	txn := &wire.Txn{
 		If:     append([]wire.Cond{{Key: prefixOpen + id, Version: version}}, also...),
 		Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
@@ -122,14 +122,14 @@
 			f(nil, r.Status)
 			return
 		}
-		k := &known{version: tr.Revision, rec: rec}
-		c.know(id, k)
+		k := &openJob{version: tr.Revision, rec: rec}
+		c.cacheOpen(id, k)
 		f(k, r.Status)
 	})
 }
 
 // awaitGone has a request wait for the end of a job that is to be cancelled.
-func (c *Core) awaitGone(req uint64, id string, k *known) {
+func (c *Core) awaitGone(req uint64, id string, k *openJob) {
 	u := &c.users
 	if rec, ok := u.final[id]; ok {
 		c.answer(req, statusOK, rec.status(id), 0)
@@ -170,7 +170,7 @@
 // noteEnd takes in that a job's end is recorded for good.
 func (c *Core) noteEnd(e wire.JobEnd) {
 	f := finalRecord{Status: wire.JobState(e.Status), Tasks: e.Tasks}
-	c.remember(e.ID, f)
+	c.cacheFinal(e.ID, f)
 	if x := c.users.cancels[e.ID]; x != nil {
 		delete(c.users.cancels, e.ID)
 		for _, w := range x.waiting {
@@ -212,7 +212,7 @@
 	if len(encode(rec)) > c.maxValue() {
 		rec = rec.reduced()
 	}
-	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: keyTerm, Version: termVersion}}, func(k *known, status int) {
+	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: keyTerm, Version: termVersion}}, func(k *openJob, status int) {
 		x.busy = false
 		if c.users.cancels[id] != x {
 			return // over meanwhile
--- a/internal/core/jobcache.go
+++ b/internal/core/jobcache.go
@@ -5,8 +5,8 @@
 	"github.com/segmentio/encoding/json"
 )
 
-// known is what a controller remembers of an open job.
-type known struct {
+// openJob is what a controller remembers of an open job.
+type openJob struct {
 	version    uint64
 	rec        openRecord
 	unwritable bool // the state service does not take a record of this size any more
@@ -16,9 +16,9 @@
 // for each megabyte, about a fiftieth of the memory.
 func (c *Core) maxKnown() int { return int(100 * c.cfg.Deployment.Limits.RAMMB) }
 
-// know remembers an open job; the ones known for longest make way. Forgetting
+// cacheOpen remembers an open job; the ones known for longest make way. Forgetting
 // is safe: a job that is asked for is read again.
-func (c *Core) know(id string, k *known) {
+func (c *Core) cacheOpen(id string, k *openJob) {
 	u := &c.users
 	if u.open[id] == nil {
 		u.openOrder = append(u.openOrder, id)
@@ -32,8 +32,8 @@
 	}
 }
 
-// remember keeps a final state in memory; the oldest ones make way.
-func (c *Core) remember(id string, f finalRecord) {
+// cacheFinal keeps a final state in memory; the oldest ones make way.
+func (c *Core) cacheFinal(id string, f finalRecord) {
 	u := &c.users
 	delete(u.open, id)
 	if _, ok := u.final[id]; !ok {
@@ -66,9 +66,9 @@
 		for _, it := range p.Items {
 			after = it.Key
 			id := it.Key[len(prefixOpen):]
-			k := &known{version: it.Version}
+			k := &openJob{version: it.Version}
 			if _, over := u.final[id]; !over && u.open[id] == nil && json.Unmarshal(it.Value, &k.rec) == nil {
-				c.know(id, k)
+				c.cacheOpen(id, k)
 			}
 		}
 		if p.More {
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -8,28 +8,28 @@
 )
 
 type lookup struct {
-	f     func(found)
+	f     func(lookupResult)
 	until time.Duration
 }
 
-// found is the outcome of a lookup: unknown, open or final; failed when the
+// lookupResult is the outcome of a lookup: unknown, open or final; failed when the
 // state service gave no answer.
-type found struct {
+type lookupResult struct {
 	failed bool
-	open   *known
+	open   *openJob
 	final  *finalRecord
 }
 
-// find looks a job up, so that its answer is no older than this call.
-func (c *Core) find(id string, f func(found)) {
+// lookUp looks a job up, so that its answer is no older than this call.
+func (c *Core) lookUp(id string, f func(lookupResult)) {
 	u := &c.users
 	if rec, ok := u.final[id]; ok {
-		f(found{final: &rec})
+		f(lookupResult{final: &rec})
 		return
 	}
 	bad := u.storeBadSince
 	if len(u.order) >= c.maxWaiting() || bad != 0 && c.now-bad > c.storeTimeout()/4 {
-		f(found{failed: true})
+		f(lookupResult{failed: true})
 		return
 	}
 	u.wait(id, nil)
@@ -123,13 +123,13 @@
 	case status == statusNoAnswer:
 		u.wait(id, waiting)
 	case status != statusOK && status != statusConflict:
-		resolve(waiting, found{failed: true})
+		resolve(waiting, lookupResult{failed: true})
 	case changed || u.open[id] == nil:
 		delete(u.open, id)
 		u.lookupBusy++
 		c.read(id, waiting)
 	default:
-		resolve(waiting, found{open: u.open[id]})
+		resolve(waiting, lookupResult{open: u.open[id]})
 	}
 }
 
@@ -147,7 +147,7 @@
 	return l
 }
 
-func resolve(ls []*lookup, f found) {
+func resolve(ls []*lookup, f lookupResult) {
 	for _, l := range ls {
 		l.f(f)
 	}
@@ -155,7 +155,7 @@
 
 // read fetches the open record, then the final one.
 func (c *Core) read(id string, waiting []*lookup) {
-	end := func(f found) {
+	end := func(f lookupResult) {
 		c.users.lookupBusy--
 		resolve(waiting, f)
 		c.pumpLookups()
@@ -167,7 +167,7 @@
 		case k != nil:
 			end(c.newest(id, k))
 		case r.Status != statusNotFound:
-			end(found{failed: true})
+			end(lookupResult{failed: true})
 		default:
 			c.readFinal(id, end)
 		}
@@ -176,12 +176,12 @@
 
 // openFromItem decodes the answer to a read of an open record; nil if it holds
 // none.
-func openFromItem(r Result) *known {
+func openFromItem(r Result) *openJob {
 	var item wire.Item
 	if r.Status != statusOK || json.Unmarshal(r.Body, &item) != nil {
 		return nil
 	}
-	k := &known{version: item.Version}
+	k := &openJob{version: item.Version}
 	if json.Unmarshal(item.Value, &k.rec) != nil {
 		return nil
 	}
@@ -191,20 +191,20 @@
 // newest takes in an open record that was read. What was learned while the
 // answer was on its way is newer: a user may have been told of it here
 // meanwhile.
-func (c *Core) newest(id string, read *known) found {
+func (c *Core) newest(id string, read *openJob) lookupResult {
 	u := &c.users
 	if f, over := u.final[id]; over {
-		return found{final: &f}
+		return lookupResult{final: &f}
 	}
 	if old := u.open[id]; old != nil && old.version >= read.version {
-		return found{open: old}
+		return lookupResult{open: old}
 	}
-	c.know(id, read)
-	return found{open: read}
+	c.cacheOpen(id, read)
+	return lookupResult{open: read}
 }
 
 // readFinal fetches the final record of a job that has no open one.
-func (c *Core) readFinal(id string, end func(found)) {
+func (c *Core) readFinal(id string, end func(lookupResult)) {
 	c.get(prefixFinal+id, func(r Result) {
 		c.noteStore(r)
 		var item wire.Item
@@ -212,12 +212,12 @@
 		switch {
 		case r.Status == statusNotFound:
 			delete(c.users.open, id)
-			end(found{})
+			end(lookupResult{})
 		case r.Status == statusOK && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &f) == nil:
-			c.remember(id, f)
-			end(found{final: &f})
+			c.cacheFinal(id, f)
+			end(lookupResult{final: &f})
 		default:
-			end(found{failed: true})
+			end(lookupResult{failed: true})
 		}
 	})
 }
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -209,7 +209,7 @@
 		l.records.dirty = true
 		return
 	}
-	l.c.know(j.ID, &known{version: answer.version, rec: rec})
+	l.c.cacheOpen(j.ID, &openJob{version: answer.version, rec: rec})
 	if j.version < answer.version {
 		j.version, j.rec = answer.version, rec
 	}
--- a/internal/core/routes.go
+++ b/internal/core/routes.go
@@ -61,7 +61,7 @@
 		c.answerError(req, statusNotFound, errorNoSuchJob)
 		return
 	}
-	c.find(id, func(f found) {
+	c.lookUp(id, func(f lookupResult) {
 		switch {
 		case f.failed:
 			c.answerRetry(req, errorStoreSilent)
@@ -73,7 +73,7 @@
 	})
 }
 
-func (c *Core) statusOf(id string, f found) wire.JobStatus {
+func (c *Core) statusOf(id string, f lookupResult) wire.JobStatus {
 	if f.final != nil {
 		return f.final.status(id)
 	}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -63,7 +63,7 @@
 // answerImpossible refuses a job that can never run, unless it was accepted
 // before: then it gets 200 whatever holds now.
 func (c *Core) answerImpossible(req uint64, id, why string) {
-	c.find(id, func(f found) {
+	c.lookUp(id, func(f lookupResult) {
 		switch {
 		case f.failed:
 			c.answerRetry(req, errorStoreSilent)
@@ -216,17 +216,17 @@
 	var result wire.TxnResult
 	json.Unmarshal(body, &result)
 	for _, id := range sortedKeys(batch.marks) {
-		c.know(id, &known{version: result.Revision, rec: batch.marks[id]})
+		c.cacheOpen(id, &openJob{version: result.Revision, rec: batch.marks[id]})
 	}
 	for _, s := range batch.submits {
 		id := s.rec.Job.ID
 		if s.withdrawn {
 			f := s.final()
-			c.remember(id, f)
+			c.cacheFinal(id, f)
 			c.answer(s.req, statusCreated, f.status(id), 0)
 			continue
 		}
-		c.know(id, &known{version: result.Revision, rec: s.rec})
+		c.cacheOpen(id, &openJob{version: result.Revision, rec: s.rec})
 		c.answer(s.req, statusCreated, wire.JobStatus{ID: id, Status: wire.StatusPending}, 0)
 	}
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -9,7 +9,7 @@
 // service. What it remembers of unfinished jobs is only ever used after the
 // state service has confirmed that it still holds.
 type users struct {
-	open       map[string]*known
+	open       map[string]*openJob
 	openOrder  []string // as they became known; some may be gone
 	final      map[string]finalRecord
 	finalOrder []string
@@ -28,7 +28,7 @@
 }
 
 func (u *users) init() {
-	u.open = map[string]*known{}
+	u.open = map[string]*openJob{}
 	u.final = map[string]finalRecord{}
 	u.lookups = map[string][]*lookup{}
 	u.cancels = map[string]*cancelling{}
@@ -48,7 +48,7 @@
 }
 
 func (c *Core) answerKnown(req uint64, id string) {
-	c.find(id, func(f found) {
+	c.lookUp(id, func(f lookupResult) {
 		if f.failed || f.open == nil && f.final == nil {
 			c.answerRetry(req, errorStoreSilent)
 			return
@@ -89,7 +89,7 @@
 		var keep []*lookup
 		for _, l := range u.lookups[id] {
 			if c.now >= l.until {
-				l.f(found{failed: true})
+				l.f(lookupResult{failed: true})
 			} else {
 				keep = append(keep, l)
 			}
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -88,7 +88,7 @@
 	}
 	l.lookups.running++
 	l.lookups.due[id] = math.MaxInt64
-	l.c.find(id, func(f found) {
+	l.c.lookUp(id, func(f lookupResult) {
 		l.lookups.running--
 		switch {
 		case l.deposed:
