--- /dev/null
+++ b/internal/core/preempt_test.go
@@ -0,0 +1,235 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// preemptTypes is one type of machine; nothing is rented beside the machines there
+// are.
+var preemptTypes = map[string]*wire.MachineType{
+	"g4": {Name: "g4", CPUs: 4, GPUs: 4, MemGB: 64, BootS: 30, FetchGBPS: 1, Price: 4, Zones: nil},
+}
+
+// preemptCase is a fleet full of work, and a job that finds no room.
+type preemptCase struct {
+	name     string
+	machines []string // name and zone
+	running  []runningJob
+	job      wire.Job
+	within   bool // the job is within its team's guarantee
+	change   func(l *leader, j *job)
+	want     []string // tasks that are stopped
+	reserved []string // machines that are kept
+}
+
+// runningJob is a job whose tasks run on machines, one each.
+type runningJob struct {
+	wire.Job
+	on     []string
+	within bool
+	ranFor time.Duration
+}
+
+func TestPreempt(t *testing.T) {
+	array := func(id string, priority wire.Priority, gpus float64) wire.Job {
+		return wire.Job{ID: id, Team: "vision", Shape: wire.ShapeArray, Priority: priority, Tasks: 1, GPUs: gpus, MemGB: 1}
+	}
+	gang := func(id string, priority wire.Priority, gpus float64, tasks int) wire.Job {
+		j := array(id, priority, gpus)
+		j.Shape, j.Tasks, j.OneZone = wire.ShapeGang, tasks, true
+		return j
+	}
+	saving := func(j wire.Job) wire.Job {
+		j.CheckpointS, j.SaveS = 10, 2
+		return j
+	}
+	otherTeam := func(j wire.Job) wire.Job {
+		j.Team = "other"
+		return j
+	}
+	idle := array("job-1", wire.PriorityIdle, 4)
+	for _, tc := range []preemptCase{
+		{
+			name:     "lower priority makes way",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityNormal, 4),
+			want:     []string{"job-1/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "the same priority does not",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityIdle, 4),
+		},
+		{
+			name:     "higher priority does not",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: array("job-1", wire.PriorityUrgent, 4), on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityNormal, 4),
+		},
+		{
+			name:     "within a guarantee, the same priority of another team that saves and is beyond its own",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: saving(otherTeam(idle)), on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityIdle, 4), within: true,
+			want: []string{"job-1/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "not what loses its work",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: otherTeam(idle), on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityIdle, 4), within: true,
+		},
+		{
+			name:     "not what is within a guarantee itself",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: saving(otherTeam(idle)), on: []string{"n-1"}, within: true}},
+			job:      array("job-9", wire.PriorityIdle, 4), within: true,
+		},
+		{
+			name:     "the least loss",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityIdle, 4), on: []string{"n-1"}, ranFor: 100 * time.Second},
+				{Job: array("job-2", wire.PriorityIdle, 4), on: []string{"n-2"}, ranFor: 10 * time.Second},
+			},
+			job:  array("job-9", wire.PriorityNormal, 4),
+			want: []string{"job-2/0"}, reserved: []string{"n-2"},
+		},
+		{
+			name:     "the least priority, for as much loss",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityNormal, 4), on: []string{"n-1"}, ranFor: 10 * time.Second},
+				{Job: array("job-2", wire.PriorityIdle, 4), on: []string{"n-2"}, ranFor: 10 * time.Second},
+			},
+			job:  array("job-9", wire.PriorityUrgent, 4),
+			want: []string{"job-2/0"}, reserved: []string{"n-2"},
+		},
+		{
+			name:     "no more than has to go",
+			machines: []string{"n-1 a"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 10 * time.Second},
+				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 20 * time.Second},
+			},
+			job:  array("job-9", wire.PriorityNormal, 2),
+			want: []string{"job-1/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "a gang gets all of its room in one zone",
+			machines: []string{"n-1 a", "n-2 b", "n-3 b"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityIdle, 4), on: []string{"n-1"}},
+				{Job: array("job-2", wire.PriorityIdle, 4), on: []string{"n-2"}},
+				{Job: array("job-3", wire.PriorityIdle, 4), on: []string{"n-3"}},
+			},
+			job:  gang("job-9", wire.PriorityNormal, 4, 2),
+			want: []string{"job-2/0", "job-3/0"}, reserved: []string{"n-2", "n-3"},
+		},
+		{
+			name:     "or nobody is stopped",
+			machines: []string{"n-1 a", "n-2 b"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityIdle, 4), on: []string{"n-1"}},
+				{Job: array("job-2", wire.PriorityIdle, 4), on: []string{"n-2"}},
+			},
+			job: gang("job-9", wire.PriorityNormal, 4, 2),
+		},
+		{
+			name:     "a gang is stopped as a whole",
+			machines: []string{"n-1 a", "n-2 a"},
+			running:  []runningJob{{Job: gang("job-1", wire.PriorityIdle, 4, 2), on: []string{"n-1", "n-2"}}},
+			job:      array("job-9", wire.PriorityNormal, 4),
+			want:     []string{"job-1/0", "job-1/1"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "not beyond the team's limit",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: otherTeam(idle), on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityNormal, 4),
+			change:   func(l *leader, j *job) { l.c.team("vision").GPUsMax = 3 },
+		},
+		{
+			name:     "not on a machine of another zone than the job's",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
+			job: func() wire.Job {
+				j := array("job-9", wire.PriorityNormal, 4)
+				j.Zone = "b"
+				return j
+			}(),
+		},
+		{
+			name:     "not again while room is being made",
+			machines: []string{"n-1 a"},
+			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
+			job:      array("job-9", wire.PriorityNormal, 4),
+			change: func(l *leader, j *job) {
+				l.reserve(j, []preemption{{machine: l.machines["n-1"]}}, 10)
+			},
+			reserved: []string{"n-1"},
+		},
+	} {
+		t.Run(tc.name, tc.run)
+	}
+}
+
+func (tc *preemptCase) run(t *testing.T) {
+	b, l := leading(t, func(s *config.Settings) {
+		s.Deployment.Teams = []config.Team{{Name: "vision", GPUsMax: 100}, {Name: "other", GPUsMax: 100}}
+	})
+	b.c.types = preemptTypes
+	b.c.now = 1000 * time.Second
+	for _, line := range tc.machines {
+		name, zone := line[:3], line[4:]
+		m := l.machine(name)
+		l.describe(m, "", "g4", zone, false)
+		m.heard, m.token, m.session = l.c.now, l.term, 1
+		l.passes.leaves = append(l.passes.leaves, m)
+	}
+	var running []*job
+	for _, r := range tc.running {
+		j := newJob(openRecord{Job: r.Job}, 1)
+		j.within = r.within
+		for i, name := range r.on {
+			j.tasks[i] = task{attempt: 1, session: 1, seen: true, recorded: true, copied: true, state: wire.TaskRunning, upAt: l.c.now - r.ranFor}
+			l.layOut(j)
+			l.bind(j, i, l.machines[name])
+		}
+		running = append(running, j)
+	}
+	j := newJob(openRecord{Job: tc.job}, 2)
+	if tc.change != nil {
+		tc.change(l, j)
+	}
+	c := &candidate{job: j, guaranteed: tc.within, pending: j.unplacedTasks(), preemptionRank: j.rank}
+	l.preempt(c, map[string]topology.Resources{}, false)
+	var stopped []string
+	for _, r := range running {
+		for i := range r.tasks {
+			if r.tasks[i].stop != nil {
+				stopped = append(stopped, taskName(r.ID, i))
+			}
+		}
+	}
+	if !slices.Equal(stopped, tc.want) {
+		t.Errorf("stopped %q, want %q", stopped, tc.want)
+	}
+	var reserved []string
+	for _, m := range l.byName {
+		if m.reserved == j {
+			reserved = append(reserved, m.name)
+		}
+	}
+	if !slices.Equal(reserved, tc.reserved) {
+		t.Errorf("kept %q, want %q", reserved, tc.reserved)
+	}
+}
