--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -117,11 +117,43 @@
 			name:     "no more than has to go",
 			machines: []string{"n-1 a"},
 			running: []runningJob{
-				{Job: array("job-1", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 10 * time.Second},
-				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 20 * time.Second},
+				{Job: array("job-1", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 20 * time.Second},
+				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 10 * time.Second},
 			},
 			job:  array("job-9", wire.PriorityNormal, 2),
-			want: []string{"job-1/0"}, reserved: []string{"n-1"},
+			want: []string{"job-2/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "beside it, the same priority does not",
+			machines: []string{"n-1 a"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityNormal, 2), on: []string{"n-1"}, ranFor: time.Second},
+				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 100 * time.Second},
+			},
+			job:  array("job-9", wire.PriorityNormal, 2),
+			want: []string{"job-2/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "beside it, neither what loses its work nor what the guarantee does not reach",
+			machines: []string{"n-1 a"},
+			running: []runningJob{
+				{Job: otherTeam(array("job-1", wire.PriorityIdle, 1)), on: []string{"n-1"}},
+				{Job: saving(array("job-2", wire.PriorityIdle, 1)), on: []string{"n-1"}},
+				{Job: saving(otherTeam(array("job-3", wire.PriorityIdle, 1))), on: []string{"n-1"}, within: true},
+				{Job: saving(otherTeam(array("job-4", wire.PriorityIdle, 1))), on: []string{"n-1"}},
+			},
+			job: array("job-9", wire.PriorityIdle, 1), within: true,
+			want: []string{"job-4/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "beyond a guarantee, nothing of the same priority",
+			machines: []string{"n-1 a"},
+			running: []runningJob{
+				{Job: saving(otherTeam(array("job-1", wire.PriorityNormal, 2))), on: []string{"n-1"}},
+				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 100 * time.Second},
+			},
+			job:  array("job-9", wire.PriorityNormal, 2),
+			want: []string{"job-2/0"}, reserved: []string{"n-1"},
 		},
 		{
 			name:     "a gang gets all of its room in one zone",
@@ -169,9 +201,12 @@
 		},
 		{
 			name:     "not again while room is being made",
-			machines: []string{"n-1 a"},
-			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
-			job:      array("job-9", wire.PriorityNormal, 4),
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", wire.PriorityIdle, 4), on: []string{"n-1"}},
+				{Job: array("job-2", wire.PriorityIdle, 4), on: []string{"n-2"}},
+			},
+			job: array("job-9", wire.PriorityNormal, 4),
 			change: func(l *leader, j *job) {
 				l.reserve(j, []preemption{{machine: l.machines["n-1"]}}, 10)
 			},
