--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -138,7 +138,7 @@
 			machines: []string{"n-1 a"},
 			running: []runningJob{
 				{Job: saving(array("job-1", wire.PriorityUrgent, 2)), on: []string{"n-1"}},
-				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 1000 * time.Second},
+				{Job: array("job-2", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 900 * time.Second},
 			},
 			job:  array("job-9", wire.PriorityNormal, 2),
 			want: []string{"job-2/0"}, reserved: []string{"n-1"},
