Make the graph of waiting jobs a package of its own

It knows names only and has a narrow interface: depgraph, with the set of names and the list of work in files of their own. The core does not reach into its maps any more.

--- a/internal/core/await_lists_test.go
+++ b/internal/core/await_lists_test.go
@@ -273,7 +273,7 @@
 	stdjson.Unmarshal(b.store[prefixOpen+names[0]].Value, &rec)
 	rec.Cancelled, rec.AskedAt = true, b.c.wall
 	b.write(prefixOpen+names[0], "", encode(rec))
-	l.deps.drop(id)
+	l.deps.Drop(id)
 	l.noteOpen(names[0], b.store[prefixOpen+names[0]].Version, rec)
 	b.run(5 * time.Second)
 	if b.store[prefixFinal+names[0]].Key != "" {
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -257,7 +257,7 @@
 			j.askedAt = ago(rec.AskedAt, 0)
 		}
 		var before []string
-		l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
+		l.deps.EachAwaited(j.ID, func(a string) { before = append(before, a) })
 		l.recomputeInherited(before)
 		l.cancelAfter(j.ID)
 	}
--- a/internal/core/chains_test.go
+++ b/internal/core/chains_test.go
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			b, l := leading(t, func(*config.Settings) {})
 			recordGraph(b, l, g)
-			before := l.deps.steps
+			before := l.deps.Steps()
 			if most := 20 * (len(g.order) + g.edges()); before > most {
 				t.Errorf("%d steps for %d jobs that await %d, want at most %d", before, len(g.order), g.edges(), most)
 			}
@@ -94,17 +94,17 @@
 					t.Fatalf("%s: rank %d, due %f, want %v %f", id, j.rank, j.due, claimed, w)
 				}
 			}
-			if steps, most := l.deps.steps-before, 3*(len(g.order)+g.edges()); steps > most {
+			if steps, most := l.deps.Steps()-before, 3*(len(g.order)+g.edges()); steps > most {
 				t.Errorf("the claim took %d steps, want at most %d", steps, most)
 			}
-			before = l.deps.steps
+			before = l.deps.Steps()
 			record(b, l, wire.Job{ID: "job-10000", Awaits: []string{tail}}, func(r *openRecord) { r.Cancelled, r.AskedAt = true, b.c.wall })
 			for _, id := range g.order {
 				if j := l.jobs[id]; j.rank != 0 || !math.IsInf(j.due, 1) {
 					t.Fatalf("%s without the claim: rank %d, due %f", id, j.rank, j.due)
 				}
 			}
-			if steps, most := l.deps.steps-before, 5*(len(g.order)+g.edges()); steps > most {
+			if steps, most := l.deps.Steps()-before, 5*(len(g.order)+g.edges()); steps > most {
 				t.Errorf("to take it back took %d steps, want at most %d", steps, most)
 			}
 		})
@@ -139,7 +139,7 @@
 					b, l := leading(t, func(s *config.Settings) { s.Deployment.State.Next = &config.State{TxnOps: ops} })
 					recordGraph(b, l, g)
 					root := g.order[0]
-					before := l.deps.steps
+					before := l.deps.Steps()
 					needs := map[string]bool{root: true}
 					for _, id := range g.order {
 						for _, a := range g.awaits[id] {
@@ -178,7 +178,7 @@
 					if most := (len(needs)+ops/2-1)/(ops/2) + 1; ends > most {
 						t.Errorf("%d transactions for %d ends, want at most %d", ends, len(needs), most)
 					}
-					if steps, most := l.deps.steps-before, 20*(len(g.order)+g.edges()); steps > most {
+					if steps, most := l.deps.Steps()-before, 20*(len(g.order)+g.edges()); steps > most {
 						t.Errorf("%d steps for %d jobs that await %d, want at most %d", steps, len(g.order), g.edges(), most)
 					}
 				})
@@ -217,22 +217,22 @@
 		t.Run(name, func(t *testing.T) {
 			b, l := leading(t, func(*config.Settings) {})
 			recordGraph(b, l, g)
-			before := l.deps.steps
+			before := l.deps.Steps()
 			for _, id := range g.order {
 				if j := l.jobs[id]; j.waits && !j.awaitedDone {
 					t.Fatalf("%s still waits though all before it are done", id)
 				}
 				j := l.jobs[id]
 				j.waits, j.awaitedDone = false, false // as when its record says that it goes on
-				l.deps.drop(id)
+				l.deps.Drop(id)
 				delete(l.jobs, id)
 				l.awaitedOver(id, wire.StatusDone)
 			}
-			if steps, most := l.deps.steps-before, 3*(len(g.order)+g.edges()); steps > most {
+			if steps, most := l.deps.Steps()-before, 3*(len(g.order)+g.edges()); steps > most {
 				t.Errorf("%d steps, want at most %d", steps, most)
 			}
-			if n := len(l.deps.awaited) + len(l.deps.dependents) + len(l.deps.level); n > 0 {
-				t.Errorf("%d entries left behind", n)
+			if !l.deps.Empty() {
+				t.Error("entries are left behind")
 			}
 		})
 	}
--- a/internal/core/dependencies_test.go
+++ b/internal/core/depgraph/depgraph_test.go
@@ -1,38 +1,38 @@
-package core
+package depgraph
 
 import (
 	"slices"
 	"testing"
 )
 
-// TestDependencies walks a diamond with a tail: what awaits whom, in either
+// TestGraph walks a diamond with a tail: what awaits whom, in either
 // direction, as jobs end, are dropped, and are added late.
-func TestDependencies(t *testing.T) {
-	d := newDependencies()
-	d.add("b", []string{"a"})
-	d.add("c", []string{"a"})
-	d.add("d", []string{"b", "c"})
-	d.add("e", []string{"d", "a"})
+func TestGraph(t *testing.T) {
+	d := New()
+	d.Add("b", []string{"a"})
+	d.Add("c", []string{"a"})
+	d.Add("d", []string{"b", "c"})
+	d.Add("e", []string{"d", "a"})
 	same := func(what string, got []string, want ...string) {
 		t.Helper()
 		if !slices.Equal(got, want) {
 			t.Errorf("%s: %v, want %v", what, got, want)
 		}
 	}
-	same("after a", d.after("a", nil), "b", "c", "e", "d")
-	same("after d", d.after("d", nil), "e")
-	same("free after a", d.done("a"), "b", "c")
-	if d.waits("b") || !d.waits("d") || !d.waits("e") {
+	same("after a", d.After("a", nil), "b", "c", "e", "d")
+	same("after d", d.After("d", nil), "e")
+	same("free after a", d.Done("a"), "b", "c")
+	if d.Waits("b") || !d.Waits("d") || !d.Waits("e") {
 		t.Error("after a: b may go on, d and e wait")
 	}
-	same("free after b", d.done("b"))
-	same("free after c", d.done("c"), "d")
-	d.add("f", []string{"d"})
-	same("after d with f", d.after("d", nil), "e", "f")
-	d.drop("e")
-	same("after d without e", d.after("d", nil), "f")
-	same("free after d", d.done("d"), "f")
-	same("free after d again", d.done("d"))
+	same("free after b", d.Done("b"))
+	same("free after c", d.Done("c"), "d")
+	d.Add("f", []string{"d"})
+	same("after d with f", d.After("d", nil), "e", "f")
+	d.Drop("e")
+	same("after d without e", d.After("d", nil), "f")
+	same("free after d", d.Done("d"), "f")
+	same("free after d again", d.Done("d"))
 	if len(d.awaited)+len(d.dependents)+len(d.level) > 0 {
 		t.Errorf("left behind: %v %v %v", d.awaited, d.dependents, d.level)
 	}
@@ -43,9 +43,9 @@
 func TestLevels(t *testing.T) {
 	edges := map[string][]string{"b": {"a"}, "c": {"a"}, "d": {"b", "c"}, "e": {"d", "a"}, "f": {"e", "c"}}
 	for _, order := range []string{"bcdef", "fedcb", "dfbec", "fbdce", "ecfdb"} {
-		d := newDependencies()
+		d := New()
 		for _, id := range order {
-			d.add(string(id), edges[string(id)])
+			d.Add(string(id), edges[string(id)])
 		}
 		for id, awaited := range edges {
 			for _, a := range awaited {
@@ -55,7 +55,7 @@
 			}
 		}
 	}
-	d := newDependencies()
-	d.add("a", []string{"b"})
-	d.add("b", []string{"a"}) // as only a broken record can say: it has an end
+	d := New()
+	d.Add("a", []string{"b"})
+	d.Add("b", []string{"a"}) // as only a broken record can say: it has an end
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -40,7 +40,7 @@
 }
 
 // jobDependencies is what a job keeps of the jobs that it awaits, beside the
-// graph (dependencies.go).
+// graph (package depgraph).
 type jobDependencies struct {
 	waits       bool    // for jobs that are not done
 	awaitedDone bool    // all that it awaited is done, which is to be recorded
@@ -230,10 +230,10 @@
 	delete(l.cancelled, j.ID)
 	delete(l.lists.unread, j.ID)
 	var before []string
-	l.deps.eachAwaited(j.ID, func(a string) { before = append(before, a) })
-	l.deps.drop(j.ID)
+	l.deps.EachAwaited(j.ID, func(a string) { before = append(before, a) })
+	l.deps.Drop(j.ID)
 	for _, a := range before {
-		if x := l.jobs[a]; x != nil && x.cancelled && !l.deps.needed(a) {
+		if x := l.jobs[a]; x != nil && x.cancelled && !l.deps.Needed(a) {
 			l.ending = append(l.ending, x)
 			l.records.dirty = true
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/depgraph"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -33,7 +34,7 @@
 
 	cancelled map[string]*job // cancelled jobs whose end is not recorded
 	ending    []*job          // of them, those that may be without dependents
-	deps      *dependencies
+	deps      *depgraph.Graph
 
 	fleet    fleet
 	arrivals map[string]*arrivals
@@ -47,7 +48,7 @@
 		machines: map[string]*machine{},
 		reached:  map[string]time.Duration{},
 		returned: map[string]time.Duration{}, cancelled: map[string]*job{},
-		deps:     newDependencies(),
+		deps:     depgraph.New(),
 		lookups:  jobLookups{due: map[string]time.Duration{}},
 		lists:    awaitLists{unread: map[string]time.Duration{}},
 		arrivals: map[string]*arrivals{},
--- a/internal/core/nextstages.go
+++ b/internal/core/nextstages.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return false
 	}
-	return !l.deps.anyAwaited(j.ID, func(id string) bool {
+	return !l.deps.AnyAwaited(j.ID, func(id string) bool {
 		awaited := l.jobs[id]
 		return awaited != nil && l.remainingRun(awaited) > lead
 	})
--- a/internal/core/nextstages_test.go
+++ b/internal/core/nextstages_test.go
@@ -46,12 +46,12 @@
 			name: "it waits for another job",
 			change: func(l *leader, awaited, waiting *job) {
 				awaited.waits = true
-				l.deps.add(awaited.ID, []string{"job-3"})
+				l.deps.Add(awaited.ID, []string{"job-3"})
 			},
 		},
 		{
 			name:   "one of two awaited jobs has no machine",
-			change: func(l *leader, awaited, waiting *job) { l.deps.add(waiting.ID, []string{"job-3"}) },
+			change: func(l *leader, awaited, waiting *job) { l.deps.Add(waiting.ID, []string{"job-3"}) },
 		},
 		{
 			name:   "the job is cancelled",
@@ -78,7 +78,7 @@
 			for _, j := range l.order {
 				l.jobs[j.ID] = j
 			}
-			l.deps.add(waiting.ID, []string{awaited.ID})
+			l.deps.Add(waiting.ID, []string{awaited.ID})
 			tc.change(l, awaited, waiting)
 			p := newRentalPlan(l)
 			p.packNextStages(map[string]topology.Resources{})
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -60,7 +60,7 @@
 	l.ending = nil
 	for k, j := range list {
 		switch {
-		case l.jobs[j.ID] != j || j.ended || j.endPending || l.deps.needed(j.ID):
+		case l.jobs[j.ID] != j || j.ended || j.endPending || l.deps.Needed(j.ID):
 		case l.mayHaveUnread(j) || !l.mayEnd(j):
 			l.ending = append(l.ending, j)
 		case !l.endWithAwaited(j, end):
@@ -77,7 +77,7 @@
 		return false
 	}
 	for at := []*job{j}; len(at) > 0; at = at[1:] {
-		l.deps.eachAwaited(at[0].ID, func(a string) {
+		l.deps.EachAwaited(at[0].ID, func(a string) {
 			x := l.jobs[a]
 			if x != nil && x.cancelled && l.mayEnd(x) && !l.hasLiveDependents(a) && end(x) {
 				at = append(at, x)
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -4,11 +4,12 @@
 	"math"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/depgraph"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
 // A job that awaits others holds its place in the dependency graph
-// (dependencies.go) and nothing else: it is pending, outside its team's limit
+// (package depgraph) and nothing else: it is pending, outside its team's limit
 // and guarantee, and none of its tasks may be placed. It goes on when its open
 // record says so (ReadyAt), which is written on the condition that the open
 // records of the jobs it awaited are gone, after their ends were read or written
@@ -43,7 +44,7 @@
 // noteNames takes in which jobs a new job awaits.
 func (l *leader) noteNames(j *job, names []string) {
 	j.Awaits = names
-	l.deps.add(j.ID, names)
+	l.deps.Add(j.ID, names)
 	l.c.log.Debug("job waits for", "job", j.ID, "awaited", names)
 	if l.ready {
 		// A leader that takes over tells how many wait with the records loaded.
@@ -79,7 +80,7 @@
 // lookAwaited looks up an awaited job that is not among the open ones: its end
 // is on record.
 func (l *leader) lookAwaited(id string) {
-	if _, ok := l.lookups.due[id]; ok || !l.deps.needed(id) {
+	if _, ok := l.lookups.due[id]; ok || !l.deps.Needed(id) {
 		return
 	}
 	if l.lookups.running >= l.c.maxWaiting()/8 {
@@ -117,14 +118,14 @@
 // awaitedOver takes in that a job's end is on record: its dependents go on, or
 // end with it.
 func (l *leader) awaitedOver(id string, status wire.JobState) {
-	if l.deps.needed(id) {
+	if l.deps.Needed(id) {
 		l.c.log.Debug("awaited job over", "job", id, "status", status)
 	}
 	if status != wire.StatusDone {
 		l.cancelAfter(id)
 		return
 	}
-	for _, y := range l.deps.done(id) {
+	for _, y := range l.deps.Done(id) {
 		if j := l.jobs[y]; j != nil && j.waits && !j.cancelled {
 			j.awaitedDone = true
 			l.records.dirty = true
@@ -140,7 +141,7 @@
 	l.c.log.Info("job goes on", "job", j.ID)
 	j.waits, j.awaitedDone = false, false
 	j.since = j.rec.ReadyAt
-	l.deps.drop(j.ID)
+	l.deps.Drop(j.ID)
 	l.noteArrival(j)
 	l.passes.requested = true
 }
@@ -148,7 +149,7 @@
 // cancelAfter cancels all jobs that need a cancelled one. What a job needs that
 // was cancelled before is cancelled already.
 func (l *leader) cancelAfter(id string) {
-	l.cancelWaiting(l.deps.after(id, func(y string) bool {
+	l.cancelWaiting(l.deps.After(id, func(y string) bool {
 		j := l.jobs[y]
 		return j != nil && !j.cancelled
 	}), id)
@@ -160,7 +161,7 @@
 	for _, id := range ids {
 		l.c.log.Info("job cancelled", "job", id, "with", with)
 		l.markCancelled(l.jobs[id])
-		l.deps.eachAwaited(id, func(a string) { before = append(before, a) })
+		l.deps.EachAwaited(id, func(a string) { before = append(before, a) })
 	}
 	l.recomputeInherited(before)
 }
@@ -170,7 +171,7 @@
 	if j := l.jobs[id]; j != nil && l.mayHaveUnread(j) {
 		return true
 	}
-	return l.deps.anyDependent(id, func(y string) bool {
+	return l.deps.AnyDependent(id, func(y string) bool {
 		j := l.jobs[y]
 		return j != nil && !j.ended && !j.endPending
 	})
@@ -195,17 +196,17 @@
 // by way of each path, a job of a layered graph would be looked at as often as
 // there are paths.
 func (l *leader) inherit(dependents ...*job) {
-	var changed worklist
+	var changed depgraph.Worklist
 	for _, j := range dependents {
-		changed.add(j.ID, l.deps.level[j.ID])
+		changed.Add(j.ID, l.deps.Level(j.ID))
 	}
-	for id, ok := changed.next(); ok; id, ok = changed.next() {
+	for id, ok := changed.Next(); ok; id, ok = changed.Next() {
 		j := l.jobs[id]
 		if j == nil || j.cancelled || !j.waits {
 			continue
 		}
 		due := j.due - l.runEstimate(j)
-		l.deps.eachAwaited(id, func(a string) {
+		l.deps.EachAwaited(id, func(a string) {
 			x := l.jobs[a]
 			if x == nil || x.cancelled || x.rank >= j.rank && x.due <= due {
 				return
@@ -219,11 +220,11 @@
 // recomputeInherited finds out what jobs are left with when one that needed them is not
 // there any more, or is cancelled.
 func (l *leader) recomputeInherited(ids []string) {
-	var changed worklist
+	var changed depgraph.Worklist
 	for _, id := range ids {
-		changed.add(id, l.deps.level[id])
+		changed.Add(id, l.deps.Level(id))
 	}
-	for id, ok := changed.next(); ok; id, ok = changed.next() {
+	for id, ok := changed.Next(); ok; id, ok = changed.Next() {
 		j := l.jobs[id]
 		if j == nil || j.cancelled || j.rank == priorityRank[j.Priority] && j.due == ownDue(&j.rec) {
 			continue
@@ -233,14 +234,14 @@
 			continue
 		}
 		l.setInherited(j, rank, due)
-		l.deps.eachAwaited(id, func(a string) { l.queueAwaited(&changed, id, a) })
+		l.deps.EachAwaited(id, func(a string) { l.queueAwaited(&changed, id, a) })
 	}
 }
 
 // queueAwaited has an awaited job looked at after a job that has changed.
-func (l *leader) queueAwaited(changed *worklist, id, awaited string) {
-	if level := l.deps.level[awaited]; level < l.deps.level[id] {
-		changed.add(awaited, level)
+func (l *leader) queueAwaited(changed *depgraph.Worklist, id, awaited string) {
+	if level := l.deps.Level(awaited); level < l.deps.Level(id) {
+		changed.Add(awaited, level)
 	}
 }
 
@@ -248,7 +249,7 @@
 // user and its dependents want it.
 func (l *leader) inherited(j *job) (rank int, due float64) {
 	rank, due = priorityRank[j.Priority], ownDue(&j.rec)
-	l.deps.eachDependent(j.ID, func(y string) {
+	l.deps.EachDependent(j.ID, func(y string) {
 		if o := l.jobs[y]; o != nil && !o.cancelled {
 			rank, due = max(rank, o.rank), min(due, o.due-l.runEstimate(o))
 		}
