--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"strconv"
 	"strings"
 
 	"github.com/brookwalk/brookwalk/wire"
@@ -68,7 +67,7 @@
 // reports: its outcome is recorded, and no copy of its start can still come,
 // which would start it again.
 func (l *leader) mayForget(m *machine, name string, attempt uint64) bool {
-	if m.doPending[attemptKey(name, attempt)] > 0 || m.token < l.term {
+	if m.directStarts[attemptID{name, attempt}] > 0 || m.token < l.term {
 		return false
 	}
 	j := l.jobs[jobOf(name)]
@@ -83,9 +82,10 @@
 	return !j.endPending
 }
 
-// attemptKey names an attempt at a task.
-func attemptKey(task string, attempt uint64) string {
-	return task + "#" + strconv.FormatUint(attempt, 10)
+// attemptID names an attempt at a task.
+type attemptID struct {
+	task    string
+	attempt uint64
 }
 
 // jobOf is the job of the task with that name.
@@ -113,7 +113,7 @@
 
 // mayCommand tells whether direct commands may be sent to a machine now.
 func (l *leader) mayCommand(m *machine) bool {
-	return l.ready && m.addr != "" && m.doBusy == 0 && l.c.now >= m.doRetry && m.token >= l.term && !m.returning
+	return l.ready && m.addr != "" && m.directCalls == 0 && l.c.now >= m.directRetry && m.token >= l.term && !m.returning
 }
 
 // sendCommands sends a worker its commands at once instead of with the answer to
@@ -126,15 +126,15 @@
 	if len(commands) == 0 {
 		return
 	}
-	starts := startKeys(commands)
-	for _, key := range starts {
-		m.doPending[key]++
+	starts := startedBy(commands)
+	for _, id := range starts {
+		m.directStarts[id]++
 	}
-	m.doBusy++
+	m.directCalls++
 	session := m.session
 	body := encode(wire.Orders{Token: l.term, Session: session, Commands: commands})
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
-		m.doBusy--
+		m.directCalls--
 		if l.deposed {
 			return
 		}
@@ -142,22 +142,22 @@
 			m.startsEnded(starts)
 		}
 		if r.Status != statusOK && r.Status != statusConflict {
-			m.doRetry = l.c.now + l.c.lease()/2
+			m.directRetry = l.c.now + l.c.lease()/2
 			return
 		}
 		l.onDirectReport(m, r.Body)
 	})
 }
 
-// startKeys names the attempts that commands start.
-func startKeys(commands []wire.Command) []string {
-	var keys []string
+// startedBy names the attempts that commands start.
+func startedBy(commands []wire.Command) []attemptID {
+	var attempts []attemptID
 	for _, c := range commands {
 		if c.Verb == wire.VerbStart {
-			keys = append(keys, attemptKey(c.Task, c.Attempt))
+			attempts = append(attempts, attemptID{c.Task, c.Attempt})
 		}
 	}
-	return keys
+	return attempts
 }
 
 // outcomeKnown tells whether direct commands were certainly carried out, or
@@ -167,10 +167,10 @@
 }
 
 // startsEnded notes that no copy of direct starts is under way any more.
-func (m *machine) startsEnded(keys []string) {
-	for _, key := range keys {
-		if m.doPending[key]--; m.doPending[key] <= 0 {
-			delete(m.doPending, key)
+func (m *machine) startsEnded(attempts []attemptID) {
+	for _, id := range attempts {
+		if m.directStarts[id]--; m.directStarts[id] <= 0 {
+			delete(m.directStarts, id)
 		}
 	}
 }
--- a/internal/core/commands_test.go
+++ b/internal/core/commands_test.go
@@ -85,7 +85,7 @@
 		{
 			name:   "an end of an attempt of which a copy may come",
 			listed: []wire.Task{ended},
-			change: func(l *leader, m *machine) { m.doPending[attemptKey(name, 2)] = 1 },
+			change: func(l *leader, m *machine) { m.directStarts[attemptID{name, 2}] = 1 },
 		},
 		{
 			name:   "an end on a worker that has not heard this term",
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -60,13 +60,13 @@
 	deafSince time.Duration
 	returning bool
 
-	doBusy      int
-	doRetry     time.Duration
-	doPending   map[string]int // starts sent to /do whose outcome is unknown
-	probeBusy   bool
-	probeAt     time.Duration
-	probeFailed time.Duration   // when the last probe without an answer was sent
-	failed      map[string]bool // jobs that failed since a task last started well
+	directCalls  int
+	directRetry  time.Duration
+	directStarts map[attemptID]int // direct starts whose outcome is unknown
+	probeBusy    bool
+	probeAt      time.Duration
+	probeFailed  time.Duration   // when the last probe without an answer was sent
+	failed       map[string]bool // jobs that failed since a task last started well
 
 	// A machine whose tasks are stopped for a job is kept for it.
 	reserved      *job
@@ -78,7 +78,7 @@
 func (l *leader) machine(name string) *machine {
 	m := l.machines[name]
 	if m == nil {
-		m = &machine{name: name, doPending: map[string]int{}, failed: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
+		m = &machine{name: name, directStarts: map[attemptID]int{}, failed: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
 		l.machines[name] = m
 		at, _ := slices.BinarySearchFunc(l.byName, name, func(m *machine, name string) int { return strings.Compare(m.name, name) })
 		l.byName = slices.Insert(slices.Clone(l.byName), at, m)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -60,7 +60,7 @@
 			m.expired++
 			l.c.log.Info("worker lost its lease", "machine", m.name, "session", r.Session)
 		}
-		m.doPending = map[string]int{}
+		m.directStarts = map[attemptID]int{}
 		// The new session's lease began with it, at the latest now, whatever
 		// was last answered: a session that a direct answer showed must not
 		// seem to have run out by the clock of the one before.
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -215,7 +215,7 @@
 }
 
 // takeTypes sets the allowed machine types: null allows any, an empty list
-// none, see possible.
+// none, see checkPossible.
 func (s *submission) takeTypes(job *wire.Job) error {
 	if s.Types.value == nil {
 		return nil
@@ -295,37 +295,48 @@
 
 func (c *Core) recordable(rec openRecord) bool { return len(encode(rec)) <= c.maxRecord() }
 
-// possible tells why a job can never run, or nothing.
-func (c *Core) possible(j *wire.Job) string {
+// Why a job can never run.
+var (
+	errUnknownTeam   = errors.New("unknown team")
+	errNoTypeAllowed = errors.New("no machine type is allowed")
+	errFitsNoType    = errors.New("a task fits no allowed machine type")
+	errBeyondLimit   = errors.New("more than the team's limit")
+	errOneZoneOnly   = errors.New("tasks that are to be apart have only one zone")
+	errAwaitsItself  = errors.New("it awaits itself")
+	errTooLarge      = errors.New("the description is larger than the state service takes")
+)
+
+// checkPossible tells why a job can never run; nil if it may.
+func (c *Core) checkPossible(j *wire.Job) error {
 	team := c.team(j.Team)
 	if team == nil {
-		return "unknown team"
+		return errUnknownTeam
 	}
 	if j.Types != nil && len(j.Types) == 0 {
-		return "no machine type is allowed"
+		return errNoTypeAllowed
 	}
 	zones := c.zonesThatFit(j)
 	if zones == 0 {
-		return "a task fits no allowed machine type"
+		return errFitsNoType
 	}
 	if exceedsQuota(j, team) {
-		return "more than the team's limit"
+		return errBeyondLimit
 	}
 	// A gang's tasks, two or more, need a second zone if at most half of them
 	// may be in one. Arrays and services may run in parts.
 	if j.Spread && j.Shape == wire.ShapeGang && j.Tasks > 1 && (j.OneZone || zones < 2) {
-		return "tasks that are to be apart have only one zone"
+		return errOneZoneOnly
 	}
 	if slices.Contains(j.Awaits, j.ID) {
-		return "it awaits itself"
+		return errAwaitsItself
 	}
 	// Only the jobs that are not over when it is accepted go on record.
 	plain := *j
 	plain.Awaits = nil
 	if !c.recordable(openRecord{Job: plain}) {
-		return "the description is larger than the state service takes"
+		return errTooLarge
 	}
-	return ""
+	return nil
 }
 
 // zonesThatFit counts the zones, of those that a job allows, which rent a
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -50,8 +50,8 @@
 		c.answerRetry(r.ID, "machine types are not known yet")
 		return
 	}
-	if why := c.possible(job); why != "" {
-		c.answerImpossible(r.ID, job.ID, why)
+	if err := c.checkPossible(job); err != nil {
+		c.answerImpossible(r.ID, job.ID, err)
 		return
 	}
 	if c.refuse(r.ID, len(u.submits)) {
@@ -62,13 +62,13 @@
 
 // answerImpossible refuses a job that can never run, unless it was accepted
 // before: then it gets 200 whatever holds now.
-func (c *Core) answerImpossible(req uint64, id, why string) {
+func (c *Core) answerImpossible(req uint64, id string, why error) {
 	c.lookUp(id, func(f lookupResult) {
 		switch {
 		case f.failed:
 			c.answerRetry(req, errorStoreSilent)
 		case f.open == nil && f.final == nil:
-			c.answerError(req, statusUnprocessable, why)
+			c.answerError(req, statusUnprocessable, why.Error())
 		default:
 			c.answer(req, statusOK, c.statusOf(id, f), 0)
 		}
