Let a team at its limit stop its own lower priorities for its higher ones

Preemption looked for room on machines only, and what became free in the limit went to idle work within the guarantee.

Now such a job stops as much of its team's own lower priorities as the limit asks, if machines have room for it, and that part of the limit is kept for it until it is placed. Where no machine has room, one is rented first.

TestPreempt now takes the usage from the leader.

--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -25,6 +25,7 @@
 	reserved       int  // tasks for which room is being made
 	noOffer        bool // no machine can be rented for it just now
 	preemptionRank int  // the rank by which it may stop other work
+	ownTeamOnly    bool // it may stop work of its own team only
 }
 
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -30,6 +30,8 @@
 	preempted  int              // how often it made way, as a gang
 	moveTo     map[int]*machine // where moving replicas have their room
 	reservedOn []*machine       // kept for it, see preempt
+
+	madeRoomInLimit bool // work of its team was stopped for it, see teamlimit.go
 }
 
 // jobRank is what orders a job among those that wait for room.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -52,6 +52,7 @@
 	l     *leader
 	tree  *topology.Tree
 	usage map[string]topology.Resources // by team
+	kept  map[string][]limitShare       // of the teams' limits
 	// What is found not to fit in a pass is not tried again: room only shrinks.
 	full       map[shape]bool // no room for tasks of this shape
 	noVictims  map[shape]bool // nobody to stop for tasks of this shape
@@ -65,7 +66,7 @@
 	before := l.passes.visits
 	tree := l.placementTree()
 	p := &placementPass{
-		l: l, tree: tree, usage: l.usage(),
+		l: l, tree: tree, usage: l.usage(), kept: l.limitShares(),
 		full: map[shape]bool{}, noVictims: map[shape]bool{}, noMachine: map[needs]bool{},
 		visitLimit: before + l.passVisits(),
 	}
@@ -109,14 +110,14 @@
 	plain := len(j.failedOn) == 0 && !j.Spread
 	if !math.IsInf(l.c.slowFetch(j.Class), 1) {
 		if !p.noMachine[key.needs] {
-			l.fill(p.tree, c, p.usage, true)
+			p.fill(c, true)
 		}
 		if len(c.pending) > 0 && !p.noVictims[key] {
 			l.preempt(c, p.usage, true)
 		}
 	}
 	if len(c.pending) > c.reserved && !p.full[key] && !p.noMachine[key.needs] {
-		l.fill(p.tree, c, p.usage, false)
+		p.fill(c, false)
 		if len(c.pending) > c.reserved && l.reservedFor(j) == 0 {
 			p.full[key] = plain
 			// Whether a spread job finds room depends on where its other
@@ -170,16 +171,18 @@
 
 // fill places what of a job fits, a gang as a whole. quick leaves out machines
 // on which the image would come too late.
-func (l *leader) fill(tree *topology.Tree, c *candidate, usage map[string]topology.Resources, quick bool) {
+func (p *placementPass) fill(c *candidate, quick bool) {
 	j, n := c.job, 1
 	if j.Shape == wire.ShapeGang {
 		n = len(c.pending)
 	}
-	for len(c.pending) >= n+c.reserved && len(c.pending) > 0 && underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) {
-		if !l.placeTasks(tree, c, c.pending[:n], quick) {
+	team, task := p.l.c.team(j.Team), size(&j.Job)
+	kept := keptFrom(p.kept[j.Team], j.rank)
+	for len(c.pending) >= n+c.reserved && len(c.pending) > 0 && underLimit(team, p.usage[j.Team].Add(kept), task, n) {
+		if !p.l.placeTasks(p.tree, c, c.pending[:n], quick) {
 			return
 		}
-		usage[j.Team] = usage[j.Team].Add(times(size(&j.Job), n))
+		p.usage[j.Team] = p.usage[j.Team].Add(times(task, n))
 		c.pending = c.pending[n:]
 	}
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -43,6 +43,9 @@
 	c.noOffer = !offered
 	want := l.preemptionsWanted(c, usage)
 	if want == 0 {
+		if !quick && c.preemptionRank > 0 {
+			return l.preemptWithinLimit(c, usage[j.Team])
+		}
 		return false
 	}
 	if !l.anyPreemption(c) {
@@ -365,6 +368,9 @@
 // team runs it beyond its own. In the second case only work of the same
 // priority that keeps its progress is stopped; the protocol would allow any.
 func (l *leader) mayPreempt(c *candidate, v *job) bool {
+	if c.ownTeamOnly && v.Team != c.job.Team {
+		return false
+	}
 	if v.Shape == wire.ShapeGang && !c.noOffer && !worthGang(c, v) {
 		return false
 	}
--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -1,12 +1,12 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
-	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -22,7 +22,8 @@
 	machines []string // name and zone
 	running  []runningJob
 	job      wire.Job
-	within   bool // the job is within its team's guarantee
+	within   bool    // the job is within its team's guarantee
+	limit    float64 // GPUs that the job's team may use; 100 if 0
 	change   func(l *leader, j *job)
 	want     []string // tasks that are stopped
 	reserved []string // machines that are kept
@@ -229,7 +230,7 @@
 
 func (tc *preemptCase) run(t *testing.T) {
 	b, l := leading(t, func(s *config.Settings) {
-		s.Deployment.Teams = []config.Team{{Name: "vision", GPUsMax: 100}, {Name: "other", GPUsMax: 100}}
+		s.Deployment.Teams = []config.Team{{Name: "vision", GPUsMax: cmp.Or(tc.limit, 100)}, {Name: "other", GPUsMax: 100}}
 	})
 	b.c.types = preemptTypes
 	b.c.now = 1000 * time.Second
@@ -256,7 +257,7 @@
 		tc.change(l, j)
 	}
 	c := &candidate{job: j, guaranteed: tc.within, pending: j.unplacedTasks(), preemptionRank: j.rank}
-	l.preempt(c, map[string]topology.Resources{}, false)
+	l.preempt(c, l.usage(), false)
 	var stopped []string
 	for _, r := range running {
 		for i := range r.tasks {
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -124,8 +124,15 @@
 	zoneRoom := l.zoneRoom(j)
 	added := map[string]int{} // by zone
 	var last *bin
+	team := l.c.team(j.Team)
+	var stoppable topology.Resources
+	if c.preemptionRank > 0 && !underLimit(team, usage[j.Team], size(&j.Job), len(c.pending)) {
+		// What its team runs of lower priorities makes way within the limit, but
+		// only where there is a machine to start on.
+		stoppable = l.stoppableUse(j.Team, c.preemptionRank)
+	}
 	for k := c.reserved; k < len(c.pending) && k < maxPlannedTasks; k++ {
-		if !underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), 1) {
+		if !underLimit(team, usage[j.Team].Sub(stoppable), size(&j.Job), 1) {
 			return
 		}
 		zoneAllowed := func(zone string) bool {
--- /dev/null
+++ b/internal/core/teamlimit.go
@@ -0,0 +1,191 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// A team that uses all of its limit has no room for another task, however many
+// machines stand idle. Work of a higher priority then makes room within the
+// limit as it does on machines: it stops work of the same team. What becomes free
+// is kept for it, since the team's other work would take it in the next pass:
+// what is within the team's guarantee goes first there.
+
+// limitShare is a part of its team's limit that is kept for a job.
+type limitShare struct {
+	rank   int
+	amount topology.Resources
+}
+
+// limitShares lists, by team, what is kept of its limit for jobs that room is
+// being made for.
+func (l *leader) limitShares() map[string][]limitShare {
+	shares := map[string][]limitShare{}
+	for _, j := range l.order {
+		if !j.madeRoomInLimit {
+			continue
+		}
+		n := l.reservedFor(j)
+		if n == 0 {
+			j.madeRoomInLimit = false
+			continue
+		}
+		shares[j.Team] = append(shares[j.Team], limitShare{j.rank, times(size(&j.Job), n)})
+	}
+	return shares
+}
+
+// keptFrom adds up what is kept from work of a rank, for work of higher ones.
+func keptFrom(shares []limitShare, rank int) topology.Resources {
+	var sum topology.Resources
+	for _, s := range shares {
+		if s.rank > rank {
+			sum = sum.Add(s.amount)
+		}
+	}
+	return sum
+}
+
+// preemptWithinLimit makes room for a candidate whose team is at its limit: it
+// stops work of the team of a lower priority until the limit allows the
+// candidate's tasks, where there is also room for them on machines or stops of
+// such work make it. It tells whether the team has no such work.
+func (l *leader) preemptWithinLimit(c *candidate, used topology.Resources) (nobody bool) {
+	own := l.ownVictims(c)
+	if len(own) == 0 {
+		return true
+	}
+	used = used.Sub(l.stoppingOf(c.job.Team))
+	most, least := min(len(c.pending), maxPreemptions), 1
+	if c.job.Shape == wire.ShapeGang {
+		most, least = len(c.pending), len(c.pending)
+	}
+	c.ownTeamOnly = true
+	chosen := l.bestPreemptions(c, most, false)
+	c.ownTeamOnly = false
+	for ; len(chosen) >= least; chosen = chosen[:len(chosen)-1] {
+		extra, ok := l.stopsForLimit(c, chosen, own, used)
+		if !ok {
+			continue
+		}
+		c.job.madeRoomInLimit = true
+		c.reserved = len(chosen)
+		wait := max(l.stopVictims(c.job, chosen), l.stopVictims(c.job, extra))
+		l.reserve(c.job, chosen, wait)
+		break
+	}
+	return false
+}
+
+// ownVictims lists the tasks of a candidate's team that may be stopped for it,
+// the least loss first. A gang is listed once, by its first task.
+func (l *leader) ownVictims(c *candidate) []preemption {
+	var own []preemption
+	for _, m := range l.byName {
+		whole, ok := l.total(m)
+		if !ok {
+			continue
+		}
+		for _, p := range m.placed {
+			v := p.job
+			if v.Team != c.job.Team || v.rank >= c.preemptionRank || p.task().stop != nil {
+				continue
+			}
+			if v.Shape == wire.ShapeGang && slices.ContainsFunc(own, func(o preemption) bool { return o.victims[0].job == v }) {
+				continue
+			}
+			own = append(own, preemption{machine: m, victims: []taskRef{p}, cost: l.victimCost(v, p.task(), whole)})
+		}
+	}
+	slices.SortStableFunc(own, func(a, b preemption) int { return cmp.Compare(a.cost, b.cost) })
+	return own
+}
+
+// stopsForLimit chooses, of a team's own victims, those that have to go beside
+// the victims of chosen so that the limit allows a task on each of chosen; not ok
+// if all together are not enough.
+func (l *leader) stopsForLimit(c *candidate, chosen, own []preemption, used topology.Resources) (extra []preemption, ok bool) {
+	team := l.c.team(c.job.Team)
+	task := size(&c.job.Job)
+	stopped := map[taskKey]bool{}
+	for _, s := range chosen {
+		for _, v := range s.victims {
+			if !stopped[v.stopKey()] {
+				stopped[v.stopKey()] = true
+				used = used.Sub(stoppedWith(v))
+			}
+		}
+	}
+	for _, s := range own {
+		if underLimit(team, used, task, len(chosen)) {
+			return extra, true
+		}
+		v := s.victims[0]
+		if stopped[v.stopKey()] || !relieves(team, used.Add(times(task, len(chosen))), size(&v.job.Job)) {
+			continue
+		}
+		used = used.Sub(stoppedWith(v))
+		extra = append(extra, s)
+	}
+	return extra, underLimit(team, used, task, len(chosen))
+}
+
+// stoppableUse adds up what a team's work of a rank below uses.
+func (l *leader) stoppableUse(team string, rank int) topology.Resources {
+	var sum topology.Resources
+	for _, m := range l.byName {
+		for _, p := range m.placed {
+			if p.job.Team == team && p.job.rank < rank {
+				sum = sum.Add(size(&p.job.Job))
+			}
+		}
+	}
+	return sum
+}
+
+// taskKey names what is stopped at once: a task, or all tasks of a gang.
+type taskKey struct {
+	job   *job
+	index int
+}
+
+// stopKey is the key of what is stopped with a task.
+func (p taskRef) stopKey() taskKey {
+	if p.job.Shape == wire.ShapeGang {
+		return taskKey{p.job, 0}
+	}
+	return taskKey{p.job, p.index}
+}
+
+// stoppedWith is what becomes free when a task is stopped: all of its gang goes.
+func stoppedWith(p taskRef) topology.Resources {
+	if p.job.Shape == wire.ShapeGang {
+		return times(size(&p.job.Job), p.job.placed)
+	}
+	return size(&p.job.Job)
+}
+
+// relieves tells whether the end of a task of some size brings a team closer to
+// its limit from above.
+func relieves(t *config.Team, used, task topology.Resources) bool {
+	cpus := t.CPUsMax > 0 && used.CPUs > t.CPUsMax+quotaTolerance && task.CPUs > 0
+	gpus := t.GPUsMax > 0 && used.GPUs > t.GPUsMax+quotaTolerance && task.GPUs > 0
+	return cpus || gpus
+}
+
+// stoppingOf adds up what a team's tasks use that are on their way out.
+func (l *leader) stoppingOf(team string) topology.Resources {
+	var sum topology.Resources
+	for _, m := range l.byName {
+		for _, p := range m.placed {
+			if p.job.Team == team && p.task().stop != nil {
+				sum = sum.Add(size(&p.job.Job))
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/core/teamlimit_test.go
@@ -0,0 +1,128 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// A team at its limit whose critical services waited for minutes while its own
+// idle work ran: nothing of a team was stopped for the team's own work.
+func TestPreemptWithinLimit(t *testing.T) {
+	array := func(id, team string, priority wire.Priority, gpus float64) wire.Job {
+		return wire.Job{ID: id, Team: team, Shape: wire.ShapeArray, Priority: priority, Tasks: 1, GPUs: gpus, MemGB: 1}
+	}
+	idle := array("job-1", "vision", wire.PriorityIdle, 4)
+	for _, tc := range []preemptCase{
+		{
+			name:     "its own lower priority makes way though a machine stands idle",
+			machines: []string{"n-1 a", "n-2 a"},
+			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
+			job:      array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+			want: []string{"job-1/0"}, reserved: []string{"n-2"},
+		},
+		{
+			name:     "its own of the same priority does not",
+			machines: []string{"n-1 a", "n-2 a"},
+			running:  []runningJob{{Job: idle, on: []string{"n-1"}}},
+			job:      array("job-9", "vision", wire.PriorityIdle, 4), limit: 4, within: true,
+		},
+		{
+			name:     "another team's does not",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityNormal, 4), on: []string{"n-1"}},
+				{Job: array("job-2", "other", wire.PriorityIdle, 4), on: []string{"n-2"}},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+		},
+		{
+			name:     "another team's does not either where the job's own makes room in the limit",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: idle, on: []string{"n-1"}, ranFor: 100 * time.Second},
+				{Job: array("job-2", "other", wire.PriorityIdle, 4), on: []string{"n-2"}, ranFor: time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+			want: []string{"job-1/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "no more than the limit asks, the least loss first",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 100 * time.Second},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 2), on: []string{"n-1"}, ranFor: 10 * time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 2), limit: 4,
+			want: []string{"job-2/0"}, reserved: []string{"n-2"},
+		},
+		{
+			name:     "what is on its way out already counts",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityIdle, 2), on: []string{"n-2"}},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 2), on: []string{"n-2"}, ranFor: time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 2), limit: 4,
+			change: func(l *leader, j *job) {
+				l.stopTask(l.machines["n-2"].placed[0].job, 0, 1, stopPreempted)
+			},
+			want: []string{"job-1/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "nobody is stopped where the job finds no room on machines",
+			machines: []string{"n-1 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityIdle, 2), on: []string{"n-1"}},
+				{Job: array("job-2", "other", wire.PriorityNormal, 2), on: []string{"n-1"}},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+		},
+		{
+			name:     "nobody is stopped where all of the team's would not be enough",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityNormal, 2), on: []string{"n-1"}},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 1), on: []string{"n-1"}},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 2), limit: 3,
+		},
+		{
+			name:     "work that does not count towards the limit is left alone",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityIdle, 0), on: []string{"n-1"}},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 4), on: []string{"n-1"}, ranFor: time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+			want: []string{"job-2/0"}, reserved: []string{"n-2"},
+		},
+		{
+			name:     "a gang goes as a whole, and all of it counts",
+			machines: []string{"n-1 a", "n-2 a", "n-3 a"},
+			running: []runningJob{
+				{Job: wire.Job{ID: "job-1", Team: "vision", Shape: wire.ShapeGang, Priority: wire.PriorityIdle, Tasks: 2, GPUs: 2, MemGB: 1}, on: []string{"n-1", "n-2"}},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 1), on: []string{"n-1"}, ranFor: 900 * time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 5,
+			want: []string{"job-1/0", "job-1/1"}, reserved: []string{"n-3"},
+		},
+	} {
+		t.Run(tc.name, tc.run)
+	}
+}
+
+// What was freed within a limit went to the team's other work in the next pass.
+func TestLimitIsKeptForTheJob(t *testing.T) {
+	shares := []limitShare{
+		{rank: 3, amount: topology.Resources{GPUs: 4}},
+		{rank: 1, amount: topology.Resources{GPUs: 2}},
+	}
+	for rank, want := range []float64{6, 4, 4, 0} {
+		if got := keptFrom(shares, rank); got.GPUs != want {
+			t.Errorf("%v GPUs are kept from rank %d, want %v", got.GPUs, rank, want)
+		}
+	}
+}
