Name settings that contradict each other or leave out what a place needs

No zones, no teams or no peers, a controller outside the deployment's zones, a lease that a late report misses, a cancellation time that leaves no room after a lease, and amounts that are no numbers went unnoticed until something broke; the start and check now name the field and what is expected. check also names unknown fields, which stay ignored. A guarantee beyond capacity stays legal.

The settings of TestParse got the zones, a team and an objective that every deployment has, since a file without them is an error now; its rows are unchanged.

--- a/cmd/brookwalk/main.go
+++ b/cmd/brookwalk/main.go
@@ -47,6 +47,9 @@
 		return err
 	}
 	if command == "check" {
+		for _, field := range cfg.Ignored {
+			fmt.Printf("%s: unknown field, ignored\n", field)
+		}
 		fmt.Println("settings are good")
 		return nil
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,8 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +26,9 @@
 	Peers      []Peer     `toml:"peers"`
 	External   External   `toml:"external"`
 	Deployment Deployment `toml:"deployment"`
+
+	// Ignored names the fields of the file that are not known.
+	Ignored []string `toml:"-"`
 }
 
 // Peer is another controller.
@@ -141,6 +146,9 @@
 	if err := s.check(md.IsDefined); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	for _, key := range md.Undecoded() {
+		s.Ignored = append(s.Ignored, key.String())
+	}
 	return &s, nil
 }
 
@@ -156,14 +164,16 @@
 	f.addr("external.cloud", s.External.Cloud)
 	f.addr("external.state", s.External.State)
 	s.checkPeers(&f)
+	s.checkZones(&f)
 	d := &s.Deployment
 	d.checkTeams(&f)
+	d.checkObjectives(&f)
 	d.Workers.check(&f)
 	d.State.check(&f, given)
+	f.notNegative("deployment.skew_ms", d.SkewMs)
 	f.positive("deployment.cloud.rps", d.Cloud.RPS)
-	if d.Cloud.ListLagS < 0 {
-		f.add("deployment.cloud.list_lag_s: below 0")
-	}
+	f.notNegative("deployment.cloud.list_lag_s", d.Cloud.ListLagS)
+	f.notNegative("deployment.machine_limits.cpu", d.Limits.CPU)
 	f.positive("deployment.machine_limits.ram_mb", d.Limits.RAMMB)
 	f.positive("deployment.machine_limits.max_connections", float64(d.Limits.MaxConnections))
 	return f.err()
@@ -199,7 +209,27 @@
 	}
 }
 
+// notNegative asks for a number that is 0 or more.
+func (f *faults) notNegative(name string, v float64) {
+	if !(v >= 0) || math.IsInf(v, 1) {
+		f.add("%s: must be 0 or greater, is %v", name, v)
+	}
+}
+
+// duration asks for a finite number of seconds greater than 0. It tells whether
+// it is one.
+func (f *faults) duration(name string, v float64) bool {
+	if !(v > 0) || v > maxSeconds {
+		f.add("%s: must be greater than 0 and at most %v seconds, is %v", name, float64(maxSeconds), v)
+		return false
+	}
+	return true
+}
+
 func (s *Settings) checkPeers(f *faults) {
+	if len(s.Peers) == 0 && s.Deployment.Size > 1 {
+		f.add("peers: missing, deployment.size is %d", s.Deployment.Size)
+	}
 	seen := map[string]bool{s.Name: true}
 	for i, p := range s.Peers {
 		if p.Name == "" || seen[p.Name] {
@@ -210,25 +240,76 @@
 	}
 }
 
+// checkZones asks for the zones of the deployment, and that every controller is in
+// one of them.
+func (s *Settings) checkZones(f *faults) {
+	zones := s.Deployment.Zones
+	if len(zones) == 0 {
+		f.add("deployment.zones: missing, at least one zone is expected")
+		return
+	}
+	for i, zone := range zones {
+		if zone == "" || slices.Contains(zones[:i], zone) {
+			f.add("deployment.zones[%d]: %q is missing or repeated", i, zone)
+		}
+	}
+	checkZone := func(field, zone string) {
+		if !slices.Contains(zones, zone) {
+			f.add("%s: %q is not one of deployment.zones %q", field, zone, zones)
+		}
+	}
+	checkZone("location", s.Zone)
+	for i, p := range s.Peers {
+		checkZone(fmt.Sprintf("peers[%d].location", i), p.Zone)
+	}
+}
+
 func (d *Deployment) checkTeams(f *faults) {
+	if len(d.Teams) == 0 {
+		f.add("deployment.teams: missing, at least one team is expected")
+	}
 	seen := map[string]bool{}
 	for i, t := range d.Teams {
 		if t.Name == "" || seen[t.Name] {
 			f.add("deployment.teams[%d].name: %q is missing or repeated", i, t.Name)
 		}
 		seen[t.Name] = true
-		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
-			f.add("deployment.teams[%d]: an amount is below 0", i)
-		}
+		field := fmt.Sprintf("deployment.teams[%d].", i)
+		f.notNegative(field+"cpus", t.CPUs)
+		f.notNegative(field+"cpus_max", t.CPUsMax)
+		f.notNegative(field+"gpus", t.GPUs)
+		f.notNegative(field+"gpus_max", t.GPUsMax)
 	}
 }
 
+func (d *Deployment) checkObjectives(f *faults) {
+	for i, o := range d.Objectives {
+		field := fmt.Sprintf("deployment.objectives[%d].", i)
+		f.notNegative(field+"within_s", o.WithinS)
+		f.notNegative(field+"share", o.Share)
+	}
+}
+
+// maxSeconds bounds the workers' times: a time.Duration holds some more.
+const maxSeconds = 1e9
+
+// latestReport is how long after the one before it a report may come, as a
+// multiple of report_s, by the protocol.
+const latestReport = 1.25
+
 func (w *Workers) check(f *faults) {
-	f.positive("deployment.workers.report_s", w.ReportS)
-	f.positive("deployment.workers.lease_s", w.LeaseS)
-	f.positive("deployment.workers.gang_wait_s", w.GangWaitS)
-	f.positive("deployment.workers.gang_peer_s", w.GangPeerS)
-	f.positive("deployment.workers.cancel_s", w.CancelS)
+	report := f.duration("deployment.workers.report_s", w.ReportS)
+	lease := f.duration("deployment.workers.lease_s", w.LeaseS)
+	f.duration("deployment.workers.gang_wait_s", w.GangWaitS)
+	f.duration("deployment.workers.gang_peer_s", w.GangPeerS)
+	cancel := f.duration("deployment.workers.cancel_s", w.CancelS)
+	if report && lease && w.LeaseS <= latestReport*w.ReportS {
+		f.add("deployment.workers.lease_s: must be greater than %v, report_s and the quarter by which a report may be late, is %v", latestReport*w.ReportS, w.LeaseS)
+	}
+	if lease && cancel && w.CancelS <= w.LeaseS {
+		// A worker that is out of reach drops a cancelled task when its lease ends.
+		f.add("deployment.workers.cancel_s: must be greater than lease_s, %v, is %v", w.LeaseS, w.CancelS)
+	}
 }
 
 // minTxnOps is the least number of changes in a transaction: the end of a job takes
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -15,10 +16,24 @@
 unknown_field = 1
 [[peers]]
 host_name = "node-1"
+location = "west"
 peer_addr = "127.0.0.2:8081"
 [external]
 cloud = "127.0.0.1:8443"
 state = "127.0.0.1:2379"
+[deployment]
+size = 3
+zones = ["east", "west"]
+skew_ms = 5.0
+[[deployment.teams]]
+name = "vision"
+gpus = 1000.0
+gpus_max = 100.0
+[[deployment.objectives]]
+kind = "wait"
+class = "chat"
+within_s = 10.0
+share = 0.9
 [deployment.workers]
 report_s = 1.5
 lease_s = 10.0
@@ -40,9 +55,13 @@
 `
 
 func TestParse(t *testing.T) {
-	if _, err := Parse(good); err != nil {
+	s, err := Parse(good)
+	if err != nil {
 		t.Fatal(err)
 	}
+	if !slices.Equal(s.Ignored, []string{"unknown_field"}) {
+		t.Errorf("ignored %q, want the unknown field", s.Ignored)
+	}
 	for _, tc := range []struct{ old, new, want string }{
 		{`host_name = "node-0"`, ``, "host_name"},
 		{`listen = "127.0.0.1:8080"`, `listen = "localhost"`, "listen"},
@@ -59,6 +78,66 @@
 	}
 }
 
+// TestContradictorySettings has settings that no deployment can be served by. The
+// error names the field and what is expected of it.
+func TestContradictorySettings(t *testing.T) {
+	const peer = `[[peers]]
+host_name = "node-1"
+location = "west"
+peer_addr = "127.0.0.2:8081"
+`
+	const team = `[[deployment.teams]]
+name = "vision"
+gpus = 1000.0
+gpus_max = 100.0
+`
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"no zones", `zones = ["east", "west"]`, ``, "deployment.zones: missing, at least one zone is expected"},
+		{"an empty list of zones", `zones = ["east", "west"]`, `zones = []`, "deployment.zones: missing"},
+		{"a zone twice", `zones = ["east", "west"]`, `zones = ["east", "west", "east"]`, `deployment.zones[2]: "east" is missing or repeated`},
+		{"a zone without a name", `zones = ["east", "west"]`, `zones = ["east", "west", ""]`, `deployment.zones[2]: "" is missing or repeated`},
+		{"a zone that is no text", `zones = ["east", "west"]`, `zones = [1]`, "deployment.zones"},
+		{"the controller's zone is not the deployment's", `location = "east"`, `location = "north"`, `location: "north" is not one of deployment.zones ["east" "west"]`},
+		{"the controller has no zone", `location = "east"`, ``, `location: "" is not one of`},
+		{"a peer's zone is not the deployment's", `location = "west"`, `location = "north"`, `peers[0].location: "north" is not one of`},
+		{"no peers", peer, ``, "peers: missing, deployment.size is 3"},
+		{"a peer twice", peer, peer + peer, `peers[1].host_name: "node-1" is missing or repeated`},
+		{"a peer that is the controller itself", `host_name = "node-1"`, `host_name = "node-0"`, `peers[0].host_name: "node-0" is missing or repeated`},
+		{"a peer without an address", `peer_addr = "127.0.0.2:8081"`, ``, `peers[0].peer_addr: "" is not an IP address with a port`},
+		{"no teams", team, ``, "deployment.teams: missing, at least one team is expected"},
+		{"a team twice", team, team + team, `deployment.teams[1].name: "vision" is missing or repeated`},
+		{"a negative guarantee", `gpus = 1000.0`, `gpus = -1.0`, "deployment.teams[0].gpus: must be 0 or greater, is -1"},
+		{"a guarantee that is not a number", `gpus = 1000.0`, `gpus = nan`, "deployment.teams[0].gpus: must be 0 or greater, is NaN"},
+		{"a limit that is not a number", `gpus_max = 100.0`, `gpus_max = nan`, "deployment.teams[0].gpus_max: must be 0 or greater, is NaN"},
+		{"a limit without end", `gpus_max = 100.0`, `cpus_max = inf`, "deployment.teams[0].cpus_max: must be 0 or greater, is +Inf"},
+		{"a limit of another type", `gpus_max = 100.0`, `gpus_max = "many"`, "deployment.teams.gpus_max"},
+		{"a wait that is not a number", `within_s = 10.0`, `within_s = nan`, "deployment.objectives[0].within_s: must be 0 or greater, is NaN"},
+		{"a negative share", `share = 0.9`, `share = -0.9`, "deployment.objectives[0].share: must be 0 or greater, is -0.9"},
+		{"a lease of 0", `lease_s = 10.0`, `lease_s = 0.0`, "deployment.workers.lease_s: must be greater than 0"},
+		{"a negative lease", `lease_s = 10.0`, `lease_s = -10.0`, "deployment.workers.lease_s: must be greater than 0"},
+		{"a lease that is not a number", `lease_s = 10.0`, `lease_s = nan`, "deployment.workers.lease_s: must be greater than 0"},
+		{"a lease without end", `lease_s = 10.0`, `lease_s = inf`, "deployment.workers.lease_s: must be greater than 0 and at most"},
+		{"a lease of another type", `lease_s = 10.0`, `lease_s = true`, "deployment.workers.lease_s"},
+		{"a lease shorter than a report", `lease_s = 10.0`, `lease_s = 1.0`, "deployment.workers.lease_s: must be greater than 1.875"},
+		{"a lease that a late report misses", `lease_s = 10.0`, `lease_s = 1.875`, "deployment.workers.lease_s: must be greater than 1.875"},
+		{"no room for a cancellation after a lease", `cancel_s = 35.0`, `cancel_s = 10.0`, "deployment.workers.cancel_s: must be greater than lease_s, 10, is 10"},
+		{"a cancellation that is not a number", `cancel_s = 35.0`, `cancel_s = nan`, "deployment.workers.cancel_s: must be greater than 0"},
+		{"no time for a gang", `gang_wait_s = 50.0`, `gang_wait_s = 0.0`, "deployment.workers.gang_wait_s: must be greater than 0"},
+		{"a negative list lag", `list_lag_s = 10.0`, `list_lag_s = -1.0`, "deployment.cloud.list_lag_s: must be 0 or greater, is -1"},
+		{"a list lag that is not a number", `list_lag_s = 10.0`, `list_lag_s = nan`, "deployment.cloud.list_lag_s: must be 0 or greater, is NaN"},
+		{"a skew that is not a number", `skew_ms = 5.0`, `skew_ms = nan`, "deployment.skew_ms: must be 0 or greater, is NaN"},
+		{"a negative share of a core", `cpu = 0.18`, `cpu = -0.18`, "deployment.machine_limits.cpu: must be 0 or greater, is -0.18"},
+	} {
+		if !strings.Contains(good, tc.old) {
+			t.Fatalf("%s: %q is not in the settings", tc.name, tc.old)
+		}
+		_, err := Parse(strings.Replace(good, tc.old, tc.new, 1))
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: error %v does not say %q", tc.name, err, tc.want)
+		}
+	}
+}
+
 func TestOperator(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "op.toml")
 	for _, tc := range []struct{ text, want string }{
