--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -58,18 +58,26 @@
 	noVictims  map[shape]bool // nobody to stop for tasks of this shape
 	noMachine  map[needs]bool // no machine at all has room for a task
 	visitLimit int            // of the leader's count
+	nodes      []*topology.Machine
+	byImage    map[string][]*topology.Machine // with room, see relocation.go
 }
 
-// place starts what fits, makes room for what does not by preemption, and rents
-// for the rest.
-func (l *leader) place() {
+// newPlacementPass begins a pass over the machines as they are.
+func (l *leader) newPlacementPass() *placementPass {
 	before := l.passes.visits
-	tree := l.placementTree()
-	p := &placementPass{
-		l: l, tree: tree, usage: l.usage(), kept: l.limitShares(),
+	tree, nodes := l.placementTree()
+	return &placementPass{
+		l: l, tree: tree, nodes: nodes, usage: l.usage(), kept: l.limitShares(),
 		full: map[shape]bool{}, noVictims: map[shape]bool{}, noMachine: map[needs]bool{},
 		visitLimit: before + l.passVisits(),
 	}
+}
+
+// place starts what fits, makes room for what does not by preemption, and rents
+// for the rest.
+func (l *leader) place() {
+	before := l.passes.visits
+	p := l.newPlacementPass()
 	cands := l.candidates()
 	for _, c := range l.resumed(cands) {
 		if l.c.now < c.job.retryAt {
@@ -85,9 +93,9 @@
 	l.passes.notBefore = max(l.passes.notBefore, l.c.now+2*l.timeFor(l.passes.visits-before))
 }
 
-// placementTree is the tree of the machines that may take tasks; it notes them
-// as the pass's leaves.
-func (l *leader) placementTree() *topology.Tree {
+// placementTree is the tree of the machines that may take tasks, and its leaves; it
+// notes the machines as the pass's leaves.
+func (l *leader) placementTree() (*topology.Tree, []*topology.Machine) {
 	var leaves []*topology.Machine
 	l.passes.leaves = l.passes.leaves[:0]
 	for _, m := range l.byName {
@@ -98,23 +106,32 @@
 		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used), Key: len(l.passes.leaves)})
 		l.passes.leaves = append(l.passes.leaves, m)
 	}
-	return topology.New(leaves)
+	return topology.New(leaves), leaves
+}
+
+// placeAtImage starts a candidate's tasks where its image comes in time, if there
+// is room or room can be made there.
+func (p *placementPass) placeAtImage(c *candidate, key shape) {
+	if !p.noMachine[key.needs] {
+		p.fill(c, true)
+	}
+	if len(c.pending) > 0 && !p.noVictims[key] {
+		p.l.preempt(c, p.usage, true)
+	}
+	if len(c.pending) > c.reserved {
+		p.relocate(c)
+	}
 }
 
 // placeCandidate starts a candidate's tasks and makes room for those that find
 // none. A job whose class may wait only so long starts where its image comes in
-// time, if there is room or room can be made there.
+// time, if it can.
 func (p *placementPass) placeCandidate(c *candidate) {
 	l, j := p.l, c.job
 	key := shapeOf(c)
 	plain := len(j.failedOn) == 0 && !j.Spread
 	if !math.IsInf(l.c.slowFetch(j.Class), 1) {
-		if !p.noMachine[key.needs] {
-			p.fill(c, true)
-		}
-		if len(c.pending) > 0 && !p.noVictims[key] {
-			l.preempt(c, p.usage, true)
-		}
+		p.placeAtImage(c, key)
 	}
 	if len(c.pending) > c.reserved && !p.full[key] && !p.noMachine[key.needs] {
 		p.fill(c, false)
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -9,6 +9,7 @@
 	stopPreempted  stopReason = "preempted"
 	stopGangBroken stopReason = "gang broken"
 	stopDrained    stopReason = "machine leaves"
+	stopMoved      stopReason = "moves to another machine"
 )
 
 // lossReason tells why a task is certainly gone without an end of its own, see
--- a/internal/core/teamlimit_test.go
+++ b/internal/core/teamlimit_test.go
@@ -109,6 +109,42 @@
 			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 5,
 			want: []string{"job-1/0", "job-1/1"}, reserved: []string{"n-3"},
 		},
+		{
+			name:     "another team's task is no help in the limit",
+			machines: []string{"n-1 a", "n-2 a", "n-3 a"},
+			running: []runningJob{
+				{Job: idle, on: []string{"n-1"}, ranFor: 100 * time.Second},
+				{Job: array("job-2", "other", wire.PriorityIdle, 4), on: []string{"n-2"}, ranFor: time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+			want: []string{"job-1/0"}, reserved: []string{"n-3"},
+		},
+		{
+			name:     "a victim that makes the room counts towards the limit once",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityIdle, 1), on: []string{"n-1"}},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 1), on: []string{"n-2"}, ranFor: time.Second},
+				{Job: array("job-3", "vision", wire.PriorityIdle, 1), on: []string{"n-2"}, ranFor: time.Second},
+				{Job: array("job-4", "vision", wire.PriorityIdle, 1), on: []string{"n-2"}, ranFor: time.Second},
+				{Job: array("job-5", "other", wire.PriorityUrgent, 1), on: []string{"n-2"}},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+			want: []string{"job-1/0", "job-2/0", "job-3/0", "job-4/0"}, reserved: []string{"n-1"},
+		},
+		{
+			name:     "what is on its way out is not counted twice",
+			machines: []string{"n-1 a", "n-2 a"},
+			running: []runningJob{
+				{Job: array("job-1", "vision", wire.PriorityIdle, 2), on: []string{"n-2"}},
+				{Job: array("job-2", "vision", wire.PriorityIdle, 2), on: []string{"n-2"}, ranFor: time.Second},
+			},
+			job: array("job-9", "vision", wire.PriorityNormal, 4), limit: 4,
+			change: func(l *leader, j *job) {
+				l.stopTask(l.machines["n-2"].placed[0].job, 0, 1, stopPreempted)
+			},
+			want: []string{"job-1/0", "job-2/0"}, reserved: []string{"n-1"},
+		},
 	} {
 		t.Run(tc.name, tc.run)
 	}
