Rent for a one-zone job in a zone that can hold all of it

The plan now chooses the zone for the whole job: room for the most tasks, then the least cost of what has to be rented, then the fewest machines. Four rows of TestRentalPlan; the first fails without it.

--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -121,8 +121,8 @@
 	// Room that is being made for it is not rented as well, also where the
 	// pass did not come to it.
 	c.reserved = max(c.reserved, l.reservedFor(j))
-	zoneRoom := l.zoneRoom(j)
-	added := map[string]int{} // by zone
+	packed := map[string]int{} // by zone
+	zoneAllowed := p.allowedZones(c, packed)
 	var last *bin
 	team := l.c.team(j.Team)
 	var stoppable topology.Resources
@@ -135,16 +135,10 @@
 		if !underLimit(team, usage[j.Team].Sub(stoppable), size(&j.Job), 1) {
 			return
 		}
-		zoneAllowed := func(zone string) bool {
-			if j.OneZone && k > c.reserved {
-				return added[zone] > 0
-			}
-			return zoneRoom == nil || added[zone] < zoneRoom(zone)
-		}
 		if last = p.pack(j, zoneAllowed, false, last); last == nil {
 			return
 		}
-		added[last.key.zone]++
+		packed[last.key.zone]++
 		usage[j.Team] = usage[j.Team].Add(size(&j.Job))
 	}
 }
--- a/internal/core/rentalplan_test.go
+++ b/internal/core/rentalplan_test.go
@@ -28,6 +28,15 @@
 	return m
 }
 
+// refuse has the cloud refuse all that it offers in a zone.
+func refuse(l *leader, zone string) {
+	for _, typ := range sortedKeys(l.c.types) {
+		for _, spot := range []bool{false, true} {
+			l.fleet.refused[offerKey{typ, zone, spot}] = l.c.now + time.Second
+		}
+	}
+}
+
 func TestRentalPlan(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
@@ -56,6 +65,40 @@
 			cands: []*candidate{planCandidate(wire.Job{CPUs: 2, MemGB: 1, OneZone: true}, 5)},
 			want:  []wantedMachines{{offerKey{"large", "a", false}, 3}},
 		},
+		{
+			name:  "a job in one zone, in the zone that has room for all of it",
+			setUp: func(l *leader) { planMachine(l, "n-1", "large", "b"); refuse(l, "b") },
+			cands: []*candidate{planCandidate(wire.Job{CPUs: 2, MemGB: 1, OneZone: true}, 3)},
+			want:  []wantedMachines{{offerKey{"large", "a", false}, 2}},
+		},
+		{
+			name:  "a job in one zone, where the least has to be rented",
+			setUp: func(l *leader) { planMachine(l, "n-1", "large", "b") },
+			cands: []*candidate{planCandidate(wire.Job{CPUs: 2, MemGB: 1, OneZone: true}, 3)},
+			want:  []wantedMachines{{offerKey{"large", "b", false}, 1}},
+			used:  []string{"n-1"},
+		},
+		{
+			name: "a job in one zone, in the one with most room where none has enough",
+			setUp: func(l *leader) {
+				planMachine(l, "n-1", "large", "b")
+				refuse(l, "a")
+				refuse(l, "b")
+			},
+			cands: []*candidate{planCandidate(wire.Job{CPUs: 2, MemGB: 1, OneZone: true}, 3)},
+			used:  []string{"n-1"},
+		},
+		{
+			name:  "a job in one zone, where it has a task",
+			setUp: func(l *leader) { planMachine(l, "n-1", "large", "a"); planMachine(l, "n-2", "large", "a") },
+			cands: []*candidate{func() *candidate {
+				c := planCandidate(wire.Job{CPUs: 2, MemGB: 1, OneZone: true}, 3)
+				c.job.tasks[0] = task{machine: &machine{}, zone: "b"}
+				c.job.placed, c.pending = 1, c.pending[1:]
+				return c
+			}()},
+			want: []wantedMachines{{offerKey{"large", "b", false}, 1}},
+		},
 		{
 			name:  "a machine that boots is used first",
 			setUp: func(l *leader) { planMachine(l, "n-1", "large", "b") },
