Give up machines that hang since before the leader changed

Machines that a new leader has not heard have no controller that they reported by, and were counted as one group, all of it silent, so the guard against a controller out of reach held for them.

--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -153,13 +153,15 @@
 // seems dead all of the zone has missed a report. With reports as far apart as
 // the workers' change of controllers takes, a third of a cut zone was returned
 // before the zone counted as cut. The same holds for those that reported by a
-// controller which is now out of reach.
+// controller which is now out of reach. Those that a new leader has not heard yet are
+// not such a group, though all of them are silent: taken for one, machines that hung
+// when the leader changed were given up no sooner than their leases.
 func (l *leader) dead(m *machine, s *silenceSurvey) bool {
 	if !m.shouldReport() || m.probeFailed <= max(m.heard, l.loadedAt) || l.silence(m) <= l.deadAfter() {
 		return false
 	}
 	zone, controller := s.byZone[m.zone], s.byController[m.via]
-	if s.mostSilent || zone.mostOverdue() || controller.mostOverdue() {
+	if s.mostSilent || zone.mostOverdue() || m.via != "" && controller.mostOverdue() {
 		return false
 	}
 	return l.zoneReachable(m, zone.machines)
