--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -157,6 +157,11 @@
 	case "workers":
 		w := &d.Workers
 		w.ReportS, w.LeaseS, w.CancelS = l.num("report", w.ReportS), l.num("lease", w.LeaseS), l.num("cancel", w.CancelS)
+	case "state":
+		d.State = l.limits(d.State)
+		d.State.RPS = l.num("rps", d.State.RPS)
+	case "cloud":
+		d.Cloud.RPS, d.Cloud.ListLagS = l.num("rps", d.Cloud.RPS), l.num("lag", d.Cloud.ListLagS)
 	case "next":
 		next := l.limits(d.State)
 		d.State.Next = &next
