Log why a job waits, and what a machine is rented or kept for

job waits for room names the reason (limit, no offer, machines, stops), at info once a job has waited for 30 s; rent and empty machine kept name the job or the class that the room is for.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -21,6 +21,7 @@
 	cutAt    map[string]time.Duration // when a zone was last seen cut off
 	moveNext time.Duration            // no machine is emptied for others before
 	keepIdle map[string]bool          // idle machines that are kept for work to come
+	keptFor  map[string]string        // what empty machines are kept for
 
 	commandNow map[string]bool // machines to send commands to at once
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -31,7 +31,8 @@
 	moveTo     map[int]*machine // where moving replicas have their room
 	reservedOn []*machine       // kept for it, see preempt
 
-	madeRoomInLimit bool // work of its team was stopped for it, see teamlimit.go
+	wait            jobWait // what was logged of why its tasks wait
+	madeRoomInLimit bool    // work of its team was stopped for it, see teamlimit.go
 }
 
 // jobRank is what orders a job among those that wait for room.
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -21,6 +21,7 @@
 	preemptible [ranks]topology.Resources
 	used        bool // a task was packed into it
 	toRent      bool
+	purpose     string // what the first task packed into it is of
 }
 
 // room is what a task of a priority finds; expected work may count on what it
@@ -36,12 +37,23 @@
 }
 
 // take packs a task into the bin.
-func (b *bin) take(need topology.Resources, rank int, expected bool) {
+func (b *bin) take(j *job, expected bool) {
+	need := size(&j.Job)
 	b.free = b.free.Sub(need)
 	if !expected {
-		b.preemptible[rank] = b.preemptible[rank].Add(need)
+		b.preemptible[j.rank] = b.preemptible[j.rank].Add(need)
+	}
+	if !b.used {
+		b.used, b.purpose = true, purposeOf(j, expected)
+	}
+}
+
+// purposeOf tells what room for a task is for.
+func purposeOf(j *job, expected bool) string {
+	if expected {
+		return "expected " + j.Class
 	}
-	b.used = true
+	return j.ID
 }
 
 // willBeUsable tells whether a machine is, or is about to be, of use. One that
@@ -78,7 +90,10 @@
 	p.packExpected()
 	l.consolidate(p.bins, cands)
 	l.fleet.keepIdle = p.usedMachines()
-	l.rentPlanned(p.wanted())
+	p.logKept()
+	for _, r := range l.rentPlanned(p.wanted()) {
+		l.c.log.Info("rent", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "for", p.rentedFor(r.key()))
+	}
 }
 
 // newRentalPlan starts a plan with the machines that are, or are about to be,
@@ -133,14 +148,22 @@
 	}
 	for k := c.reserved; k < len(c.pending) && k < maxPlannedTasks; k++ {
 		if !underLimit(team, usage[j.Team].Sub(stoppable), size(&j.Job), 1) {
+			l.noteWait(j, waitLimit)
 			return
 		}
 		if last = p.pack(j, zoneAllowed, false, last); last == nil {
+			l.noteWait(j, waitNoOffer)
 			return
 		}
 		packed[last.key.zone]++
 		usage[j.Team] = usage[j.Team].Add(size(&j.Job))
 	}
+	switch {
+	case last != nil:
+		l.noteWait(j, waitMachines)
+	case c.reserved > 0:
+		l.noteWait(j, waitStops)
+	}
 }
 
 // packExpected packs the tasks that are expected of the classes which may wait
@@ -179,7 +202,7 @@
 		best = &bin{key: key, toRent: true, free: capacity(p.l.c.types[key.typ])}
 		p.bins = append(p.bins, best)
 	}
-	best.take(need, j.rank, expected)
+	best.take(j, expected)
 	return best
 }
 
@@ -211,6 +234,30 @@
 	return used
 }
 
+// rentedFor tells what the first machine to be rented of an offer is for.
+func (p *rentalPlan) rentedFor(key offerKey) string {
+	for _, b := range p.bins {
+		if b.toRent && b.key == key {
+			return b.purpose
+		}
+	}
+	return ""
+}
+
+// logKept logs what empty machines are kept for, whenever that changes.
+func (p *rentalPlan) logKept() {
+	kept := map[string]string{}
+	for _, b := range p.bins {
+		if m := p.l.machines[b.machine]; m != nil && b.used && len(m.placed) == 0 && m.heard != 0 {
+			kept[b.machine] = b.purpose
+			if p.l.fleet.keptFor[b.machine] != b.purpose {
+				p.l.c.log.Debug("empty machine kept", "machine", b.machine, "for", b.purpose)
+			}
+		}
+	}
+	p.l.fleet.keptFor = kept
+}
+
 // wantedMachines is how many machines of an offer are to be rented.
 type wantedMachines struct {
 	key   offerKey
@@ -234,15 +281,15 @@
 	return out
 }
 
-// rentPlanned sends the rental requests that the cloud's rate allows now. The
-// cloud takes few calls: what is wanted gathers until the next one, the most
-// urgent first, instead of going out machine by machine.
-func (l *leader) rentPlanned(wanted []wantedMachines) {
+// rentPlanned sends the rental requests that the cloud's rate allows now, and
+// returns them. The cloud takes few calls: what is wanted gathers until the next
+// one, the most urgent first, instead of going out machine by machine.
+func (l *leader) rentPlanned(wanted []wantedMachines) (sent []*rent) {
 	f := &l.fleet
 	for _, w := range wanted {
 		if l.c.now < f.rentNext || len(f.rents) >= maxOpenRents {
 			l.passes.requested = true
-			return
+			return sent
 		}
 		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
 		f.rentSeq++
@@ -251,6 +298,8 @@
 			Type:    w.key.typ, Zone: w.key.zone, Spot: w.key.spot, Count: min(w.count, maxRentCount),
 		}}
 		f.rents = append(f.rents, r)
+		sent = append(sent, r)
 		l.rent(r)
 	}
+	return sent
 }
