--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -236,46 +236,68 @@
 	b.c.now = 1000 * time.Second
 	for _, line := range tc.machines {
 		name, zone := line[:3], line[4:]
-		m := l.machine(name)
-		l.describe(m, "", "g4", zone, false)
-		m.heard, m.token, m.session = l.c.now, l.term, 1
-		l.passes.leaves = append(l.passes.leaves, m)
+		l.passes.leaves = append(l.passes.leaves, idleMachine(l, name, "g4", zone))
 	}
+	running := bindRunning(l, tc.running)
+	j := newJob(openRecord{Job: tc.job}, 2)
+	if tc.change != nil {
+		tc.change(l, j)
+	}
+	c := &candidate{job: j, guaranteed: tc.within, pending: j.unplacedTasks(), preemptionRank: j.rank}
+	l.preempt(c, l.usage(), false)
+	if stopped := stoppedTasks(running); !slices.Equal(stopped, tc.want) {
+		t.Errorf("stopped %q, want %q", stopped, tc.want)
+	}
+	if reserved := reservedMachines(l, j); !slices.Equal(reserved, tc.reserved) {
+		t.Errorf("kept %q, want %q", reserved, tc.reserved)
+	}
+}
+
+// bindRunning has jobs run on the machines that they name.
+func bindRunning(l *leader, jobs []runningJob) []*job {
 	var running []*job
-	for _, r := range tc.running {
+	for _, r := range jobs {
 		j := newJob(openRecord{Job: r.Job}, 1)
 		j.within = r.within
+		l.layOut(j)
 		for i, name := range r.on {
-			j.tasks[i] = task{attempt: 1, session: 1, seen: true, recorded: true, copied: true, state: wire.TaskRunning, upAt: l.c.now - r.ranFor}
-			l.layOut(j)
-			l.bind(j, i, l.machines[name])
+			m := l.machines[name]
+			j.tasks[i] = task{attempt: 1, zone: m.zone, session: 1, seen: true, recorded: true, copied: true, state: wire.TaskRunning, upAt: l.c.now - r.ranFor}
+			l.bind(j, i, m)
 		}
 		running = append(running, j)
 	}
-	j := newJob(openRecord{Job: tc.job}, 2)
-	if tc.change != nil {
-		tc.change(l, j)
-	}
-	c := &candidate{job: j, guaranteed: tc.within, pending: j.unplacedTasks(), preemptionRank: j.rank}
-	l.preempt(c, l.usage(), false)
+	return running
+}
+
+// stoppedTasks names the tasks that are stopped.
+func stoppedTasks(jobs []*job) []string {
 	var stopped []string
-	for _, r := range running {
-		for i := range r.tasks {
-			if r.tasks[i].stop != nil {
-				stopped = append(stopped, taskName(r.ID, i))
+	for _, j := range jobs {
+		for i := range j.tasks {
+			if j.tasks[i].stop != nil {
+				stopped = append(stopped, taskName(j.ID, i))
 			}
 		}
 	}
-	if !slices.Equal(stopped, tc.want) {
-		t.Errorf("stopped %q, want %q", stopped, tc.want)
-	}
+	return stopped
+}
+
+// reservedMachines names the machines that are kept for a job.
+func reservedMachines(l *leader, j *job) []string {
 	var reserved []string
 	for _, m := range l.byName {
 		if m.reserved == j {
 			reserved = append(reserved, m.name)
 		}
 	}
-	if !slices.Equal(reserved, tc.reserved) {
-		t.Errorf("kept %q, want %q", reserved, tc.reserved)
-	}
+	return reserved
+}
+
+// idleMachine adds a machine that reports and hears the leader.
+func idleMachine(l *leader, name, typ, zone string) *machine {
+	m := l.machine(name)
+	l.describe(m, "", typ, zone, false)
+	m.heard, m.token, m.session = l.c.now, l.term, 1
+	return m
 }
--- a/internal/core/relocation_test.go
+++ b/internal/core/relocation_test.go
@@ -209,46 +209,28 @@
 	b.c.types = relocationTypes
 	b.c.now = 1000 * time.Second
 	for _, cached := range tc.machines {
-		m := l.machine(cached.name)
-		l.describe(m, "", "g4", cached.zone, false)
-		m.heard, m.token, m.session = l.c.now, l.term, 1
+		m := idleMachine(l, cached.name, "g4", cached.zone)
 		for _, image := range cached.images {
 			l.useImage(m, image, 40)
 		}
 	}
-	var running []*job
-	for _, r := range tc.running {
-		j := newJob(openRecord{Job: r.Job}, 1)
-		for i, name := range r.on {
-			j.tasks[i] = task{attempt: 1, zone: l.machines[name].zone, session: 1, seen: true, recorded: true, copied: true, state: wire.TaskRunning, upAt: l.c.now - r.ranFor}
-			l.layOut(j)
-			l.bind(j, i, l.machines[name])
-		}
-		running = append(running, j)
-	}
+	running := bindRunning(l, tc.running)
 	j := newJob(openRecord{Job: tc.job}, 2)
 	l.layOut(j)
 	c := &candidate{job: j, pending: j.unplacedTasks(), preemptionRank: j.rank}
 	l.newPlacementPass().placeCandidate(c)
-	var stopped, to []string
+	var to []string
 	for _, r := range running {
 		for i := range r.tasks {
 			if r.tasks[i].stop != nil {
-				stopped = append(stopped, taskName(r.ID, i))
 				to = append(to, r.moveTo[i].name)
 			}
 		}
 	}
-	if !slices.Equal(stopped, tc.want) || !slices.Equal(to, tc.to) {
+	if stopped := stoppedTasks(running); !slices.Equal(stopped, tc.want) || !slices.Equal(to, tc.to) {
 		t.Errorf("%q move to %q, want %q to %q", stopped, to, tc.want, tc.to)
 	}
-	var reserved []string
-	for _, m := range l.byName {
-		if m.reserved == j {
-			reserved = append(reserved, m.name)
-		}
-	}
-	if !slices.Equal(reserved, tc.reserved) {
+	if reserved := reservedMachines(l, j); !slices.Equal(reserved, tc.reserved) {
 		t.Errorf("kept %q, want %q", reserved, tc.reserved)
 	}
 }
