Spread image fetches over machines where fetches wait for each other

The leader now learns from fetches that began behind others whether they wait, and if so ranks machines without the image by the fetches under way. It tells the other controllers in its digests, so that a next leader knows it from the start; versions without the field read and send the digest as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,8 @@
 	digestAt    time.Duration
 	countsAt    time.Duration
 	counts      map[string]wire.JobCount // last digest of the leader
+	// fetchesQueue is what the leader last told of how machines fetch images.
+	fetchesQueue bool
 }
 
 type peerState struct {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,6 +39,7 @@
 	fleet    fleet
 	arrivals map[string]*arrivals
 	estimate map[string]*estimate
+	fetches  fetchEvidence
 }
 
 func newLeader(c *Core, term, termVersion, grant uint64) *leader {
@@ -54,6 +55,7 @@
 		arrivals: map[string]*arrivals{},
 		estimate: map[string]*estimate{},
 		fleet:    newFleet(),
+		fetches:  fetchEvidence{before: c.fetchesQueue},
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -46,7 +46,8 @@
 	checkpointedByRank [ranks]topology.Resources // what of it is work that saves
 	stopping           topology.Resources        // what is on its way out, at the last pass
 	idleSince          time.Duration
-	images             []image // believed to be cached, latest use first
+	images             []image      // believed to be cached, latest use first
+	fetching           []imageFetch // images that its tasks wait for, in their order
 
 	listedAs  wire.MachineState
 	listedAt  time.Duration
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -228,6 +228,7 @@
 	}
 	c.elect.leaderHeard = c.now
 	c.noteEcho(d)
+	c.fetchesQueue = d.FetchesQueue
 	if !d.HasJobs {
 		return
 	}
@@ -246,7 +247,7 @@
 		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels[id].version})
 	}
 	if c.lead != nil {
-		d.Leader = true
+		d.Leader, d.FetchesQueue = true, c.lead.fetches.queue()
 		if c.now >= c.countsAt {
 			c.countsAt = c.now + c.ttl()
 			d.HasJobs, d.Jobs = true, c.lead.digest()
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -264,11 +264,13 @@
 	rankMoveTarget = -1
 	rankNoImage    = 1
 	rankSlowImage  = 1
-	rankFailed     = 3
+	maxRankFetches = 4 // other fetches that count
+	rankFailed     = rankNoImage + rankSlowImage + maxRankFetches + 1
 )
 
 // machineRank ranks a machine for a job's tasks: one that fails tasks comes
-// last, one that holds the image first.
+// last, one that holds the image first. Of the others those come first that fetch
+// fewer images, if fetches wait for each other.
 func (l *leader) machineRank(j *job, m *machine, wait float64) int {
 	rank := 0
 	if len(m.failed) > 0 {
@@ -278,6 +280,9 @@
 		return rank
 	}
 	rank += rankNoImage
+	if l.fetches.queue() {
+		rank += min(m.fetchesBefore(j.Image), maxRankFetches)
+	}
 	if l.slow(j, m, wait) {
 		rank += rankSlowImage
 	}
@@ -297,6 +302,7 @@
 		t.attempt, t.zone, t.session, t.ours, t.placedAt = attempt, m.zone, m.session, true, l.c.now
 		delete(j.moveTo, i)
 		l.bind(j, i, m)
+		m.beginFetch(j.Image, j.ImageGB, l.c.now)
 		l.markDirty(j, i, false)
 		if m.reserved == j {
 			if m.reservedTasks--; m.reservedTasks < 1 {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -37,11 +37,12 @@
 }
 
 // usage adds up, by team, every task that is not certainly gone, and notes on
-// each machine what is on its way out.
+// each machine what is on its way out and which images it fetches.
 func (l *leader) usage() map[string]topology.Resources {
 	u := map[string]topology.Resources{}
 	for _, m := range l.byName {
 		m.stopping = topology.Resources{}
+		m.reviewFetches()
 		for _, p := range m.placed {
 			j := p.job
 			u[j.Team] = u[j.Team].Add(size(&j.Job))
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -92,6 +92,7 @@
 	for _, t := range m.tasks {
 		if t.State == wire.TaskRunning || t.State == wire.TaskWaiting {
 			if j := l.jobs[jobOf(t.Task)]; j != nil {
+				l.noteFetched(m, j.Image)
 				l.useImage(m, j.Image, j.ImageGB)
 			}
 		}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -58,6 +58,9 @@
 	Jobs        []JobCount
 	// More tells that Jobs goes on from the digest before.
 	More bool
+	// FetchesQueue tells, in a leader's digest, that machines fetch one image after
+	// the other, as far as the leader has seen.
+	FetchesQueue bool
 	// Boot tells one run of the sender's process from another. Clock is the
 	// sender's steady clock at this digest, in nanoseconds; EchoBoot and Echo
 	// are those of the newest digest that the sender has from the receiver.
