--- a/internal/core/health_test.go
+++ b/internal/core/health_test.go
@@ -47,3 +47,53 @@
 func heardFrom(b *harness, storeOK bool) {
 	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{StoreOK: storeOK}}})
 }
+
+// A machine that is silent and does not answer is given up once a worker had the time
+// to change controllers, and only if the way to it is open.
+func TestDeadMachine(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		silent  time.Duration
+		asked   bool // a second ago, without an answer
+		reached bool // another machine of its zone has answered since
+		newTerm bool // this leader has not heard it
+		answers bool // it has answered a probe since
+		want    bool
+	}{
+		{name: "silent for long", silent: 9 * time.Second, asked: true, reached: true, want: true},
+		{name: "not asked", silent: 9 * time.Second, reached: true},
+		{name: "its worker may be changing controllers", silent: 7 * time.Second, asked: true, reached: true},
+		{name: "the way to its zone may be cut", silent: 9 * time.Second, asked: true},
+		{name: "silent since before the leader changed", silent: 9 * time.Second, asked: true, reached: true, newTerm: true, want: true},
+		{name: "it has answered meanwhile", silent: 9 * time.Second, asked: true, reached: true, answers: true},
+	} {
+		_, l := leading(t, func(*config.Settings) {})
+		l.c.now += 1000 * time.Second
+		l.loadedAt = l.c.now - tc.silent
+		m := idleMachine(l, "n-1", "g4", "a")
+		for _, name := range []string{"n-2", "n-3"} {
+			idleMachine(l, name, "g4", "a").via = "n0"
+		}
+		m.heard, m.via = l.c.now-tc.silent, "n0"
+		if tc.newTerm {
+			m.heard, m.via = 0, ""
+			j := newJob(openRecord{Job: wire.Job{ID: "job-1", Tasks: 1, GPUs: 1}}, 1)
+			l.layOut(j)
+			l.bind(j, 0, m)
+		} else {
+			l.loadedAt -= 100 * time.Second
+		}
+		if tc.asked {
+			l.probeAnswered(m, l.c.now-time.Second, Result{Status: statusNoAnswer})
+		}
+		if tc.reached {
+			l.reached["a"] = l.c.now
+		}
+		if tc.answers {
+			l.onDirectReport(m, encode(wire.Report{Machine: "n-1", Type: "g4", Zone: "a", Session: 1, Seq: 9, Token: l.term}))
+		}
+		if got := l.dead(m, l.surveySilence()); got != tc.want {
+			t.Errorf("%s: dead %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
