Make room for a gang that never begins by moving replicas together

The cloud had no machine left, all of its machines ran a few replicas each, and consolidation, which would have emptied some, waits until nothing is pending.

A gang that has waited for two minutes without a beginning, and for which nothing can be rented, now has up to four settled replicas a task move, so that machines of one zone become free for it.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -114,6 +114,7 @@
 	}
 	if len(c.pending) > c.reserved && !p.noVictims[key] {
 		nobody := l.preempt(c, p.usage, false)
+		p.compactFor(c)
 		p.noVictims[key] = c.reserved == 0 && (plain || nobody)
 	}
 }
--- a/internal/core/relocation.go
+++ b/internal/core/relocation.go
@@ -77,7 +77,7 @@
 		if !l.settled(replica) || replica.job == c.job || replica.job.rank > c.job.rank {
 			continue
 		}
-		to := p.relocationTarget(replica, m)
+		to := p.relocationTarget(replica, m, nil)
 		if to == nil {
 			continue
 		}
@@ -112,8 +112,8 @@
 }
 
 // relocationTarget finds the tightest machine with room that holds a replica's
-// image.
-func (p *placementPass) relocationTarget(replica taskRef, from *machine) *topology.Machine {
+// image. allowed may be nil.
+func (p *placementPass) relocationTarget(replica taskRef, from *machine, allowed func(*machine) bool) *topology.Machine {
 	l, j := p.l, replica.job
 	zoneRoom := l.zoneRoom(j)
 	var best *topology.Machine
@@ -123,7 +123,7 @@
 		if m == from || !leaf.Free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || len(m.failed) > 0 {
 			continue
 		}
-		if m.reserved != nil && m.reserved != j && l.c.now < m.reservedUntil {
+		if m.reserved != nil && m.reserved != j && l.c.now < m.reservedUntil || allowed != nil && !allowed(m) {
 			continue
 		}
 		if zoneRoom != nil && m.zone != from.zone && zoneRoom(m.zone) < 1 {
--- a/internal/sim/onetype_test.go
+++ b/internal/sim/onetype_test.go
@@ -62,7 +62,13 @@
 
 // TestOneType plays random days of such a place with settings of all kinds.
 func TestOneType(t *testing.T) {
+	// On seed 474 a gang of whole machines once never began: replicas lay scattered
+	// over all that the cloud had.
+	seeds := []uint64{474}
 	for seed := uint64(1); seed <= uint64(soakDays(25)); seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			playDay(t, oneType(seed))
