--- a/internal/core/gangroom_test.go
+++ b/internal/core/gangroom_test.go
@@ -126,12 +126,7 @@
 	}
 	b.c.types = map[string]*wire.MachineType{"g": &machineType}
 	b.c.now = 1000 * time.Second
-	for _, cached := range tc.machines {
-		m := idleMachine(l, cached.name, "g", cached.zone)
-		for _, image := range cached.images {
-			l.useImage(m, image, 1)
-		}
-	}
+	idleMachines(l, tc.machines, "g", 1)
 	running := bindRunning(l, tc.running)
 	j := newJob(openRecord{Job: tc.job}, 2)
 	l.layOut(j)
--- a/internal/core/relocation_test.go
+++ b/internal/core/relocation_test.go
@@ -21,6 +21,16 @@
 	images     []string
 }
 
+// idleMachines adds machines that report and hold images of a size.
+func idleMachines(l *leader, machines []cachedMachine, typ string, imageGB float64) {
+	for _, cached := range machines {
+		m := idleMachine(l, cached.name, typ, cached.zone)
+		for _, image := range cached.images {
+			l.useImage(m, image, imageGB)
+		}
+	}
+}
+
 // relocationCase is a fleet of replicas, and a job whose image is held only on
 // machines that are full.
 type relocationCase struct {
@@ -208,12 +218,7 @@
 	})
 	b.c.types = relocationTypes
 	b.c.now = 1000 * time.Second
-	for _, cached := range tc.machines {
-		m := idleMachine(l, cached.name, "g4", cached.zone)
-		for _, image := range cached.images {
-			l.useImage(m, image, 40)
-		}
-	}
+	idleMachines(l, tc.machines, "g4", 40)
 	running := bindRunning(l, tc.running)
 	j := newJob(openRecord{Job: tc.job}, 2)
 	l.layOut(j)
