Scale run: real controllers among hollow workers on loopback

cmd/brookwalk-hollow runs the deploy build's controllers among hollow workers, users, a cloud and a state service in one process. The stand-ins of internal/sim now play by the real clock as well (live.go): a node may be a process that is reached over TCP. The judge is the same; it finds the tasks of a job and the use of a team in an index of what is on machines instead of walking over all machines for each start, which a run of thousands cannot afford. The test that sets tasks up by hand enters them in that index; what it expects is unchanged.

Experiments are TOML files whose errors name file, field and reason. The report has processor, memory, bytes, messages and sockets of each role, waits from an HDR histogram, and what the judge found.

--- /dev/null
+++ b/internal/hollow/report.go
@@ -0,0 +1,196 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/brookwalk/brookwalk/internal/sim"
+)
+
+// Report is what a run has shown. Times are in seconds, amounts of data in bytes
+// unless their name says otherwise.
+type Report struct {
+	Experiment  string  `json:"experiment"`
+	Seconds     float64 `json:"seconds"`
+	Interrupted bool    `json:"interrupted"`
+
+	Workers     int `json:"workers"` // up at the end
+	Tasks       int `json:"tasks"`   // on machines at the end
+	Jobs        int `json:"jobs"`    // accepted and not over at the end
+	Accepted    int `json:"jobs_accepted"`
+	StartsSent  int `json:"start_commands"`
+	LeaseLosses int `json:"tasks_lost_with_a_lease"`
+
+	Roles    []Role             `json:"roles"`
+	Channels map[string]Channel `json:"channels"`
+
+	StateKeys    int     `json:"state_keys"`
+	StateRefused int     `json:"state_refused_for_rates"`
+	StartsPeak   float64 `json:"starts_a_second_peak"` // mean of the best 5 s
+	StartsMean   float64 `json:"starts_a_second"`
+	Urgent       Wait    `json:"urgent_wait"`
+
+	Waits            map[string]Wait `json:"waits"`
+	NextStartS       []float64       `json:"next_start_after_leader_s"`
+	NoStartAfterKill int             `json:"leaders_without_a_next_start"`
+	Broken           []string        `json:"rules_broken"`
+}
+
+// Role is what one process has used.
+type Role struct {
+	Name             string  `json:"name"`
+	Role             string  `json:"role"` // leader, follower (at the end) or stand-ins
+	Cores            float64 `json:"cores"`
+	CoresSteady      float64 `json:"cores_steady"` // over the last two fifths of the run
+	CoresPeak        float64 `json:"cores_peak"`   // over one second
+	PeakMemoryMB     float64 `json:"peak_memory_mb"`
+	ReadBytesPerS    float64 `json:"read_bytes_per_s"`
+	WrittenBytesPerS float64 `json:"written_bytes_per_s"`
+	Sockets          int     `json:"sockets"`
+	Starts           int     `json:"starts"`
+	EndedByItself    int     `json:"ended_by_itself"`
+}
+
+// Channel is what passed between the controllers and one kind of stand-in.
+type Channel struct {
+	MessagesPerS float64 `json:"messages_per_s"` // requests; each has one answer
+	InBytesPerS  float64 `json:"request_bytes_per_s"`
+	OutBytesPerS float64 `json:"response_bytes_per_s"`
+}
+
+// Wait is how long tasks waited from the first attempt to submit their job to their
+// first start.
+type Wait struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_s"`
+	P90   float64 `json:"p90_s"`
+	P99   float64 `json:"p99_s"`
+	Max   float64 `json:"max_s"`
+}
+
+func waitOf(h *hdrhistogram.Histogram) Wait {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Wait{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// report gathers the report of a run that took a time.
+func (r *runner) report(ran time.Duration) *Report {
+	var c sim.Counts
+	leader := -1
+	r.live.Do(func() {
+		c = r.live.Counts()
+		if i, ok := r.live.Leader(); ok {
+			leader = i
+		}
+	})
+	o := r.observer
+	rep := &Report{Experiment: r.e.Name, Seconds: ran.Seconds(), Workers: c.Workers, Tasks: c.Tasks, Jobs: c.Jobs, Accepted: c.Accepted,
+		StartsSent: c.Starts, LeaseLosses: c.LeaseLosses, StateKeys: c.Keys, StateRefused: c.StateRefused,
+		StartsPeak: o.peakStarts(), StartsMean: perSecond(float64(o.starts), ran.Seconds()), Urgent: waitOf(o.urgent),
+		Waits: map[string]Wait{}, NoStartAfterKill: o.interrupted, Broken: c.Broken}
+	if o.killedTerm != 0 {
+		rep.NoStartAfterKill++
+	}
+	for class, h := range o.waits {
+		rep.Waits[class] = waitOf(h)
+	}
+	for _, d := range o.nextStarts {
+		rep.NextStartS = append(rep.NextStartS, d.Seconds())
+	}
+	for i, k := range r.controllers {
+		role := "follower"
+		if i == leader {
+			role = "leader"
+		}
+		rep.Roles = append(rep.Roles, roleOf(k.name, role, &k.meter, k.starts, k.ended))
+	}
+	rep.Roles = append(rep.Roles, roleOf("stand-ins", "stand-ins", &r.own, 1, 0))
+	rep.Channels = map[string]Channel{
+		"workers' reports": channelOf(&r.workers, ran), "direct commands": channelOf(&r.commands, ran), "users": channelOf(&r.users, ran),
+		"state service": channelOf(&r.state, ran), "cloud": channelOf(&r.cloud, ran),
+	}
+	rep.Channels["between controllers"] = r.peerChannel(ran)
+	return rep
+}
+
+func roleOf(name, role string, m *meter, starts, ended int) Role {
+	return Role{Name: name, Role: role, Cores: m.cores(), CoresSteady: m.steadyCores(), CoresPeak: m.peakCores,
+		PeakMemoryMB: float64(m.total.peakKB) / 1024, ReadBytesPerS: perSecond(float64(m.total.readB), m.seconds),
+		WrittenBytesPerS: perSecond(float64(m.total.writtenB), m.seconds), Sockets: m.total.sockets, Starts: starts, EndedByItself: ended}
+}
+
+func channelOf(t *traffic, ran time.Duration) Channel {
+	s := ran.Seconds()
+	return Channel{perSecond(float64(t.requests.Load()), s), perSecond(float64(t.requestBytes.Load()), s), perSecond(float64(t.responseBytes.Load()), s)}
+}
+
+// peerChannel is what the controllers sent each other: what they read, less what
+// the stand-ins sent them. Messages are not counted there.
+func (r *runner) peerChannel(ran time.Duration) Channel {
+	read := int64(0)
+	for _, c := range r.controllers {
+		read += c.meter.total.readB
+	}
+	for _, t := range []*traffic{&r.workers, &r.users} {
+		read -= t.requestBytes.Load()
+	}
+	for _, t := range []*traffic{&r.commands, &r.state, &r.cloud} {
+		read -= t.responseBytes.Load()
+	}
+	return Channel{InBytesPerS: perSecond(float64(max(0, read)), ran.Seconds())}
+}
+
+// WriteJSON writes the report to a file.
+func (rep *Report) WriteJSON(path string) error {
+	b, err := json.MarshalIndent(rep, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
+
+// WriteTable writes a short table.
+func (rep *Report) WriteTable(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s: %.0f s, %d workers, %d tasks on machines, %d jobs (%d accepted)\n", rep.Experiment, rep.Seconds, rep.Workers, rep.Tasks, rep.Jobs, rep.Accepted)
+	fmt.Fprintln(w, "process\trole\tcores\tsteady\tpeak\tmemory MB\tread KB/s\twritten KB/s\tsockets")
+	for _, r := range rep.Roles {
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.2f\t%.0f\t%.0f\t%.0f\t%d\n", r.Name, r.Role, r.Cores, r.CoresSteady, r.CoresPeak,
+			r.PeakMemoryMB, r.ReadBytesPerS/1024, r.WrittenBytesPerS/1024, r.Sockets)
+	}
+	fmt.Fprintln(w, "channel\tmessages/s\trequests KB/s\tanswers KB/s")
+	for _, name := range sortedKeys(rep.Channels) {
+		c := rep.Channels[name]
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\n", name, c.MessagesPerS, c.InBytesPerS/1024, c.OutBytesPerS/1024)
+	}
+	fmt.Fprintln(w, "wait\ttasks\tp50 s\tp90 s\tp99 s\tmax s")
+	for _, class := range sortedKeys(rep.Waits) {
+		rep.Waits[class].row(w, class)
+	}
+	rep.Urgent.row(w, "urgent and critical")
+	fmt.Fprintf(w, "starts a second: %.0f on average, %.0f at the peak; next start after a leader's end: %.2f s\n", rep.StartsMean, rep.StartsPeak, rep.NextStartS)
+	fmt.Fprintf(w, "rules broken: %d\n", len(rep.Broken))
+	for _, b := range rep.Broken[:min(len(rep.Broken), 10)] {
+		fmt.Fprintln(w, " ", b)
+	}
+	return w.Flush()
+}
+
+func (v Wait) row(w io.Writer, name string) {
+	fmt.Fprintf(w, "%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\n", name, v.Count, v.P50, v.P90, v.P99, v.Max)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/hollow/run.go
@@ -0,0 +1,349 @@
+package hollow
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/brookwalk/brookwalk/httpwire"
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/sim"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// Options say how an experiment is run.
+type Options struct {
+	// Command starts a controller; the path of its settings is appended.
+	Command []string
+	// Dir keeps settings and controllers' logs.
+	Dir string
+	// Log is for what the run itself has to say.
+	Log *slog.Logger
+	// Progress is told how far the run is, every ProgressEvery; nil for not at all.
+	Progress      io.Writer
+	ProgressEvery time.Duration
+
+	// enough, if set, ends the run as soon as it is true of what was seen. It is
+	// asked with the world locked.
+	enough func(*observer) bool
+}
+
+// runner is one run of an experiment.
+type runner struct {
+	e    *Experiment
+	opts Options
+	live *sim.Live
+
+	controllers []*controller
+	observer    *observer
+	own         meter // this process: all stand-ins
+
+	workers, commands, users, state, cloud traffic
+
+	mu       sync.Mutex
+	servers  []net.Listener // of workers, to be closed
+	machines map[string]bool
+}
+
+// Run runs an experiment to its end, or until the context ends, and reports. It
+// ends every process that it started.
+func Run(ctx context.Context, e *Experiment, opts Options) (*Report, error) {
+	r := &runner{e: e, opts: opts, observer: newObserver(), machines: map[string]bool{}}
+	defer r.stop()
+	if err := r.prepare(); err != nil {
+		return nil, err
+	}
+	newLoad(e, r.live).begin()
+	r.planFailures()
+	done := make(chan struct{})
+	var sampler sync.WaitGroup
+	sampler.Go(func() { r.sample(done) })
+	began := time.Now()
+	inner, end := context.WithCancel(ctx)
+	defer end()
+	if opts.enough != nil {
+		r.endOnceEnough(end)
+	}
+	r.live.Run(inner, seconds(e.Seconds))
+	ran := time.Since(began)
+	close(done)
+	sampler.Wait()
+	rep := r.report(ran)
+	if ctx.Err() != nil {
+		rep.Interrupted = true
+	}
+	return rep, nil
+}
+
+// endOnceEnough looks now and then whether what was seen is enough.
+func (r *runner) endOnceEnough(end func()) {
+	r.live.After(sampleEvery, func() {
+		if r.opts.enough(r.observer) {
+			end()
+			return
+		}
+		r.endOnceEnough(end)
+	})
+}
+
+// The addresses of the controllers and the services are on loopback.
+const host = "127.0.0.1"
+
+// prepare starts the servers of the stand-ins and writes the controllers' settings.
+func (r *runner) prepare() error {
+	cfg := r.settings()
+	r.live = sim.NewLive(sim.LiveConfig{Settings: cfg, Types: r.types(), Stock: r.stock(), Seed: r.e.Seed,
+		Observer: r.observer, Log: r.opts.Log, WorkerAddr: r.workerAddr})
+	state, err := r.serve(&r.state, r.live.ServeState)
+	if err != nil {
+		return err
+	}
+	cloud, err := r.serve(&r.cloud, r.live.ServeCloud)
+	if err != nil {
+		return err
+	}
+	cfg.External = config.External{State: state.addr(), Cloud: cloud.addr()}
+	ports, err := freePorts(2 * r.e.Controllers)
+	if err != nil {
+		return err
+	}
+	for i := range r.e.Controllers {
+		if err := r.addController(i, *cfg, ports); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves one of the services at a port of its own.
+func (r *runner) serve(t *traffic, f func(method, path string, body []byte, reply func(int, []byte))) (*server, error) {
+	s, err := listen(host+":0", t, func(q *httpwire.Request, reply func(int, []byte)) {
+		r.live.Do(func() { f(q.Method, target(q), q.Body, reply) })
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.keep(s.listener)
+	return s, nil
+}
+
+// keep has a listener closed at the end.
+func (r *runner) keep(l net.Listener) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.servers = append(r.servers, l)
+}
+
+// workerAddr begins to serve a machine's worker, on a loopback address of its own,
+// and returns the address. Without one its machine gets no direct commands.
+func (r *runner) workerAddr(machine string) string {
+	s, err := listen(workerIP(machine)+":0", &r.commands, func(q *httpwire.Request, reply func(int, []byte)) {
+		r.live.Do(func() { r.live.ServeWorker(machine, q.Method, target(q), q.Body, reply) })
+	})
+	if err != nil {
+		r.opts.Log.Error("worker not served", "machine", machine, "err", err)
+		return host + ":9"
+	}
+	r.keep(s.listener)
+	return s.addr()
+}
+
+// workerIP is the loopback address of a machine's worker, 127.128.0.0 and up.
+func workerIP(machine string) string {
+	n, _ := strconv.Atoi(strings.TrimPrefix(machine, "n-"))
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], 127<<24|128<<16|uint32(n))
+	return net.IP(b[:]).String()
+}
+
+// freePorts finds ports that nobody listens on.
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp4", host+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// addController writes a controller's settings and makes its process, which the
+// world starts.
+func (r *runner) addController(i int, cfg config.Settings, ports []int) error {
+	at := func(k int) string { return host + ":" + strconv.Itoa(ports[k]) }
+	cfg.Name, cfg.Zone = r.live.Name(i), r.live.Zone(i)
+	cfg.Listen, cfg.PeerListen = at(2*i), at(2*i+1)
+	cfg.Peers = nil
+	for k := range r.e.Controllers {
+		if k != i {
+			cfg.Peers = append(cfg.Peers, config.Peer{Name: r.live.Name(k), Zone: r.live.Zone(k), Addr: at(2*k + 1)})
+		}
+	}
+	path := filepath.Join(r.opts.Dir, cfg.Name+".toml")
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(toml.NewEncoder(f).Encode(cfg), f.Close()); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	output, err := os.Create(filepath.Join(r.opts.Dir, cfg.Name+".log"))
+	if err != nil {
+		return err
+	}
+	c := &controller{name: cfg.Name, listen: cfg.Listen, command: append(append([]string{}, r.opts.Command...), path),
+		output: output, log: r.opts.Log, do: r.live.Do, users: &r.users, workers: &r.workers}
+	r.controllers = append(r.controllers, c)
+	r.live.Attach(i, c)
+	return nil
+}
+
+// settings are those of the deployment.
+func (r *runner) settings() *config.Settings {
+	d := config.Deployment{Size: r.e.Controllers, Zones: r.e.Zones, SkewMs: skewMs, Workers: r.e.Workers, State: r.e.State, Cloud: r.e.Cloud, Limits: r.e.Limits}
+	t, n := r.e.Teams, float64(r.e.Teams.Count)
+	for i := range t.Count {
+		d.Teams = append(d.Teams, config.Team{Name: teamName(i), CPUs: t.CPUs / n, CPUsMax: t.CPUsMax / n, GPUs: t.GPUs / n, GPUsMax: t.GPUsMax / n})
+	}
+	for _, o := range r.e.Objectives {
+		d.Objectives = append(d.Objectives, config.Objective(o))
+	}
+	return &config.Settings{Deployment: d}
+}
+
+// skewMs is the bound on the time of day: all processes share a clock.
+const skewMs = 10
+
+func (r *runner) types() []wire.MachineType {
+	var out []wire.MachineType
+	for _, t := range r.e.Types {
+		out = append(out, wire.MachineType{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemoryGB, CacheGB: t.CacheGB,
+			FetchGBPS: t.FetchGBPS, Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, Zones: r.e.Zones})
+	}
+	return out
+}
+
+// stock spreads the machines of each type evenly over the zones.
+func (r *runner) stock() []sim.Stock {
+	var out []sim.Stock
+	zones := len(r.e.Zones)
+	for _, t := range r.e.Types {
+		for i, zone := range r.e.Zones {
+			part := func(n int) int { return n*(i+1)/zones - n*i/zones }
+			count := part(t.Count)
+			out = append(out, sim.Stock{Type: t.Name, Zone: zone, Count: count, Up: int(t.UpShare * float64(count))},
+				sim.Stock{Type: t.Name, Zone: zone, Spot: true, Count: part(t.Spot)})
+		}
+	}
+	return out
+}
+
+// planFailures brings about the failures at their times.
+func (r *runner) planFailures() {
+	for _, f := range r.e.Failures {
+		r.live.After(seconds(f.AtS), func() { r.fail(f) })
+	}
+}
+
+// fail brings about one failure.
+func (r *runner) fail(f Failure) {
+	log := r.opts.Log.With("kind", f.Kind, "at_s", f.AtS)
+	back := seconds(r.e.RestartS)
+	switch f.Kind {
+	case FailLeader:
+		i, ok := r.live.Leader()
+		if !ok {
+			log.Warn("no leader to kill yet")
+			r.live.After(sampleEvery, func() { r.fail(f) })
+			return
+		}
+		r.observer.leaderKilled(r.live.Now(), r.live.Term())
+		log.Info("failure", "controller", r.live.Name(i))
+		r.live.KillController(i, back)
+	case FailAll:
+		r.observer.leaderKilled(r.live.Now(), r.live.Term())
+		log.Info("failure", "controllers", len(r.controllers))
+		for i := range r.controllers {
+			r.live.KillController(i, back)
+		}
+	case FailWorkers:
+		log.Info("failure", "workers", r.live.RemoveWorkers(f.Share, f.Zone))
+	case FailZone:
+		if i, ok := r.live.Leader(); ok && r.live.Zone(i) == f.Zone {
+			r.observer.leaderKilled(r.live.Now(), r.live.Term())
+		}
+		log.Info("failure", "zone", f.Zone, "workers", r.live.RemoveZone(f.Zone, seconds(f.ForS)))
+	case FailState:
+		log.Info("failure", "for_s", f.ForS)
+		r.live.StopStateService(seconds(f.ForS))
+	}
+}
+
+// sampleEvery is the time between two readings of what the processes use.
+const sampleEvery = time.Second
+
+// steadyFrom is the part of the run from when on the steady means count.
+const steadyFrom = 0.6
+
+// sample reads what the processes use, and tells of the progress.
+func (r *runner) sample(done chan struct{}) {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	began, told := time.Now(), time.Now()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		steady := time.Since(began) > seconds(steadyFrom*r.e.Seconds)
+		for _, c := range r.controllers {
+			c.meter.steady = steady
+			c.sample()
+		}
+		r.own.steady = steady
+		if u, err := readUsage(os.Getpid()); err == nil {
+			r.own.add(os.Getpid(), u, time.Now())
+		}
+		r.live.Do(func() { r.observer.second(r.live.Now()) })
+		if r.opts.Progress != nil && time.Since(told) >= r.opts.ProgressEvery {
+			told = time.Now()
+			r.progress()
+		}
+	}
+}
+
+// progress tells how far the run is.
+func (r *runner) progress() {
+	var c sim.Counts
+	var now time.Duration
+	r.live.Do(func() { c, now = r.live.Counts(), r.live.Now() })
+	fmt.Fprintf(r.opts.Progress, "%4.0f of %.0f s: %d workers, %d tasks on machines, %d jobs, %d starts, %d rules broken\n",
+		now.Seconds(), r.e.Seconds, c.Workers, c.Tasks, c.Jobs, c.Starts, len(c.Broken))
+}
+
+// stop ends the processes and closes the servers.
+func (r *runner) stop() {
+	for _, c := range r.controllers {
+		c.Kill()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.servers {
+		l.Close()
+	}
+}
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -44,20 +44,14 @@
 // besideOthers judges a task beside the others of its job, and counts those in its
 // zone, itself included.
 func (c *checker) besideOthers(m *machine, t *task) (inZone int) {
-	for _, name := range c.w.cloud.names() {
-		other := c.w.cloud.machines[name]
-		for _, x := range other.sorted() {
-			if !x.on || x.job != t.job {
-				continue
-			}
-			if x.index == t.index && x != t {
-				c.broken("ran_twice", "%s on %s and %s", t.name, m.name, other.name)
-			}
-			if other.zone == m.zone {
-				inZone++
-			} else if t.job.OneZone {
-				c.broken("wrong_place", "%s in zones %s and %s", t.job.ID, m.zone, other.zone)
-			}
+	for _, p := range c.w.placements(t.job) {
+		if p.task.index == t.index && p.task != t {
+			c.broken("ran_twice", "%s on %s and %s", t.name, m.name, p.machine.name)
+		}
+		if p.machine.zone == m.zone {
+			inZone++
+		} else if t.job.OneZone {
+			c.broken("wrong_place", "%s in zones %s and %s", t.job.ID, m.zone, p.machine.zone)
 		}
 	}
 	return inZone
@@ -84,15 +78,7 @@
 
 // quota judges what a team's tasks use.
 func (c *checker) quota(team string) {
-	gpus, cpus := 0.0, 0.0
-	for _, name := range c.w.cloud.names() {
-		for _, x := range c.w.cloud.machines[name].sorted() {
-			if x.on && x.job.Team == team {
-				gpus += x.job.GPUs
-				cpus += x.job.CPUs
-			}
-		}
-	}
+	gpus, cpus := c.w.teamUse(team)
 	if c.beyondLimit(team, gpus, cpus) {
 		c.broken("quota", "%s uses %v GPUs and %v CPUs", team, gpus, cpus)
 	}
--- a/internal/sim/check_test.go
+++ b/internal/sim/check_test.go
@@ -52,8 +52,9 @@
 				zone, spot := strings.CutSuffix(where, " spot")
 				m := &machine{w: w, name: fmt.Sprintf("n-%06d", i), typ: typ, zone: zone, spot: spot, tasks: map[string]*task{}}
 				w.cloud.machines[m.name] = m
-				x := &task{name: fmt.Sprintf("%s/%d", job.ID, i), job: job, index: i, state: wire.TaskRunning, on: true}
+				x := &task{name: fmt.Sprintf("%s/%d", job.ID, i), job: job, index: i, state: wire.TaskRunning}
 				m.tasks[x.name] = x
+				w.putOn(m, x)
 				if i == len(tc.on)-1 {
 					w.check.start(m, x)
 				}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -15,16 +15,19 @@
 
 // cloudService stands in for the cloud that rents machines.
 type cloudService struct {
-	w        *World
-	types    []wire.MachineType
-	capacity map[string]int // by type, zone, kind
-	machines map[string]*machine
-	byAddr   map[string]*machine
-	granted  map[string][]string
-	next     int
-	outage   time.Duration
-	reqs     *budget.Bucket
-	noBoot   time.Duration // until then new machines never come up
+	w           *World
+	types       []wire.MachineType
+	capacity    map[string]int // by type, zone, kind
+	machines    map[string]*machine
+	sortedNames []string // of machines, see names
+	byAddr      map[string]*machine
+	granted     map[string][]string
+	next        int
+	outage      time.Duration
+	reqs        *budget.Bucket
+	noBoot      time.Duration // until then new machines never come up
+
+	workerAddr func(machine string) string // if not nil, gives a worker\'s address
 }
 
 func newCloud(w *World) *cloudService {
@@ -45,12 +48,18 @@
 	return n
 }
 
+// names lists all machines that were ever rented, by name. The list is shared:
+// callers leave it as it is.
 func (c *cloudService) names() []string {
+	if len(c.sortedNames) == len(c.machines) {
+		return c.sortedNames
+	}
 	names := make([]string, 0, len(c.machines))
 	for n := range c.machines {
 		names = append(names, n)
 	}
 	sort.Strings(names)
+	c.sortedNames = names
 	return names
 }
 
@@ -152,17 +161,23 @@
 	c.capacity[k] -= n
 	var names []string
 	for ; n > 0; n-- {
-		c.next++
-		name := fmt.Sprintf("n-%06d", c.next)
-		m := newMachine(c.w, name, r.Type, r.Zone, r.Spot)
-		c.machines[name] = m
-		c.byAddr[m.addr] = m
-		names = append(names, name)
+		m := c.add(r.Type, r.Zone, r.Spot)
+		m.boot()
+		names = append(names, m.name)
 	}
 	c.granted[r.Request] = names
 	send(200, wire.MachineNames{Machines: names})
 }
 
+// add adds a machine that is not up yet.
+func (c *cloudService) add(typ, zone string, spot bool) *machine {
+	c.next++
+	m := newMachine(c.w, fmt.Sprintf("n-%06d", c.next), typ, zone, spot)
+	c.machines[m.name] = m
+	c.byAddr[m.addr] = m
+	return m
+}
+
 // remove takes a machine away, with all that is on it.
 func (c *cloudService) remove(name string) {
 	m := c.machines[name]
@@ -174,7 +189,7 @@
 	for _, t := range m.sorted() {
 		m.off(t)
 	}
-	m.tasks = map[string]*task{}
+	m.clear()
 }
 
 func (c *cloudService) typ(name string) *wire.MachineType {
--- a/internal/sim/scenario_expect.go
+++ b/internal/sim/scenario_expect.go
@@ -8,11 +8,9 @@
 
 func (w *World) running(id string) int {
 	n := 0
-	for _, name := range w.cloud.names() {
-		for _, t := range w.cloud.machines[name].sorted() {
-			if t.on && t.job.ID == id && t.state == wire.TaskRunning {
-				n++
-			}
+	for t := range w.on[w.jobs[id]] {
+		if t.state == wire.TaskRunning {
+			n++
 		}
 	}
 	return n
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -363,8 +363,9 @@
 // offer answers a watcher if keys of its have changed.
 func (s *stateService) offer(wt *watcher) bool {
 	var ch wire.Changes
-	for _, c := range s.log {
-		if c.rev > wt.since && strings.HasPrefix(c.key, wt.under) {
+	newer := sort.Search(len(s.log), func(i int) bool { return s.log[i].rev > wt.since })
+	for _, c := range s.log[newer:] {
+		if strings.HasPrefix(c.key, wt.under) {
 			ch.Events = append(ch.Events, c.Event)
 		}
 	}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -82,6 +82,7 @@
 	j := &userJob{id: t.ID, early: when == whenever}
 	u.jobs[t.ID] = j
 	j.down = u.w.store.down
+	t.submitted = u.w.now
 	u.trySubmit(j, t, u.w.now+60*time.Second)
 }
 
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -23,6 +24,7 @@
 	token          uint64
 	answered       time.Duration // when the last answered report was sent
 	tasks          map[string]*task
+	rows           []*task // tasks in order, see sorted; nil if they have changed
 	images         map[string]bool
 	node           int
 	busy           bool
@@ -57,17 +59,34 @@
 }
 
 func newMachine(w *World, name, typ, zone string, spot bool) *machine {
-	t := w.cloud.typ(typ)
 	m := &machine{w: w, name: name, typ: typ, zone: zone, spot: spot, rentedAt: w.now, session: 1,
 		tasks: map[string]*task{}, images: map[string]bool{}}
+	if w.cloud.workerAddr != nil {
+		m.addr = w.cloud.workerAddr(name)
+		return m
+	}
 	num, _ := strconv.Atoi(strings.TrimPrefix(name, "n-"))
 	m.addr = "10.1." + strconv.Itoa(num/250) + "." + strconv.Itoa(num%250+1) + ":9000"
-	m.upAt = w.now + seconds(t.BootS*(0.6+0.9*w.rng.Float64()))
+	return m
+}
+
+// boot has a machine that has been rented come up, unless new ones never do.
+func (m *machine) boot() {
+	w := m.w
+	t := w.cloud.typ(m.typ)
+	delay := seconds(t.BootS * (0.6 + 0.9*w.rng.Float64()))
 	if w.now < w.cloud.noBoot {
-		m.upAt = 1 << 62
-		return m
+		m.upAt = never
+		return
 	}
-	w.after(m.upAt-w.now, func() {
+	m.comeUp(delay)
+}
+
+// comeUp has the machine's worker begin to report after a while.
+func (m *machine) comeUp(after time.Duration) {
+	w := m.w
+	m.upAt = w.now + after
+	w.after(after, func() {
 		if m.gone {
 			return
 		}
@@ -75,10 +94,14 @@
 		m.node = w.rng.IntN(len(w.nodes))
 		m.tick()
 	})
-	return m
 }
 
+// sorted lists the machine's tasks by name and attempt. The list is shared: callers
+// leave it as it is.
 func (m *machine) sorted() []*task {
+	if m.rows != nil && len(m.rows) == len(m.tasks) {
+		return m.rows
+	}
 	out := make([]*task, 0, len(m.tasks))
 	for _, t := range m.tasks {
 		out = append(out, t)
@@ -86,9 +109,13 @@
 	sort.Slice(out, func(i, j int) bool {
 		return out[i].name < out[j].name || out[i].name == out[j].name && out[i].attempt < out[j].attempt
 	})
+	m.rows = out
 	return out
 }
 
+// clear forgets all tasks.
+func (m *machine) clear() { m.tasks, m.rows = map[string]*task{}, nil }
+
 // endedKey is where an ended attempt is kept when another one has its place.
 func endedKey(name string, attempt uint64) string {
 	return name + "#" + strconv.FormatUint(attempt, 10)
@@ -107,7 +134,7 @@
 			}
 			m.off(t)
 		}
-		m.tasks = map[string]*task{}
+		m.clear()
 		m.session++
 		m.answered = m.w.now
 		m.changed = true
@@ -162,7 +189,7 @@
 func (m *machine) fetched(t *task) {
 	w := m.w
 	m.images[t.job.Image] = true
-	t.on = true
+	w.putOn(m, t)
 	m.changed = true
 	w.check.start(m, t)
 	switch {
@@ -175,6 +202,7 @@
 		w.gather(t)
 	default:
 		t.run(w.now)
+		w.observeBegin(m, t)
 	}
 }
 
@@ -223,18 +251,18 @@
 
 // gather starts a gang once its last task waits.
 func (w *World) gather(t *task) {
-	var all []*task
-	for _, name := range w.cloud.names() {
-		for _, o := range w.cloud.machines[name].sorted() {
-			if o.job == t.job && o.attempt == t.attempt && o.state == wire.TaskWaiting {
-				all = append(all, o)
-			}
+	var all []placement
+	for _, p := range w.placements(t.job) {
+		if p.task.attempt == t.attempt && p.task.state == wire.TaskWaiting {
+			all = append(all, p)
 		}
 	}
-	if len(all) == t.job.Tasks {
-		for _, o := range all {
-			o.run(w.now)
-		}
+	if len(all) < t.job.Tasks {
+		return
+	}
+	for _, p := range all {
+		p.task.run(w.now)
+		w.observeBegin(p.machine, p.task)
 	}
 }
 
@@ -244,13 +272,12 @@
 		return
 	}
 	ran := t.state == wire.TaskRunning
-	t.on, t.state = false, wire.TaskExited
+	m.w.takeOff(t)
+	t.state = wire.TaskExited
 	if t.job.Shape == wire.ShapeGang && ran && !t.job.done[t.index] {
-		for _, name := range m.w.cloud.names() {
-			for _, o := range m.w.cloud.machines[name].sorted() {
-				if o.job == t.job && o != t && o.attempt == t.attempt && o.state == wire.TaskRunning && o.lostAt == 0 {
-					o.lostAt = m.w.now
-				}
+		for _, p := range m.w.placements(t.job) {
+			if o := p.task; o.attempt == t.attempt && o.state == wire.TaskRunning && o.lostAt == 0 {
+				o.lostAt = m.w.now
 			}
 		}
 	}
@@ -270,7 +297,7 @@
 		s := (m.warning - m.w.now).Seconds()
 		r.WarningS = &s
 	}
-	rows := m.sorted()
+	rows := slices.Clone(m.sorted())
 	// The protocol gives no order.
 	m.w.rng.Shuffle(len(rows), func(a, b int) { rows[a], rows[b] = rows[b], rows[a] })
 	for _, t := range rows {
@@ -394,6 +421,7 @@
 // forget removes a task from the reports.
 func (m *machine) forget(key string) {
 	delete(m.tasks, key)
+	m.rows = nil
 	m.changed = true
 }
 
@@ -433,7 +461,7 @@
 		}
 		m.tasks[endedKey(c.Task, old.attempt)] = old // listed until it is to be forgotten
 	}
-	m.tasks[c.Task] = t
+	m.tasks[c.Task], m.rows = t, nil
 	if t.job == nil || t.index >= t.job.Tasks {
 		t.job = &jobTruth{Job: wire.Job{ID: c.Task}, done: map[int]bool{}, progress: map[int]float64{}}
 		t.cause = wire.CauseUnknown
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -73,6 +73,8 @@
 	check   *checker
 	cuts    []*cut
 	jobs    map[string]*jobTruth
+	on      map[*jobTruth]map[*task]*machine // the tasks that are on machines, see placements.go
+	watch   Observer                         // may be nil
 	started int
 	expired int // tasks that a worker dropped for want of an answer
 
@@ -98,14 +100,17 @@
 // jobTruth is what the stand-ins know of a job.
 type jobTruth struct {
 	wire.Job
-	runS     float64
-	fail     bool
-	done     map[int]bool
-	progress map[int]float64 // saved, by task; a gang uses task 0
+	runS      float64
+	fail      bool
+	done      map[int]bool
+	progress  map[int]float64 // saved, by task; a gang uses task 0
+	submitted time.Duration   // first attempt to submit it
+	begun     map[int]bool    // tasks that have run, for the observer
 }
 
 func newWorld(cfg *config.Settings, seed uint64, log *slog.Logger) *World {
-	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), log: log, jobs: map[string]*jobTruth{}}
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), log: log, jobs: map[string]*jobTruth{},
+		on: map[*jobTruth]map[*task]*machine{}}
 	w.store = newStore(w)
 	w.cloud = newCloud(w)
 	w.users = newUsers(w)
@@ -186,9 +191,13 @@
 	life  int
 	born  time.Duration
 	reqs  map[uint64]func(core.Answer)
-	next  uint64
-	pace  *store.Pace
-	cloud *budget.Bucket
+
+	// process, if set, is the controller itself, outside of this process. The
+	// fields of the simulated one are not used then.
+	process Process
+	next    uint64
+	pace    *store.Pace
+	cloud   *budget.Bucket
 }
 
 func (n *node) settings() *config.Settings {
@@ -207,6 +216,10 @@
 	n.alive = true
 	n.life++
 	n.born = n.w.now
+	if n.process != nil {
+		n.process.Start()
+		return
+	}
 	n.reqs = map[uint64]func(core.Answer){}
 	n.pace, n.cloud = store.NewPace(n.w.cfg), cloud.NewPace(n.w.cfg)
 	boot := uint64(n.index+1)<<32 + uint64(n.life)
@@ -221,6 +234,9 @@
 func (n *node) crash(back time.Duration) {
 	n.alive = false
 	n.life++
+	if n.process != nil {
+		n.process.Kill()
+	}
 	life := n.life
 	n.w.after(back, func() {
 		if !n.alive && n.life == life {
@@ -274,6 +290,10 @@
 
 // ask is request for those who heed more of the answer than status and body.
 func (n *node) ask(from, method, path string, body []byte, timeout time.Duration, done func(core.Answer)) {
+	if n.process != nil {
+		n.process.Ask(from, method, path, body, timeout, done)
+		return
+	}
 	over := false
 	finish := func(a core.Answer) {
 		if !over {
