Rental plan by kinds of tasks and offers, in a package of its own

The log shows why: passes were 1.2 s apart, since the plan looked at every bin for every waiting task; each sent one rental request; an offer without capacity rests for 0.6 s there, so each pass asked the cheapest offer again, which had none, and packed all waiting tasks into what it hoped to get.

internal/core/rental now packs by kinds: bins of an offer with the same room stand together, what was found not to fit is not looked for again, offers are priced once for each kind of task. It puts every task where a walk over all bins would (TestPackAsAWalk). What a plan wants goes out at the cloud's pace until the next plan, not one request a plan. An offer that refused counts for a few machines only until it grants again.

--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/rental"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -13,12 +14,12 @@
 // are up and hold their images, so that it can be returned. A replica that
 // moves is away for the time of a stop and a start. One machine at a time, and
 // only while nothing waits for room.
-func (l *leader) consolidate(bins []*bin, cands []*candidate) {
+func (l *leader) consolidate(bins []*rental.Bin, cands []*candidate) {
 	f := &l.fleet
 	if l.c.now < f.moveNext || l.c.now-l.loadedAt < l.c.lease() || anyPending(cands) {
 		return
 	}
-	if slices.ContainsFunc(bins, func(b *bin) bool { return b.toRent }) {
+	if slices.ContainsFunc(bins, func(b *rental.Bin) bool { return b.ToRent }) {
 		return
 	}
 	sources, targets := l.moveSources(bins), l.moveTargets(bins)
@@ -40,10 +41,10 @@
 }
 
 // moveTargets lists the bins of the machines that replicas may move to.
-func (l *leader) moveTargets(bins []*bin) []*bin {
-	var targets []*bin
+func (l *leader) moveTargets(bins []*rental.Bin) []*rental.Bin {
+	var targets []*rental.Bin
 	for _, b := range bins {
-		if m := l.machines[b.machine]; m != nil && l.usable(m) {
+		if m := l.machines[b.Machine]; m != nil && l.usable(m) {
 			targets = append(targets, b)
 		}
 	}
@@ -52,11 +53,11 @@
 
 // moveSources lists the machines that may be emptied: cordoned ones first, once
 // their tasks are replicas alone, then those of the highest price.
-func (l *leader) moveSources(bins []*bin) []*machine {
+func (l *leader) moveSources(bins []*rental.Bin) []*machine {
 	var sources []*machine
 	for _, b := range bins {
-		m := l.machines[b.machine]
-		if m != nil && l.usable(m) && !b.used && l.c.now-m.createdAt > minCharge && m.movable() {
+		m := l.machines[b.Machine]
+		if m != nil && l.usable(m) && !b.Used && l.c.now-m.createdAt > minCharge && m.movable() {
 			sources = append(sources, m)
 		}
 	}
@@ -134,10 +135,10 @@
 
 // moveDestinations finds a machine for each of a machine's replicas, in their
 // order; nil if not all find one.
-func (l *leader) moveDestinations(m *machine, targets []*bin) []*machine {
-	free := make(map[*bin]topology.Resources, len(targets))
+func (l *leader) moveDestinations(m *machine, targets []*rental.Bin) []*machine {
+	free := make(map[*rental.Bin]topology.Resources, len(targets))
 	for _, b := range targets {
-		free[b] = b.free
+		free[b] = b.Free
 	}
 	added := map[jobZone]int{}
 	var to []*machine
@@ -150,8 +151,8 @@
 			return nil
 		}
 		free[best] = free[best].Sub(size(&p.job.Job))
-		added[jobZone{p.job, best.key.zone}]++
-		to = append(to, l.machines[best.machine])
+		added[jobZone{p.job, best.Offer.Zone}]++
+		to = append(to, l.machines[best.Machine])
 	}
 	return to
 }
@@ -160,19 +161,19 @@
 // less than the one to be emptied: it is about to be returned itself. After a
 // job's end replicas once moved from a machine that ran well to one that the
 // job had left empty.
-func (l *leader) unneeded(b *bin, from *machine) bool {
-	m := l.machines[b.machine]
-	idle := !b.used && len(m.placed) == 0
+func (l *leader) unneeded(b *rental.Bin, from *machine) bool {
+	m := l.machines[b.Machine]
+	idle := !b.Used && len(m.placed) == 0
 	return idle && from.drain == "" && l.price(m.typ, m.spot) >= l.price(from.typ, from.spot)
 }
 
 // moveTarget finds the tightest target that may take a job's replica from a
 // machine, given what is free and what was added by the moves before it.
-func (l *leader) moveTarget(from *machine, j *job, targets []*bin, free map[*bin]topology.Resources, added map[jobZone]int) *bin {
+func (l *leader) moveTarget(from *machine, j *job, targets []*rental.Bin, free map[*rental.Bin]topology.Resources, added map[jobZone]int) *rental.Bin {
 	zoneRoom := l.zoneRoom(j)
-	var best *bin
+	var best *rental.Bin
 	for _, b := range targets {
-		m := l.machines[b.machine]
+		m := l.machines[b.Machine]
 		if m == from || !free[b].Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || !m.hasImage(j.Image) || len(m.failed) > 0 || l.unneeded(b, from) {
 			continue
 		}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/rental"
 )
 
 // fleet is what the leader keeps of its dealings with the cloud.
@@ -17,18 +19,20 @@
 	rents    []*rent
 	rentNext time.Duration
 	rentSeq  int
-	refused  map[offerKey]time.Duration
-	cutAt    map[string]time.Duration // when a zone was last seen cut off
-	moveNext time.Duration            // no machine is emptied for others before
-	keepIdle map[string]bool          // idle machines that are kept for work to come
-	keptFor  map[string]string        // what empty machines are kept for
+	wanted   []rental.Wanted                // what the last plan wants and is not asked for yet
+	refused  map[rental.Offer]time.Duration // until when an offer is not asked for
+	probes   map[rental.Offer]int           // machines counted on of offers refused lately
+	cutAt    map[string]time.Duration       // when a zone was last seen cut off
+	moveNext time.Duration                  // no machine is emptied for others before
+	keepIdle map[string]bool                // idle machines that are kept for work to come
+	keptFor  map[string]string              // what empty machines are kept for
 
 	commandNow map[string]bool // machines to send commands to at once
 }
 
 // newFleet makes the state of a new leader.
 func newFleet() fleet {
-	return fleet{returns: map[string]bool{}, refused: map[offerKey]time.Duration{}, cutAt: map[string]time.Duration{}, keepIdle: map[string]bool{}, commandNow: map[string]bool{}}
+	return fleet{returns: map[string]bool{}, refused: map[rental.Offer]time.Duration{}, probes: map[rental.Offer]int{}, cutAt: map[string]time.Duration{}, keepIdle: map[string]bool{}, commandNow: map[string]bool{}}
 }
 
 // tickFleet does what is due towards the cloud.
@@ -40,6 +44,7 @@
 			l.rent(r)
 		}
 	}
+	l.sendRents()
 	for _, m := range l.byName {
 		l.drainLeaving(m)
 		l.returnIdle(m)
--- a/internal/core/nextstages_test.go
+++ b/internal/core/nextstages_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/rental"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -13,18 +14,18 @@
 // which fill a machine and a half, awaits.
 func TestNextStages(t *testing.T) {
 	one := 1
-	large := func(count int) []wantedMachines {
-		return []wantedMachines{{offerKey{"large", "a", false}, count}}
+	large := func(count int) []rental.Wanted {
+		return []rental.Wanted{{Offer: offer("large", "a", false), Count: count}}
 	}
 	for _, tc := range []struct {
 		name   string
 		change func(l *leader, awaited, waiting *job)
-		want   []wantedMachines
+		want   []rental.Wanted
 	}{
 		{
 			name:   "the awaited job ends while a machine boots",
 			change: func(l *leader, awaited, waiting *job) {},
-			want:   []wantedMachines{{offerKey{"large", "a", false}, 1}, {offerKey{"large", "b", false}, 1}},
+			want:   []rental.Wanted{{Offer: offer("large", "a", false), Count: 1}, {Offer: offer("large", "b", false), Count: 1}},
 		},
 		{
 			name:   "it runs for longer",
@@ -36,7 +37,7 @@
 				awaited.EstimateS = 300
 				awaited.tasks[0].upAt = l.c.now - 280*time.Second
 			},
-			want: []wantedMachines{{offerKey{"large", "a", false}, 1}, {offerKey{"large", "b", false}, 1}},
+			want: []rental.Wanted{{Offer: offer("large", "a", false), Count: 1}, {Offer: offer("large", "b", false), Count: 1}},
 		},
 		{
 			name:   "it has no machine itself",
@@ -82,7 +83,7 @@
 			tc.change(l, awaited, waiting)
 			p := newRentalPlan(l)
 			p.packNextStages(map[string]topology.Resources{})
-			if got := p.wanted(); !slices.Equal(got, tc.want) {
+			if got := wantedCounts(p); !slices.Equal(got, tc.want) {
 				t.Errorf("rents %v, want %v", got, tc.want)
 			}
 		})
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -39,8 +39,7 @@
 	if c.preemptionRank == 0 && !c.guaranteed {
 		return true
 	}
-	_, offered := l.offer(nil, &j.Job, nil)
-	c.noOffer = !offered
+	c.noOffer = !l.offered(&j.Job)
 	want := l.preemptionsWanted(c, usage)
 	if want == 0 {
 		if !quick && c.preemptionRank > 0 {
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -2,20 +2,13 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/rental"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
 
-// offerKey names what the cloud rents: a type of machine in a zone, as a spot
-// machine or not.
-type offerKey struct {
-	typ, zone string
-	spot      bool
-}
-
 // rent is a rental request without an answer so far. It is repeated under its
 // name until it is answered, so it never rents twice.
 type rent struct {
@@ -24,8 +17,15 @@
 	retry time.Duration
 }
 
-// key names the offer that is asked for.
-func (r *rent) key() offerKey { return offerKey{r.req.Type, r.req.Zone, r.req.Spot} }
+// offer is what is asked for.
+func (r *rent) offer() rental.Offer {
+	return rental.Offer{Type: r.req.Type, Zone: r.req.Zone, Spot: r.req.Spot}
+}
+
+// offer is what the machine was rented as.
+func (m *machine) offer() rental.Offer {
+	return rental.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}
+}
 
 // price is the hourly price of a type of machine.
 func (l *leader) price(typ string, spot bool) float64 {
@@ -39,53 +39,20 @@
 	return t.Price
 }
 
-// pricedOffer is an offer and its price per task.
-type pricedOffer struct {
-	key  offerKey
-	cost float64
-}
-
-// offer picks the type, zone and kind with the least price per task, among
-// those not refused lately; of several zones the one with the fewest machines.
-// zoneAllowed may be nil.
-func (l *leader) offer(bins []*bin, j *wire.Job, zoneAllowed func(string) bool) (offerKey, bool) {
-	offers := l.offers(j, zoneAllowed)
-	if len(offers) == 0 {
-		return offerKey{}, false
-	}
-	inZone := map[string]int{}
-	for _, b := range bins {
-		inZone[b.key.zone]++
-	}
-	sort.SliceStable(offers, func(a, b int) bool {
-		if offers[a].cost != offers[b].cost {
-			return offers[a].cost < offers[b].cost
-		}
-		return inZone[offers[a].key.zone] < inZone[offers[b].key.zone]
-	})
-	return offers[0].key, true
-}
-
-// maxTasksPerMachine bounds how many tasks a price is divided by.
-const maxTasksPerMachine = 1 << 20
-
-// offers lists what may be rented for a job, by type, zone and kind.
-func (l *leader) offers(j *wire.Job, zoneAllowed func(string) bool) []pricedOffer {
-	var out []pricedOffer
+// terms lists what the cloud may grant now, by type, zone and kind: not what it refused
+// a moment ago, and of what it refused lately only some machines.
+func (l *leader) terms() []rental.Terms {
+	var out []rental.Terms
 	for _, name := range sortedKeys(l.c.types) {
 		t := l.c.types[name]
-		fit := capacity(t).Fit(size(j), maxTasksPerMachine)
-		if fit < 1 {
-			continue
-		}
 		for _, zone := range t.Zones {
-			if zoneAllowed != nil && !zoneAllowed(zone) || l.cutOff(zone) {
+			if l.cutOff(zone) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
-				key := offerKey{name, zone, spot}
-				if eligible(j, name, zone, spot) && l.c.now >= l.fleet.refused[key] {
-					out = append(out, pricedOffer{key, l.price(name, spot) / float64(fit)})
+				o := rental.Offer{Type: name, Zone: zone, Spot: spot}
+				if limit := l.offerLimit(o); limit > 0 {
+					out = append(out, rental.Terms{Offer: o, Capacity: capacity(t), Price: l.price(name, spot), Limit: limit})
 				}
 			}
 		}
@@ -93,6 +60,67 @@
 	return out
 }
 
+// offered tells whether the cloud may grant a machine for a job now.
+func (l *leader) offered(j *wire.Job) bool {
+	for name, t := range l.c.types { // in any order: it is enough that there is one
+		if !capacity(t).Holds(size(j)) {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				if eligible(j, name, zone, spot) && !l.cutOff(zone) && l.c.now >= l.fleet.refused[rental.Offer{Type: name, Zone: zone, Spot: spot}] {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// probeCount is how many machines are counted on of an offer that was refused lately.
+// Each grant in full doubles it, up to a whole request; then the offer counts without
+// bound again. Counted on without bound at once, a cheap offer that was out of
+// machines took all waiting tasks at each try, and of the dearer ones nothing was
+// rented for minutes.
+const probeCount = maxRentCount / 6
+
+// offerLimit is how many machines of an offer may be counted on beside those asked for.
+func (l *leader) offerLimit(o rental.Offer) int {
+	if l.c.now < l.fleet.refused[o] {
+		return 0
+	}
+	limit, bounded := l.fleet.probes[o]
+	if !bounded {
+		return rental.Unlimited
+	}
+	for _, r := range l.fleet.rents {
+		if r.offer() == o {
+			limit -= r.req.Count
+		}
+	}
+	return limit
+}
+
+// noteRefused notes that the cloud has no more machines of an offer for now.
+func (l *leader) noteRefused(o rental.Offer, rest time.Duration) {
+	l.fleet.refused[o] = l.c.now + rest
+	l.fleet.probes[o] = probeCount
+	l.dropWanted(o)
+	l.passes.requested = true
+}
+
+// noteGranted notes that a request was granted in full.
+func (l *leader) noteGranted(o rental.Offer) {
+	limit, bounded := l.fleet.probes[o]
+	switch {
+	case !bounded:
+	case 2*limit > maxRentCount:
+		delete(l.fleet.probes, o)
+	default:
+		l.fleet.probes[o] = 2 * limit
+	}
+}
+
 // cutOff tells whether a zone is, or was a moment ago, out of reach: what is
 // rented there is of no use before it is back.
 func (l *leader) cutOff(zone string) bool {
@@ -117,20 +145,19 @@
 		if l.deposed {
 			return
 		}
-		key := r.key()
+		o := r.offer()
 		switch {
 		case res.Status == 200:
 			l.dropRent(r)
 			l.noteRented(r, asked, res.Body)
 		case res.Status == 503 && cloudError(res.Body) == noCapacity:
 			l.dropRent(r)
-			l.c.log.Debug("no capacity", "type", key.typ, "zone", key.zone, "spot", key.spot)
-			l.fleet.refused[key] = l.c.now + l.refusedFor()
-			l.passes.requested = true
+			l.c.log.Debug("no capacity", "type", o.Type, "zone", o.Zone, "spot", o.Spot)
+			l.noteRefused(o, l.refusedFor())
 		case res.Status == 400:
 			l.dropRent(r)
-			l.c.log.Error("rental refused as malformed", "type", key.typ, "zone", key.zone)
-			l.fleet.refused[key] = l.c.now + 10*l.refusedFor()
+			l.c.log.Error("rental refused as malformed", "type", o.Type, "zone", o.Zone)
+			l.noteRefused(o, 10*l.refusedFor())
 		default:
 			r.retry = l.c.now + cloudRetry
 		}
@@ -146,20 +173,22 @@
 func (l *leader) noteRented(r *rent, asked time.Duration, body []byte) {
 	var names wire.MachineNames
 	json.Unmarshal(body, &names)
-	key := r.key()
-	l.c.log.Info("rented", "type", key.typ, "zone", key.zone, "spot", key.spot, "asked", r.req.Count, "got", len(names.Machines))
+	o := r.offer()
+	l.c.log.Info("rented", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", r.req.Count, "got", len(names.Machines))
 	for _, name := range names.Machines {
 		if _, ok := l.returned[name]; ok {
 			continue
 		}
 		m := l.machine(name)
 		if !m.known {
-			l.describe(m, "", key.typ, key.zone, key.spot)
+			l.describe(m, "", o.Type, o.Zone, o.Spot)
 		}
 		m.createdAt = asked
 	}
 	if len(names.Machines) < r.req.Count {
-		l.fleet.refused[key] = l.c.now + l.refusedFor()
+		l.noteRefused(o, l.refusedFor())
+	} else {
+		l.noteGranted(o)
 	}
 	l.passes.requested = true
 }
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -4,48 +4,17 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/rental"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// bin is capacity that the rental plan packs tasks into: a machine that is up,
-// one that boots, or one to be rented.
-type bin struct {
-	machine string // name of an existing machine; empty for one that is asked for
-	key     offerKey
-	free    topology.Resources
-	// preemptible is what work of each priority holds that higher priorities
-	// may stop: it counts as room for work that is only expected.
-	preemptible [ranks]topology.Resources
-	used        bool // a task was packed into it
-	toRent      bool
-	purpose     string // what the first task packed into it is of
-}
-
-// room is what a task of a priority finds; expected work may count on what it
-// could preempt.
-func (b *bin) room(rank int, expected bool) topology.Resources {
-	free := b.free
-	if expected {
-		for _, held := range b.preemptible[:rank] {
-			free = free.Add(held)
-		}
-	}
-	return free
-}
-
-// take packs a task into the bin.
-func (b *bin) take(j *job, expected bool) {
-	need := size(&j.Job)
-	b.free = b.free.Sub(need)
-	if !expected {
-		b.preemptible[j.rank] = b.preemptible[j.rank].Add(need)
-	}
-	if !b.used {
-		b.used, b.purpose = true, purposeOf(j, expected)
-	}
+// needOf is what a task of a job asks of a machine that is to be rented.
+func needOf(j *job, expected bool) rental.Need {
+	return rental.Need{Task: size(&j.Job), Types: strings.Join(j.Types, ","), Zone: j.Zone, Spot: j.Spot, Rank: j.rank, Expected: expected}
 }
 
 // purposeOf tells what room for a task is for.
@@ -68,10 +37,17 @@
 
 // rentalPlan packs the tasks that found no room, and those that are expected
 // while a machine boots, into the machines there are, those asked for and those
-// to be rented.
+// to be rented, see package rental.
 type rentalPlan struct {
-	l    *leader
-	bins []*bin
+	l *leader
+	*rental.Plan
+	stoppable map[teamRank]topology.Resources // see stoppableUse
+}
+
+// teamRank names the work of a team below a rank.
+type teamRank struct {
+	team string
+	rank int
 }
 
 const (
@@ -88,33 +64,27 @@
 	p.packPending(cands, planned)
 	p.packNextStages(planned)
 	p.packExpected()
-	l.consolidate(p.bins, cands)
+	l.passes.visits += p.Looks()
+	l.consolidate(p.Bins(), cands)
 	l.fleet.keepIdle = p.usedMachines()
 	p.logKept()
-	for _, r := range l.rentPlanned(p.wanted()) {
-		l.c.log.Info("rent", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "for", p.rentedFor(r.key()))
-	}
+	l.rentPlanned(p.Wanted())
 }
 
 // newRentalPlan starts a plan with the machines that are, or are about to be,
 // of use, and with those that have been asked for.
 func newRentalPlan(l *leader) *rentalPlan {
-	p := &rentalPlan{l: l}
+	p := &rentalPlan{l: l, Plan: rental.New(l.terms()), stoppable: map[teamRank]topology.Resources{}}
 	for _, m := range l.byName {
 		total, ok := l.total(m)
 		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 || !l.willBeUsable(m) {
 			continue
 		}
-		key := offerKey{m.typ, m.zone, m.spot}
-		p.bins = append(p.bins, &bin{machine: m.name, key: key, free: total.Sub(m.used), preemptible: m.usedByRank})
+		p.AddMachine(m.name, m.offer(), total.Sub(m.used), m.usedByRank)
 	}
 	for _, r := range l.fleet.rents {
-		t := l.c.types[r.req.Type]
-		if t == nil {
-			continue
-		}
-		for range r.req.Count {
-			p.bins = append(p.bins, &bin{key: r.key(), free: capacity(t)})
+		if t := l.c.types[r.req.Type]; t != nil {
+			p.AddRequested(r.offer(), capacity(t), r.req.Count)
 		}
 	}
 	return p
@@ -137,26 +107,29 @@
 	// pass did not come to it.
 	c.reserved = max(c.reserved, l.reservedFor(j))
 	packed := map[string]int{} // by zone
-	zoneAllowed := p.allowedZones(c, packed)
-	var last *bin
+	need, purpose := needOf(j, false), purposeOf(j, false)
+	zoneAllowed := p.allowedZones(c, &need, packed)
+	var last *rental.Bin
 	team := l.c.team(j.Team)
+	used := usage[j.Team]
+	defer func() { usage[j.Team] = used }()
 	var stoppable topology.Resources
-	if c.preemptionRank > 0 && !underLimit(team, usage[j.Team], size(&j.Job), len(c.pending)) {
+	if c.preemptionRank > 0 && !underLimit(team, used, need.Task, len(c.pending)) {
 		// What its team runs of lower priorities makes way within the limit, but
 		// only where there is a machine to start on.
-		stoppable = l.stoppableUse(j.Team, c.preemptionRank)
+		stoppable = p.stoppableUse(j.Team, c.preemptionRank)
 	}
 	for k := c.reserved; k < len(c.pending) && k < maxPlannedTasks; k++ {
-		if !underLimit(team, usage[j.Team].Sub(stoppable), size(&j.Job), 1) {
+		if !underLimit(team, used.Sub(stoppable), need.Task, 1) {
 			l.noteWait(j, waitLimit)
 			return
 		}
-		if last = p.pack(j, zoneAllowed, false, last); last == nil {
+		if last = p.Pack(&need, zoneAllowed, last, purpose); last == nil {
 			l.noteWait(j, waitNoOffer)
 			return
 		}
-		packed[last.key.zone]++
-		usage[j.Team] = usage[j.Team].Add(size(&j.Job))
+		packed[last.Offer.Zone]++
+		used = used.Add(need.Task)
 	}
 	switch {
 	case last != nil:
@@ -166,6 +139,37 @@
 	}
 }
 
+// stoppableUse is the leader's, found once in a plan.
+func (p *rentalPlan) stoppableUse(team string, rank int) topology.Resources {
+	key := teamRank{team, rank}
+	sum, ok := p.stoppable[key]
+	if !ok {
+		sum = p.l.stoppableUse(team, rank)
+		p.stoppable[key] = sum
+	}
+	return sum
+}
+
+// allowedZones tells in which zones the next task of a candidate may be packed, by
+// how many of its tasks the plan has packed in each zone; nil for all zones.
+func (p *rentalPlan) allowedZones(c *candidate, need *rental.Need, packed map[string]int) func(string) bool {
+	j := c.job
+	if j.OneZone && j.placed == 0 && c.reserved == 0 {
+		only := p.ChooseZone(need, min(len(c.pending), maxPlannedTasks))
+		return func(zone string) bool { return zone == only }
+	}
+	zoneRoom := p.l.zoneRoom(j)
+	if zoneRoom == nil {
+		return nil
+	}
+	return func(zone string) bool {
+		if j.OneZone && len(packed) > 0 {
+			return packed[zone] > 0
+		}
+		return packed[zone] < zoneRoom(zone)
+	}
+}
+
 // packExpected packs the tasks that are expected of the classes which may wait
 // only so long.
 func (p *rentalPlan) packExpected() {
@@ -175,131 +179,76 @@
 		if a == nil || a.last == nil {
 			continue
 		}
-		var last *bin
+		need, purpose := needOf(a.last, true), purposeOf(a.last, true)
+		var last *rental.Bin
 		for range l.expectedTasks(a, o) {
-			if last = p.pack(a.last, nil, true, last); last == nil {
+			if last = p.Pack(&need, nil, last, purpose); last == nil {
 				break
 			}
 		}
 	}
 }
 
-// pack finds a bin for a task, or adds the cheapest machine that the cloud may
-// still grant; nil if there is none. zoneAllowed may be nil. last is the bin of
-// the job's task before: it was the tightest, so it still is where it has room
-// for one more.
-func (p *rentalPlan) pack(j *job, zoneAllowed func(string) bool, expected bool, last *bin) *bin {
-	need := size(&j.Job)
-	best := last
-	if last == nil || !last.room(j.rank, expected).Holds(need) || zoneAllowed != nil && !zoneAllowed(last.key.zone) {
-		best = p.tightest(j, zoneAllowed, expected)
-	}
-	if best == nil {
-		key, ok := p.l.offer(p.bins, &j.Job, zoneAllowed)
-		if !ok {
-			return nil
-		}
-		best = &bin{key: key, toRent: true, free: capacity(p.l.c.types[key.typ])}
-		p.bins = append(p.bins, best)
-	}
-	best.take(j, expected)
-	return best
-}
-
-// tightest finds the bin with the least free room that a task fits into.
-func (p *rentalPlan) tightest(j *job, zoneAllowed func(string) bool, expected bool) *bin {
-	p.l.passes.visits += len(p.bins)
-	need := size(&j.Job)
-	var best *bin
-	for _, b := range p.bins {
-		if !b.room(j.rank, expected).Holds(need) || !eligible(&j.Job, b.key.typ, b.key.zone, b.key.spot) {
-			continue
-		}
-		if best != nil && !b.free.Less(best.free) || zoneAllowed != nil && !zoneAllowed(b.key.zone) {
-			continue
-		}
-		best = b
-	}
-	return best
-}
-
 // usedMachines are the existing machines that the plan has a use for.
 func (p *rentalPlan) usedMachines() map[string]bool {
 	used := map[string]bool{}
-	for _, b := range p.bins {
-		if b.used && b.machine != "" {
-			used[b.machine] = true
+	for _, b := range p.Bins() {
+		if b.Used && b.Machine != "" {
+			used[b.Machine] = true
 		}
 	}
 	return used
 }
 
-// rentedFor tells what the first machine to be rented of an offer is for.
-func (p *rentalPlan) rentedFor(key offerKey) string {
-	for _, b := range p.bins {
-		if b.toRent && b.key == key {
-			return b.purpose
-		}
-	}
-	return ""
-}
-
 // logKept logs what empty machines are kept for, whenever that changes.
 func (p *rentalPlan) logKept() {
 	kept := map[string]string{}
-	for _, b := range p.bins {
-		if m := p.l.machines[b.machine]; m != nil && b.used && len(m.placed) == 0 && m.heard != 0 {
-			kept[b.machine] = b.purpose
-			if p.l.fleet.keptFor[b.machine] != b.purpose {
-				p.l.c.log.Debug("empty machine kept", "machine", b.machine, "for", b.purpose)
+	for _, b := range p.Bins() {
+		if m := p.l.machines[b.Machine]; m != nil && b.Used && len(m.placed) == 0 && m.heard != 0 {
+			kept[b.Machine] = b.Purpose
+			if p.l.fleet.keptFor[b.Machine] != b.Purpose {
+				p.l.c.log.Debug("empty machine kept", "machine", b.Machine, "for", b.Purpose)
 			}
 		}
 	}
 	p.l.fleet.keptFor = kept
 }
 
-// wantedMachines is how many machines of an offer are to be rented.
-type wantedMachines struct {
-	key   offerKey
-	count int
-}
-
-// wanted lists what is to be rented, the most urgent first.
-func (p *rentalPlan) wanted() []wantedMachines {
-	var out []wantedMachines
-	for _, b := range p.bins {
-		if !b.toRent {
-			continue
-		}
-		at := slices.IndexFunc(out, func(w wantedMachines) bool { return w.key == b.key })
-		if at < 0 {
-			at = len(out)
-			out = append(out, wantedMachines{key: b.key})
-		}
-		out[at].count++
+// rentPlanned takes over what a plan wants rented. The cloud takes few calls: what is
+// wanted gathers until the next one, the most urgent first, instead of going out
+// machine by machine.
+func (l *leader) rentPlanned(wanted []rental.Wanted) {
+	l.fleet.wanted = slices.Clone(wanted)
+	l.sendRents()
+	if len(l.fleet.wanted) > 0 {
+		l.passes.requested = true
 	}
-	return out
 }
 
-// rentPlanned sends the rental requests that the cloud's rate allows now, and
-// returns them. The cloud takes few calls: what is wanted gathers until the next
-// one, the most urgent first, instead of going out machine by machine.
-func (l *leader) rentPlanned(wanted []wantedMachines) (sent []*rent) {
+// sendRents sends the rental requests that the cloud's rate allows now. What is left
+// goes out as time allows, until the next plan says otherwise: plans of a large
+// fleet are too far apart for one request each.
+func (l *leader) sendRents() {
 	f := &l.fleet
-	for _, w := range wanted {
-		if l.c.now < f.rentNext || len(f.rents) >= maxOpenRents {
-			l.passes.requested = true
-			return sent
-		}
+	for len(f.wanted) > 0 && l.c.now >= f.rentNext && len(f.rents) < maxOpenRents {
+		w := &f.wanted[0]
 		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
 		f.rentSeq++
 		r := &rent{req: wire.RentRequest{
 			Request: "r-" + strconv.FormatUint(l.term, 10) + "-" + strconv.Itoa(f.rentSeq),
-			Type:    w.key.typ, Zone: w.key.zone, Spot: w.key.spot, Count: min(w.count, maxRentCount),
+			Type:    w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(w.Count, maxRentCount),
 		}}
 		f.rents = append(f.rents, r)
-		sent = append(sent, r)
+		l.c.log.Info("rent", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "for", w.Purpose)
+		if w.Count -= r.req.Count; w.Count == 0 {
+			f.wanted = f.wanted[1:]
+		}
 		l.rent(r)
 	}
-	return sent
+}
+
+// dropWanted forgets what is wanted of an offer that has no more machines: the next
+// plan looks elsewhere.
+func (l *leader) dropWanted(o rental.Offer) {
+	l.fleet.wanted = slices.DeleteFunc(l.fleet.wanted, func(w rental.Wanted) bool { return w.Offer == o })
 }
--- a/internal/hollow/controller.go
+++ b/internal/hollow/controller.go
@@ -85,6 +85,9 @@
 	return c.process.Pid
 }
 
+// statusMisdirected redirects a worker to another controller.
+const statusMisdirected = 421
+
 // userFrom is the sender of users' requests.
 const userFrom = "user"
 
@@ -131,6 +134,9 @@
 		h.CloseIdle()
 		return core.Answer{}
 	}
+	if r.Status == statusMisdirected {
+		h.CloseIdle() // the worker goes to another controller
+	}
 	t := c.workers
 	if from == userFrom {
 		t = c.users
