Placement by an index of free room, teams' use kept between passes

The topology tree keeps its machines in order of free room; tasks that start one by one are placed in one go, on the machines that one walk for each would choose (TestPlaceEachAsPlace). What teams use follows every placement and is added up anew once a lease. Consolidation looks at machines that hold a replica's image, and goes on in the next pass where it is cut short.

--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -23,10 +23,17 @@
 		return
 	}
 	sources, targets := l.moveSources(bins), l.moveTargets(bins)
-	// Whether all find room changes slowly, and finding out costs a walk over
-	// machines times replicas.
+	// Whether all find room changes slowly, and finding out costs a look at many
+	// machines for each source.
 	f.moveNext = l.c.now + l.c.report()
-	for _, m := range sources {
+	limit := l.passes.visits + l.passVisits()
+	first := slices.IndexFunc(sources, func(m *machine) bool { return m.name == f.moveFrom })
+	f.moveFrom = ""
+	for _, m := range sources[max(first, 0):] {
+		if l.passes.visits > limit {
+			f.moveFrom = m.name // goes on there
+			return
+		}
 		if to := l.moveDestinations(m, targets); to != nil {
 			l.moveReplicas(m, to)
 			f.moveNext = l.c.now + l.movePace()
@@ -40,12 +47,23 @@
 	return slices.ContainsFunc(cands, func(c *candidate) bool { return len(c.pending) > 0 })
 }
 
-// moveTargets lists the bins of the machines that replicas may move to.
-func (l *leader) moveTargets(bins []*rental.Bin) []*rental.Bin {
-	var targets []*rental.Bin
+// moveTarget is a machine that replicas may move to.
+type moveTarget struct {
+	*rental.Bin
+	machine *machine
+}
+
+// moveTargets lists the machines that replicas may move to, by the images that they
+// hold. Those without any room are left out.
+func (l *leader) moveTargets(bins []*rental.Bin) map[string][]moveTarget {
+	targets := map[string][]moveTarget{}
 	for _, b := range bins {
-		if m := l.machines[b.Machine]; m != nil && l.usable(m) {
-			targets = append(targets, b)
+		m := l.machines[b.Machine]
+		if m == nil || b.Free.CPUs <= 0 && b.Free.GPUs <= 0 || !l.usable(m) {
+			continue
+		}
+		for _, i := range m.images {
+			targets[i.name] = append(targets[i.name], moveTarget{b, m})
 		}
 	}
 	return targets
@@ -135,24 +153,21 @@
 
 // moveDestinations finds a machine for each of a machine's replicas, in their
 // order; nil if not all find one.
-func (l *leader) moveDestinations(m *machine, targets []*rental.Bin) []*machine {
-	free := make(map[*rental.Bin]topology.Resources, len(targets))
-	for _, b := range targets {
-		free[b] = b.Free
-	}
+func (l *leader) moveDestinations(m *machine, targets map[string][]moveTarget) []*machine {
+	taken := map[*rental.Bin]topology.Resources{}
 	added := map[jobZone]int{}
 	var to []*machine
 	for _, p := range m.placed {
 		if p.job.OneZone {
 			return nil
 		}
-		best := l.moveTarget(m, p.job, targets, free, added)
-		if best == nil {
+		best := l.moveTarget(m, p.job, targets[p.job.Image], taken, added)
+		if best.machine == nil {
 			return nil
 		}
-		free[best] = free[best].Sub(size(&p.job.Job))
+		taken[best.Bin] = taken[best.Bin].Add(size(&p.job.Job))
 		added[jobZone{p.job, best.Offer.Zone}]++
-		to = append(to, l.machines[best.Machine])
+		to = append(to, best.machine)
 	}
 	return to
 }
@@ -161,20 +176,26 @@
 // less than the one to be emptied: it is about to be returned itself. After a
 // job's end replicas once moved from a machine that ran well to one that the
 // job had left empty.
-func (l *leader) unneeded(b *rental.Bin, from *machine) bool {
-	m := l.machines[b.Machine]
+func (l *leader) unneeded(b moveTarget, from *machine) bool {
+	m := b.machine
 	idle := !b.Used && len(m.placed) == 0
-	return idle && from.drain == "" && l.price(m.typ, m.spot) >= l.price(from.typ, from.spot)
+	return idle && from.drain == "" && l.priceOf(m) >= l.price(from.typ, from.spot)
 }
 
 // moveTarget finds the tightest target that may take a job's replica from a
-// machine, given what is free and what was added by the moves before it.
-func (l *leader) moveTarget(from *machine, j *job, targets []*rental.Bin, free map[*rental.Bin]topology.Resources, added map[jobZone]int) *rental.Bin {
+// machine, given what the moves before it take and add; one without a machine if there
+// is none.
+func (l *leader) moveTarget(from *machine, j *job, targets []moveTarget, taken map[*rental.Bin]topology.Resources, added map[jobZone]int) moveTarget {
 	zoneRoom := l.zoneRoom(j)
-	var best *rental.Bin
+	var best moveTarget
+	var bestFree topology.Resources
+	l.passes.visits += len(targets)
 	for _, b := range targets {
-		m := l.machines[b.Machine]
-		if m == from || !free[b].Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || !m.hasImage(j.Image) || len(m.failed) > 0 || l.unneeded(b, from) {
+		m, free := b.machine, b.Free
+		if t, ok := taken[b.Bin]; ok {
+			free = free.Sub(t)
+		}
+		if m == from || !free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || len(m.failed) > 0 || l.unneeded(b, from) {
 			continue
 		}
 		if zoneRoom != nil {
@@ -186,8 +207,8 @@
 				continue
 			}
 		}
-		if best == nil || free[b].Less(free[best]) {
-			best = b
+		if best.machine == nil || free.Less(bestFree) {
+			best, bestFree = b, free
 		}
 	}
 	return best
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,6 +32,7 @@
 
 	types     map[string]*wire.MachineType
 	typesAt   time.Duration
+	typesRead int // answers that the types were read from
 	typesBusy bool
 	typesRaw  string
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -23,6 +23,7 @@
 	refused  map[rental.Offer]time.Duration // until when an offer is not asked for
 	probes   map[rental.Offer]int           // machines counted on of offers refused lately
 	cutAt    map[string]time.Duration       // when a zone was last seen cut off
+	moveFrom string                         // the machine to be tried first, if the last walk was cut short
 	moveNext time.Duration                  // no machine is emptied for others before
 	keepIdle map[string]bool                // idle machines that are kept for work to come
 	keptFor  map[string]string              // what empty machines are kept for
--- a/internal/core/gangroom.go
+++ b/internal/core/gangroom.go
@@ -160,7 +160,7 @@
 	m := l.passes.leaves[to.Key]
 	s.targets[m] = j
 	s.added[jobZone{j, m.zone}]++
-	to.Free = to.Free.Sub(size(&j.Job))
+	s.p.tree.Take(to, size(&j.Job))
 	return to
 }
 
@@ -169,7 +169,7 @@
 func (s *seatPlan) drop(seat gangSeat) {
 	delete(s.emptied, seat.machine)
 	for _, r := range seat.moves {
-		r.to.Free = r.to.Free.Add(size(&r.replica.job.Job))
+		s.p.tree.Give(r.to, size(&r.replica.job.Job))
 		s.added[jobZone{r.replica.job, s.p.l.passes.leaves[r.to.Key].zone}]--
 	}
 }
@@ -178,7 +178,7 @@
 func (s *seatPlan) undo() {
 	for _, seat := range s.seats {
 		for _, r := range seat.moves {
-			r.to.Free = r.to.Free.Add(size(&r.replica.job.Job))
+			s.p.tree.Give(r.to, size(&r.replica.job.Job))
 		}
 	}
 }
--- a/internal/core/imagecache.go
+++ b/internal/core/imagecache.go
@@ -23,7 +23,12 @@
 // useImage notes that a machine holds an image, and which older ones its
 // cache must have dropped for it.
 func (l *leader) useImage(m *machine, name string, gb float64) {
-	kept := []image{{name, gb}}
+	if len(m.images) > 0 && m.images[0] == (image{name, gb}) {
+		return // nothing changes
+	}
+	had := m.hasImage(name)
+	kept := make([]image, 0, len(m.images)+1)
+	kept = append(kept, image{name, gb})
 	sum := gb
 	limit := math.Inf(1)
 	if t := l.c.types[m.typ]; t != nil && t.CacheGB > 0 {
@@ -38,5 +43,6 @@
 		}
 		kept = append(kept, i)
 	}
+	m.reviewDue = m.reviewDue || !had || len(kept) != len(m.images)
 	m.images = kept
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -138,6 +138,7 @@
 	t.machine = m
 	m.add(taskRef{j, i, taskName(j.ID, i)})
 	m.count(j, 1)
+	l.used.count(j, 1)
 	j.placed++
 }
 
@@ -157,6 +158,7 @@
 	m := t.machine
 	m.remove(j, i)
 	m.count(j, -1)
+	l.used.count(j, -1)
 	if len(m.placed) == 0 {
 		m.used, m.usedByRank, m.checkpointedByRank = topology.Resources{}, [ranks]topology.Resources{}, [ranks]topology.Resources{}
 		m.idleSince = l.c.now
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -28,6 +28,7 @@
 	lists    awaitLists
 	lookups  jobLookups
 	passes   placementPasses
+	used     teamUsage
 
 	probing int                      // probes under way
 	reached map[string]time.Duration // when a machine of a zone last answered or reported to us directly
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -23,7 +23,9 @@
 type machine struct {
 	name, addr, typ, zone string
 	spot                  bool
-	known                 bool // type and zone are known
+	known                 bool              // type and zone are known
+	kind                  *wire.MachineType // see typeOf
+	kindRead              int
 
 	session, seq       uint64 // newest message
 	repSession, repSeq uint64 // newest report
@@ -45,6 +47,7 @@
 	usedByRank         [ranks]topology.Resources // what each priority uses
 	checkpointedByRank [ranks]topology.Resources // what of it is work that saves
 	stopping           topology.Resources        // what is on its way out, at the last pass
+	reviewDue          bool                      // its tasks or images have changed, see review
 	idleSince          time.Duration
 	images             []image      // believed to be cached, latest use first
 	fetching           []imageFetch // images that its tasks wait for, in their order
@@ -100,6 +103,7 @@
 	placed := make([]taskRef, 0, len(m.placed)+1)
 	placed = append(append(placed, m.placed[:at]...), p)
 	m.placed = append(placed, m.placed[at:]...)
+	m.reviewDue = true
 }
 
 // remove has a task no longer count on the machine.
@@ -111,6 +115,7 @@
 		}
 	}
 	m.placed = placed
+	m.reviewDue = true
 }
 
 // placedTask finds the task of that name which counts on the machine.
@@ -146,13 +151,22 @@
 
 // total is all that a machine offers, if that is known.
 func (l *leader) total(m *machine) (topology.Resources, bool) {
-	t := l.c.types[m.typ]
+	t := l.typeOf(m)
 	if t == nil || !m.known {
 		return topology.Resources{}, false
 	}
 	return capacity(t), true
 }
 
+// typeOf is the type of a machine as the cloud last described it; nil if that is not
+// known. It is looked up by name once for each answer of the cloud.
+func (l *leader) typeOf(m *machine) *wire.MachineType {
+	if m.kind == nil || m.kind.Name != m.typ || m.kindRead != l.c.typesRead {
+		m.kind, m.kindRead = l.c.types[m.typ], l.c.typesRead
+	}
+	return m.kind
+}
+
 // usable tells whether a machine may take tasks. It must have shown that it
 // hears this term: a late copy of a machine's report never does. One that is
 // reached but loses its lease reports to nobody: whatever it is given ends with
--- a/internal/core/machinetypes.go
+++ b/internal/core/machinetypes.go
@@ -50,5 +50,6 @@
 		types[t.Types[i].Name] = &t.Types[i]
 	}
 	c.types = types
+	c.typesRead++
 	return true
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/topology"
@@ -66,14 +67,17 @@
 // placementTree is the tree of the machines that may take tasks, and its leaves; it
 // notes the machines as the pass's leaves.
 func (l *leader) placementTree() (*topology.Tree, []*topology.Machine) {
-	var leaves []*topology.Machine
+	leaves := make([]*topology.Machine, 0, len(l.byName))
+	all := make([]topology.Machine, len(l.byName))
 	l.passes.leaves = l.passes.leaves[:0]
 	for _, m := range l.byName {
 		total, ok := l.total(m)
 		if !ok || !l.usable(m) {
 			continue
 		}
-		leaves = append(leaves, &topology.Machine{Name: m.name, Zone: m.zone, Price: l.price(m.typ, m.spot), Free: total.Sub(m.used), Key: len(l.passes.leaves)})
+		leaf := &all[len(leaves)]
+		*leaf = topology.Machine{Name: m.name, Zone: m.zone, Price: l.priceOf(m), Free: total.Sub(m.used), Key: len(leaves)}
+		leaves = append(leaves, leaf)
 		l.passes.leaves = append(l.passes.leaves, m)
 	}
 	return topology.New(leaves), leaves
@@ -121,7 +125,8 @@
 
 // anyRoom tells whether any machine that a job may use has room for a task.
 func (l *leader) anyRoom(tree *topology.Tree, j *job) bool {
-	l.passes.visits += len(l.passes.leaves)
+	before := tree.Looks()
+	defer func() { l.passes.visits += tree.Looks() - before }()
 	return tree.Any(size(&j.Job), func(t *topology.Machine) bool {
 		m := l.passes.leaves[t.Key]
 		return eligible(&j.Job, m.typ, m.zone, m.spot)
@@ -137,6 +142,10 @@
 	}
 	team, task := p.l.c.team(j.Team), size(&j.Job)
 	kept := keptFrom(p.kept[j.Team], j.rank)
+	if n == 1 && j.placedAlike() {
+		p.fillEach(c, quick, kept)
+		return
+	}
 	for len(c.pending) >= n+c.reserved && len(c.pending) > 0 && underLimit(team, p.usage[j.Team].Add(kept), task, n) {
 		if !p.l.placeTasks(p.tree, c, c.pending[:n], quick) {
 			return
@@ -146,12 +155,43 @@
 	}
 }
 
+// placedAlike tells whether it does not matter which of a job's tasks goes where, nor
+// what the ones before took: none has room kept for it, and they need not share a zone.
+func (j *job) placedAlike() bool {
+	return len(j.moveTo) == 0 && len(j.reservedOn) == 0 && !j.OneZone
+}
+
+// bindLooks is about how many looks at machines take as long as binding a task.
+const bindLooks = 10
+
+// fillEach places what of a job of single tasks fits, all in one go.
+func (p *placementPass) fillEach(c *candidate, quick bool, kept topology.Resources) {
+	l, j := p.l, c.job
+	team, task := l.c.team(j.Team), size(&j.Job)
+	used := p.usage[j.Team].Add(kept)
+	n := sort.Search(len(c.pending)-c.reserved, func(k int) bool { return !underLimit(team, used, task, k+1) })
+	if n < 1 {
+		return
+	}
+	before := p.tree.Looks()
+	where := p.tree.PlaceEach(l.placementRequest(j, c.pending[:1], quick), n)
+	l.passes.visits += p.tree.Looks() - before
+	machines := make([]*machine, len(where))
+	for k, leaf := range where {
+		machines[k] = l.passes.leaves[leaf.Key]
+		p.usage[j.Team] = p.usage[j.Team].Add(task)
+	}
+	l.bindTasks(j, c.pending[:len(where)], machines)
+	l.passes.visits += bindLooks * len(where)
+	c.pending = c.pending[len(where):]
+}
+
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
-	req := l.placementRequest(c.job, tasks, quick)
-	l.passes.visits += len(l.passes.leaves)
-	where := tree.Place(req)
+	before := tree.Looks()
+	where := tree.Place(l.placementRequest(c.job, tasks, quick))
+	l.passes.visits += tree.Looks() - before
 	if where == nil {
 		return false
 	}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
@@ -36,22 +38,57 @@
 	return len(list) == 0 || slices.Contains(list, name)
 }
 
-// usage adds up, by team, every task that is not certainly gone, and notes on
-// each machine what is on its way out and which images it fetches.
+// teamUsage is what the tasks of each team use that are not certainly gone. It
+// follows every placement; now and then it is added up anew, so that the rounding of
+// sums does not gather.
+type teamUsage struct {
+	byTeam map[string]topology.Resources
+	addUp  time.Duration // when it is to be added up anew
+}
+
+// count takes n tasks of a job in.
+func (u *teamUsage) count(j *job, n int) {
+	if u.byTeam != nil {
+		u.byTeam[j.Team] = u.byTeam[j.Team].Add(times(size(&j.Job), n))
+	}
+}
+
+// usage is, by team, what every task uses that is not certainly gone. It notes on each
+// machine what is on its way out and which images it fetches.
 func (l *leader) usage() map[string]topology.Resources {
-	u := map[string]topology.Resources{}
+	if l.used.byTeam == nil || l.c.now >= l.used.addUp {
+		l.addUpUsage()
+	}
 	for _, m := range l.byName {
-		m.stopping = topology.Resources{}
-		m.reviewFetches()
+		if m.reviewDue {
+			m.review()
+		}
+	}
+	return maps.Clone(l.used.byTeam)
+}
+
+// addUpUsage adds up what all teams use.
+func (l *leader) addUpUsage() {
+	l.used.addUp = l.c.now + l.c.lease()
+	l.used.byTeam = map[string]topology.Resources{}
+	for _, m := range l.byName {
+		m.reviewDue = true
 		for _, p := range m.placed {
-			j := p.job
-			u[j.Team] = u[j.Team].Add(size(&j.Job))
-			if p.task().stop != nil {
-				m.stopping = m.stopping.Add(size(&j.Job))
-			}
+			l.used.count(p.job, 1)
+		}
+	}
+}
+
+// review notes what on the machine is on its way out and which images it fetches.
+func (m *machine) review() {
+	m.reviewDue = false
+	m.stopping = topology.Resources{}
+	m.reviewFetches()
+	for _, p := range m.placed {
+		if p.task().stop != nil {
+			m.stopping = m.stopping.Add(size(&p.job.Job))
 		}
 	}
-	return u
 }
 
 // underLimit tells whether a team may use n tasks more.
--- a/internal/core/relocation.go
+++ b/internal/core/relocation.go
@@ -157,7 +157,7 @@
 	l := p.l
 	for _, r := range moves {
 		j, to := r.replica.job, l.passes.leaves[r.to.Key]
-		r.to.Free = r.to.Free.Sub(size(&j.Job))
+		p.tree.Take(r.to, size(&j.Job))
 		j.moveTo[r.replica.index] = to
 		l.reserve(j, []preemption{{machine: to}}, 0)
 		l.c.log.Info("move replica", "task", r.replica.name, "from", r.replica.task().machine.name, "to", to.name)
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -28,8 +28,13 @@
 }
 
 // price is the hourly price of a type of machine.
-func (l *leader) price(typ string, spot bool) float64 {
-	t := l.c.types[typ]
+func (l *leader) price(typ string, spot bool) float64 { return priceOf(l.c.types[typ], spot) }
+
+// priceOf is the hourly price of a machine.
+func (l *leader) priceOf(m *machine) float64 { return priceOf(l.typeOf(m), m.spot) }
+
+// priceOf is the hourly price of a type of machine, which may be unknown.
+func priceOf(t *wire.MachineType, spot bool) float64 {
 	if t == nil {
 		return 0
 	}
--- a/internal/core/rental/plan.go
+++ b/internal/core/rental/plan.go
@@ -91,6 +91,7 @@
 	machines map[string]int // bins by zone
 	needs    map[Need]*needState
 	open     *Bin // the bin that was packed last; it is on no shelf meanwhile
+	slab     []Bin
 	looks    int
 }
 
@@ -132,7 +133,9 @@
 
 // AddMachine adds a machine with what is free on it and what tasks of each rank hold.
 func (p *Plan) AddMachine(name string, o Offer, free topology.Resources, preemptible [Ranks]topology.Resources) {
-	p.add(&Bin{Machine: name, Offer: o, Free: free, Preemptible: preemptible})
+	b := p.newBin()
+	b.Machine, b.Offer, b.Free, b.Preemptible = name, o, free, preemptible
+	p.add(b)
 }
 
 // AddRequested adds machines that have been asked for.
@@ -142,6 +145,19 @@
 	}
 }
 
+// slabSize is how many bins are made room for at once.
+const slabSize = 256
+
+// newBin makes a bin.
+func (p *Plan) newBin() *Bin {
+	if len(p.slab) == 0 {
+		p.slab = make([]Bin, slabSize)
+	}
+	b := &p.slab[0]
+	p.slab = p.slab[1:]
+	return b
+}
+
 func (p *Plan) add(b *Bin) {
 	p.record(b)
 	p.shelf(b.Offer).put(b)
--- a/internal/core/rental/shelf.go
+++ b/internal/core/rental/shelf.go
@@ -13,7 +13,8 @@
 	offer   Offer
 	groups  []*group // with bins, by free room
 	byState map[binState]*group
-	had     int // bins that were ever added
+	had     int  // bins that were ever added
+	sorted  bool // the groups are in order: not before the first task is packed
 }
 
 // binState is what bins of a group have in common.
@@ -44,15 +45,37 @@
 	if g == nil {
 		g = &group{binState: st}
 		s.byState[st] = g
-		at := sort.Search(len(s.groups), func(i int) bool { return st.free.Less(s.groups[i].free) })
+		at := len(s.groups)
+		if s.sorted {
+			at = sort.Search(len(s.groups), func(i int) bool { return st.free.Less(s.groups[i].free) })
+		}
 		s.groups = slices.Insert(s.groups, at, g)
 	}
 	g.bins = slices.Insert(g.bins, byNumber(g.bins, b.number), b)
 }
 
+// sort puts the groups in order. Done once for all machines it costs less than to put
+// each in its place.
+func (s *shelf) sort() {
+	if s.sorted {
+		return
+	}
+	s.sorted = true
+	slices.SortStableFunc(s.groups, func(a, b *group) int {
+		switch {
+		case a.free.Less(b.free):
+			return -1
+		case b.free.Less(a.free):
+			return 1
+		}
+		return 0
+	})
+}
+
 // remove takes a bin off the shelf. Its room has to be as it was when it was put
 // there.
 func (s *shelf) remove(b *Bin) {
+	s.sort()
 	g := s.byState[stateOf(b)]
 	at := byNumber(g.bins, b.number)
 	if at == 0 {
@@ -76,6 +99,7 @@
 // tightest finds the bin with the least free room that a task fits into, of equal ones
 // the first; nil if there is none. looks counts the groups looked at.
 func (s *shelf) tightest(n *Need, looks *int) *Bin {
+	s.sort()
 	var best *Bin
 	for _, g := range s.groups[s.first(n):] {
 		*looks++
--- a/internal/core/rental/zone.go
+++ b/internal/core/rental/zone.go
@@ -73,6 +73,7 @@
 
 // fit counts how many tasks fit into the bins on a shelf, at most limit.
 func (s *shelf) fit(n *Need, limit int, looks *int) int {
+	s.sort()
 	fit := 0
 	for _, g := range slices.Backward(s.groups) {
 		if fit >= limit {
--- a/internal/core/stops.go
+++ b/internal/core/stops.go
@@ -13,6 +13,7 @@
 		return
 	}
 	t.stop = &stop{grace: grace, at: l.c.now, hard: grace == 0}
+	t.machine.reviewDue = true
 	l.c.log.Debug("stop task", "task", taskName(j.ID, i), "machine", t.machine.name, "why", why, "grace_s", grace)
 	if !t.recorded || !t.copied {
 		// Not recorded yet or never sent: nothing started.
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -3,7 +3,11 @@
 // domain with the least free resources. It does no I/O and keeps no time.
 package topology
 
-import "sort"
+import (
+	"slices"
+	"sort"
+	"strings"
+)
 
 // Resources are amounts of a machine's resources.
 type Resources struct{ CPUs, GPUs, MemGB float64 }
@@ -68,7 +72,7 @@
 	LevelRoot
 )
 
-// Machine is a leaf of the tree.
+// Machine is a leaf of the tree. Its free room changes by Take and Give only.
 type Machine struct {
 	Name  string
 	Zone  string
@@ -80,18 +84,66 @@
 // Tree holds the machines that may take tasks.
 type Tree struct {
 	machines []*Machine // by name
+	byRoom   []*Machine // the least free room first, see tighterMachine
+	looks    int
 }
 
 // New builds a tree over machines.
 func New(machines []*Machine) *Tree {
-	t := &Tree{machines: append([]*Machine(nil), machines...)}
-	sort.Slice(t.machines, func(i, j int) bool { return t.machines[i].Name < t.machines[j].Name })
+	t := &Tree{machines: slices.Clone(machines)}
+	slices.SortFunc(t.machines, func(a, b *Machine) int { return strings.Compare(a.Name, b.Name) })
+	t.byRoom = slices.Clone(t.machines)
+	slices.SortFunc(t.byRoom, compareRoom)
 	return t
 }
 
+// Looks counts the machines that were looked at so far: what the tree cost,
+// independent of any clock.
+func (t *Tree) Looks() int { return t.looks }
+
+// Take lowers a machine's free room.
+func (t *Tree) Take(m *Machine, r Resources) { t.setFree(m, m.Free.Sub(r)) }
+
+// Give raises a machine's free room.
+func (t *Tree) Give(m *Machine, r Resources) { t.setFree(m, m.Free.Add(r)) }
+
+// setFree changes a machine's free room and its place in the order.
+func (t *Tree) setFree(m *Machine, free Resources) {
+	from, _ := slices.BinarySearchFunc(t.byRoom, m, compareRoom)
+	m.Free = free
+	rest := slices.Delete(t.byRoom, from, from+1)
+	to, _ := slices.BinarySearchFunc(rest, m, compareRoom)
+	t.byRoom = slices.Insert(rest, to, m)
+}
+
+// compareRoom orders machines by free room, then price and name.
+func compareRoom(a, b *Machine) int {
+	switch {
+	case a.Free != b.Free:
+		if a.Free.Less(b.Free) {
+			return -1
+		}
+		return 1
+	case a.Price < b.Price:
+		return -1
+	case a.Price > b.Price:
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// withRoom lists the machines that may have room for a task, the tightest first: those
+// with too few free GPUs are left out.
+func (t *Tree) withRoom(task Resources) []*Machine {
+	least := Resources{GPUs: task.GPUs}
+	first := sort.Search(len(t.byRoom), func(i int) bool { return Resources{GPUs: t.byRoom[i].Free.GPUs}.Holds(least) })
+	return t.byRoom[first:]
+}
+
 // Any tells whether a machine has room for a task.
 func (t *Tree) Any(task Resources, allowed func(*Machine) bool) bool {
-	for _, m := range t.machines {
+	for _, m := range t.withRoom(task) {
+		t.looks++
 		if m.Free.Holds(task) && allowed(m) {
 			return true
 		}
@@ -112,8 +164,10 @@
 	// Required is the level at or below which the whole request must be placed;
 	// LevelRoot requires nothing. The preferred level is always the zone.
 	Required Level
-	// Rank orders equally tight machines, lower first; nil ranks all alike.
+	// Rank orders machines that hold all tasks, lower first; nil ranks all alike.
 	Rank func(*Machine) int
+	// LeastRank is the lowest rank that any machine may have.
+	LeastRank int
 }
 
 // domain is a part of the tree that may hold a whole request.
@@ -160,6 +214,7 @@
 // finds the tightest machine that holds all of it, if there is one.
 func (t *Tree) domains(r Request) (zones []*domain, machine *domain) {
 	byName := map[string]*domain{}
+	t.looks += len(t.machines)
 	for _, m := range t.machines {
 		l := r.leaf(m)
 		if l == nil {
@@ -287,14 +342,14 @@
 		}
 		if best == nil {
 			for _, m := range out {
-				m.Free = m.Free.Add(r.Task)
+				t.Give(m, r.Task)
 			}
 			return nil
 		}
 		used[best] = true
 		inZone[best.m.Zone] += bestFit
-		for i := 0; i < bestFit; i++ {
-			best.m.Free = best.m.Free.Sub(r.Task)
+		for range bestFit {
+			t.Take(best.m, r.Task)
 			out = append(out, best.m)
 		}
 	}
@@ -320,3 +375,53 @@
 	}
 	return a.m.Name < b.m.Name
 }
+
+// PlaceEach chooses machines for tasks that start one by one, lowers their room and
+// returns the machines in task order; of tasks that find none there is no entry. It
+// chooses as Place would for one task after the other. Count and Required of the
+// request do not matter; ZoneRoom bounds the tasks of the whole call, and the rank of
+// a machine has to stay, or fall, when it takes a task.
+func (t *Tree) PlaceEach(r Request, tasks int) []*Machine {
+	out := make([]*Machine, 0, tasks)
+	inZone := map[string]int{}
+	mayTake := func(m *Machine) bool {
+		return m.Free.Holds(r.Task) && (r.ZoneRoom == nil || inZone[m.Zone] < r.ZoneRoom(m.Zone))
+	}
+	for len(out) < tasks {
+		m := t.tightest(&r, mayTake)
+		if m == nil {
+			break
+		}
+		// Having less room than before it stays the tightest.
+		for len(out) < tasks && mayTake(m) {
+			t.Take(m, r.Task)
+			inZone[m.Zone]++
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// tightest finds the machine of the lowest rank with the least room among those that
+// may take a task.
+func (t *Tree) tightest(r *Request, mayTake func(*Machine) bool) *Machine {
+	var best *Machine
+	bestRank := 0
+	for _, m := range t.withRoom(r.Task) {
+		t.looks++
+		if !mayTake(m) || r.Allowed != nil && !r.Allowed(m) {
+			continue
+		}
+		rank := 0
+		if r.Rank != nil {
+			rank = r.Rank(m)
+		}
+		if best == nil || rank < bestRank {
+			best, bestRank = m, rank
+		}
+		if bestRank <= r.LeastRank {
+			break
+		}
+	}
+	return best
+}
--- a/internal/core/topology/topology_test.go
+++ b/internal/core/topology/topology_test.go
@@ -1,6 +1,8 @@
 package topology
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 )
@@ -81,3 +83,43 @@
 		}
 	}
 }
+
+// TestPlaceEachAsPlace places random tasks one by one and all in one go. Both have to
+// choose the same machines.
+func TestPlaceEachAsPlace(t *testing.T) {
+	for seed := range uint64(200) {
+		build := func() (*Tree, []*Machine) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			var ms []*Machine
+			for i := range 1 + r.IntN(30) {
+				ms = append(ms, &Machine{Name: fmt.Sprintf("m%02d", i), Zone: string(rune('a' + r.IntN(3))), Price: float64(r.IntN(2)),
+					Free: Resources{CPUs: float64(r.IntN(12)) / 2, GPUs: float64(r.IntN(5)), MemGB: float64(r.IntN(9))}, Key: r.IntN(3)})
+			}
+			return New(ms), ms
+		}
+		r := rand.New(rand.NewPCG(seed, 2))
+		one, _ := build()
+		each, _ := build()
+		for range 5 {
+			task := Resources{CPUs: float64(1+r.IntN(3)) / 2, GPUs: float64(r.IntN(2)), MemGB: 1}
+			bound, forbidden, tasks := r.IntN(6), r.IntN(4), 1+r.IntN(20)
+			inZone := map[string]int{}
+			req := Request{Task: task, Count: 1, Required: LevelRoot, Rank: func(m *Machine) int { return m.Key },
+				Allowed: func(m *Machine) bool { return m.Key != forbidden }}
+			var want []*Machine
+			for range tasks {
+				req.ZoneRoom = func(zone string) int { return bound - inZone[zone] }
+				got := one.Place(req)
+				if got == nil {
+					break
+				}
+				inZone[got[0].Zone]++
+				want = append(want, got[0])
+			}
+			req.ZoneRoom = func(string) int { return bound }
+			if got := each.PlaceEach(req, tasks); names(got) != names(want) {
+				t.Fatalf("seed %d: %d tasks of %v on %q, one by one on %q", seed, tasks, task, names(got), names(want))
+			}
+		}
+	}
+}
--- a/internal/sim/leftwaiting.go
+++ b/internal/sim/leftwaiting.go
@@ -8,17 +8,20 @@
 
 // placed is what the machines hold of jobs and teams.
 type placed struct {
-	names      []string
+	free       []freeRoom         // of the machines that serve
 	gpus, cpus map[string]float64 // by team
 	on         map[*jobTruth]map[int]bool
 	zones      map[*jobTruth]map[string]int
 }
 
 func (c *checker) placed() *placed {
-	p := &placed{names: c.w.cloud.names(), gpus: map[string]float64{}, cpus: map[string]float64{},
+	p := &placed{gpus: map[string]float64{}, cpus: map[string]float64{},
 		on: map[*jobTruth]map[int]bool{}, zones: map[*jobTruth]map[string]int{}}
-	for _, name := range p.names {
+	for _, name := range c.w.cloud.names() {
 		m := c.w.cloud.machines[name]
+		if c.serves(m) {
+			p.free = append(p.free, c.freeRoom(m))
+		}
 		for _, x := range m.tasks {
 			if x.state == wire.TaskExited {
 				continue
@@ -138,11 +141,11 @@
 		return nil
 	}
 	room, inZone := map[string]bool{}, map[string]int{}
-	for _, name := range p.names {
-		m := c.w.cloud.machines[name]
-		if n := c.roomBeside(m, t, p.zones[t]); n > 0 {
-			inZone[m.zone] += n
-			room[name] = true
+	for i := range p.free {
+		f := &p.free[i]
+		if n := c.roomBeside(f, t, p.zones[t]); n > 0 {
+			inZone[f.machine.zone] += n
+			room[f.machine.name] = true
 		}
 	}
 	if t.Shape != wire.ShapeGang {
@@ -153,8 +156,11 @@
 
 // roomBeside is how many tasks of a job a machine has room for, given how many of
 // them each zone holds.
-func (c *checker) roomBeside(m *machine, t *jobTruth, zones map[string]int) int {
-	n := c.room(m, t)
+func (c *checker) roomBeside(f *freeRoom, t *jobTruth, zones map[string]int) int {
+	m, n := f.machine, f.room(t)
+	if n == 0 {
+		return 0
+	}
 	for zone, on := range zones {
 		if t.OneZone && on > 0 && zone != m.zone {
 			n = 0
@@ -182,24 +188,34 @@
 	return all
 }
 
-// room is how many tasks of the job the machine has room for.
-func (c *checker) room(m *machine, t *jobTruth) int {
-	if !c.serves(m) || !t.eligible(m) {
-		return 0
-	}
+// freeRoom is what is free on a machine that serves.
+type freeRoom struct {
+	machine         *machine
+	cpus, gpus, mem float64
+}
+
+func (c *checker) freeRoom(m *machine) freeRoom {
 	typ := c.w.cloud.typ(m.typ)
-	cpus, gpus, mem := typ.CPUs, typ.GPUs, typ.MemGB
-	for _, o := range m.tasks {
+	f := freeRoom{m, typ.CPUs, typ.GPUs, typ.MemGB}
+	for _, o := range m.sorted() {
 		if o.state != wire.TaskExited {
-			cpus, gpus, mem = cpus-o.job.CPUs, gpus-o.job.GPUs, mem-o.job.MemGB
+			f.cpus, f.gpus, f.mem = f.cpus-o.job.CPUs, f.gpus-o.job.GPUs, f.mem-o.job.MemGB
 		}
 	}
+	return f
+}
+
+// room is how many tasks of the job the machine has room for.
+func (f *freeRoom) room(t *jobTruth) int {
 	n := t.Tasks
-	for _, r := range [][2]float64{{cpus, t.CPUs}, {gpus, t.GPUs}, {mem, t.MemGB}} {
+	for _, r := range [][2]float64{{f.cpus, t.CPUs}, {f.gpus, t.GPUs}, {f.mem, t.MemGB}} {
 		if r[1] > 0 {
 			n = min(n, int((r[0]+amountTolerance)/r[1]))
 		}
 	}
+	if n <= 0 || !t.eligible(f.machine) {
+		return 0
+	}
 	return n
 }
 
--- a/internal/sim/placements.go
+++ b/internal/sim/placements.go
@@ -17,6 +17,10 @@
 	t.on = true
 	if w.on[t.job] == nil {
 		w.on[t.job] = map[*task]*machine{}
+		if w.teams[t.job.Team] == nil {
+			w.teams[t.job.Team] = map[*jobTruth]bool{}
+		}
+		w.teams[t.job.Team][t.job] = true
 	}
 	w.on[t.job][t] = m
 }
@@ -24,9 +28,14 @@
 // takeOff notes that a task is on no machine any more.
 func (w *World) takeOff(t *task) {
 	t.on = false
-	delete(w.on[t.job], t)
-	if len(w.on[t.job]) == 0 {
+	tasks := w.on[t.job]
+	if tasks == nil {
+		return
+	}
+	delete(tasks, t)
+	if len(tasks) == 0 {
 		delete(w.on, t.job)
+		delete(w.teams[t.job.Team], t.job)
 	}
 }
 
@@ -45,11 +54,10 @@
 
 // teamUse adds up what the tasks of a team use that are on machines.
 func (w *World) teamUse(team string) (gpus, cpus float64) {
-	for j, tasks := range w.on {
-		if j.Team == team {
-			gpus += float64(len(tasks)) * j.GPUs
-			cpus += float64(len(tasks)) * j.CPUs
-		}
+	for j := range w.teams[team] {
+		n := float64(len(w.on[j]))
+		gpus += n * j.GPUs
+		cpus += n * j.CPUs
 	}
 	return gpus, cpus
 }
--- a/internal/sim/size_test.go
+++ b/internal/sim/size_test.go
@@ -288,14 +288,14 @@
 
 // BenchmarkGrown plays 200 s of fleets of several sizes.
 func BenchmarkGrown(b *testing.B) {
-	for _, machines := range []int{50, 300, 800, 1500} {
+	for _, machines := range []int{50, 300, 800, 1500, 4200} {
 		b.Run(fmt.Sprint(machines), func(b *testing.B) { bench(b, grown(machines, 1, 200)) })
 	}
 }
 
 // BenchmarkWave plays the first 90 s of a large fleet.
 func BenchmarkWave(b *testing.B) {
-	for _, machines := range []int{300, 1000, 1500} {
+	for _, machines := range []int{300, 1000, 1500, 4200} {
 		b.Run(fmt.Sprint(machines), func(b *testing.B) { bench(b, wave(float64(machines)/1000, 90)) })
 	}
 }
