--- a/internal/hollow/controller.go
+++ b/internal/hollow/controller.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,8 +21,10 @@
 	name    string
 	listen  string
 	command []string
-	output  io.Writer // what it writes to standard error
-	log     *slog.Logger
+	// operator is the path of the operators' own settings; empty if there are none.
+	operator string
+	output   io.Writer // what it writes to standard error
+	log      *slog.Logger
 
 	// do calls a function with the world locked.
 	do      func(func())
@@ -39,7 +43,7 @@
 func (c *controller) Start() {
 	cmd := exec.Command(c.command[0], c.command[1:]...)
 	cmd.Stderr = c.output
-	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
+	cmd.Env = c.environment()
 	if err := cmd.Start(); err != nil {
 		c.log.Error("controller not started", "name", c.name, "err", err)
 		return
@@ -53,6 +57,25 @@
 	go c.wait(cmd)
 }
 
+// The program's variables.
+const (
+	logLevelVariable = "LOG_LEVEL"
+	operatorVariable = "BROOKWALK_OPERATOR"
+)
+
+// environment is this process's own, with the program's variables as the experiment
+// says.
+func (c *controller) environment() []string {
+	env := slices.DeleteFunc(os.Environ(), func(v string) bool {
+		return strings.HasPrefix(v, logLevelVariable+"=") || strings.HasPrefix(v, operatorVariable+"=")
+	})
+	env = append(env, logLevelVariable+"=info")
+	if c.operator != "" {
+		env = append(env, operatorVariable+"="+c.operator)
+	}
+	return env
+}
+
 // wait notes the end of a process.
 func (c *controller) wait(cmd *exec.Cmd) {
 	err := cmd.Wait()
--- a/internal/hollow/experiment.go
+++ b/internal/hollow/experiment.go
@@ -29,6 +29,7 @@
 	State       config.State     `toml:"state"`
 	Cloud       config.Cloud     `toml:"cloud"`
 	Limits      config.Limits    `toml:"controller"`
+	Operator    Operator         `toml:"operator"`
 	Types       []MachineType    `toml:"types"`
 	Teams       Teams            `toml:"teams"`
 	Objectives  []ClassObjective `toml:"objectives"`
@@ -36,6 +37,11 @@
 	Failures    []Failure        `toml:"failures"`
 }
 
+// Operator is what the operators' own settings say in the experiment.
+type Operator struct {
+	IdleReturnS float64 `toml:"idle_return_s"` // when idle machines are returned; 0 for the program's own time
+}
+
 // MachineType is a type of machine, and how many of it the cloud has.
 type MachineType struct {
 	Name      string  `toml:"name"`
@@ -196,6 +202,9 @@
 	f.positive("state.txn_ops", float64(e.State.TxnOps))
 	f.positive("cloud.rps", e.Cloud.RPS)
 	f.positive("controller.ram_mb", e.Limits.RAMMB)
+	if e.Operator.IdleReturnS < 0 {
+		f.add("operator.idle_return_s", "must not be below 0, is %v", e.Operator.IdleReturnS)
+	}
 	f.positive("controller.max_connections", float64(e.Limits.MaxConnections))
 	if e.Teams.Count < 1 {
 		f.add("teams.count", "must be above 0, is %d", e.Teams.Count)
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -46,6 +46,7 @@
 	live *sim.Live
 
 	controllers []*controller
+	operator    string // path of the operators' own settings; empty if there are none
 	observer    *observer
 	own         meter // this process: all stand-ins
 
@@ -118,6 +119,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.writeOperator(); err != nil {
+		return err
+	}
 	for i := range r.e.Controllers {
 		if err := r.addController(i, *cfg, ports); err != nil {
 			return err
@@ -126,6 +130,15 @@
 	return nil
 }
 
+// writeOperator writes the operators' own settings, if the experiment has any.
+func (r *runner) writeOperator() error {
+	if r.e.Operator.IdleReturnS == 0 {
+		return nil
+	}
+	r.operator = filepath.Join(r.opts.Dir, "operator.toml")
+	return os.WriteFile(r.operator, fmt.Appendf(nil, "idle_return_s = %g\n", r.e.Operator.IdleReturnS), 0o644)
+}
+
 // serve serves one of the services at a port of its own.
 func (r *runner) serve(t *traffic, f func(method, path string, body []byte, reply func(int, []byte))) (*server, error) {
 	s, err := listen(host+":0", t, func(q *httpwire.Request, reply func(int, []byte)) {
@@ -206,7 +219,7 @@
 		return err
 	}
 	c := &controller{name: cfg.Name, listen: cfg.Listen, command: append(append([]string{}, r.opts.Command...), path),
-		output: output, log: r.opts.Log, do: r.live.Do, users: &r.users, workers: &r.workers}
+		output: output, operator: r.operator, log: r.opts.Log, do: r.live.Do, users: &r.users, workers: &r.workers}
 	r.controllers = append(r.controllers, c)
 	r.live.Attach(i, c)
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,11 @@
 	requests map[uint64]*conn
 	conns    map[*conn]bool
 	nextReq  uint64
+
+	// The longest step since the last time that they were looked at, and its input.
+	slowStep    time.Duration
+	slowInput   string
+	stepsToldAt time.Time
 }
 
 // conn is one incoming connection. All fields are guarded by Node.mu.
@@ -146,7 +151,7 @@
 }
 
 func (n *Node) tick() {
-	period := config.Seconds(n.cfg.Deployment.Workers.ReportS / 20)
+	period := config.Seconds(n.cfg.Deployment.Workers.ReportS / tickPart)
 	sweep := time.Now()
 	for range time.Tick(period) {
 		n.mu.Lock()
@@ -325,6 +330,7 @@
 func (n *Node) step(in core.Input, current *conn) {
 	now := time.Now()
 	out := n.core.Step(now.Sub(n.start), now, in)
+	n.noteStep(in, now, time.Since(now))
 	for _, a := range out.Answers {
 		c := n.requests[a.ID]
 		delete(n.requests, a.ID)
@@ -347,6 +353,25 @@
 	}
 }
 
+// tickPart is the part of a report's time between two ticks.
+const tickPart = 20
+
+// noteStep logs a step that took longer than the time between two ticks, since reports
+// wait meanwhile: the longest one in a report's time.
+func (n *Node) noteStep(in core.Input, now time.Time, took time.Duration) {
+	report := config.Seconds(n.cfg.Deployment.Workers.ReportS)
+	if took > n.slowStep {
+		n.slowStep, n.slowInput = took, fmt.Sprintf("%T", in)
+	}
+	if now.Sub(n.stepsToldAt) < report {
+		return
+	}
+	if n.slowStep > report/tickPart {
+		n.log.Info("slow step", "input", n.slowInput, "took_ms", n.slowStep.Milliseconds())
+	}
+	n.slowStep, n.stepsToldAt = 0, now
+}
+
 func (n *Node) carryOut(k core.Call) {
 	var r core.Result
 	switch k.Dest {
