core: forecasts in a package of their own; hollow workers that are gone close their ends

What classes submit and how long they run becomes internal/core/forecast, a package without the leader: its tests are those of before and more. Behaviour is unchanged.

--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -112,7 +112,7 @@
 func (l *leader) movePace() time.Duration {
 	for _, class := range sortedKeys(l.arrivals) {
 		a := l.arrivals[class]
-		if a.last == nil || len(a.times) == 0 || l.c.now-a.times[len(a.times)-1] > arrivalWindow {
+		if a.last == nil || !a.Coming(l.c.now) {
 			continue
 		}
 		if l.fetchedSlowly(a.last) {
--- a/internal/core/forecast_test.go
+++ b/internal/core/forecast_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/forecast"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -69,12 +70,12 @@
 		t.Run(tc.name, func(t *testing.T) {
 			l := newForecastLeader(t)
 			l.c.op = &config.Operator{WarmMachines: tc.warm}
-			a := &arrivals{last: &job{Job: wire.Job{CPUs: tc.cpus, MemGB: 1}}}
+			a := &classArrivals{last: &job{Job: wire.Job{CPUs: tc.cpus, MemGB: 1}}}
 			for range tc.old {
-				a.times = append(a.times, l.c.now-arrivalWindow-time.Second)
+				a.Note(l.c.now-forecast.Window-time.Second, l.c.now, 1, 1)
 			}
 			for range tc.recent {
-				a.times = append(a.times, l.c.now-arrivalWindow)
+				a.Note(l.c.now-forecast.Window, l.c.now, 1, 1)
 			}
 			if got := l.expectedTasks(a, tc.o); got != tc.want {
 				t.Errorf("%d tasks, want %d", got, tc.want)
@@ -93,13 +94,13 @@
 	}{
 		{"an array is one", wire.ShapeArray, 10, 0, 1},
 		{"a service's tasks", wire.ShapeService, 10, 0, 10},
-		{"a huge job is bounded", wire.ShapeService, 1000, 0, maxArrival},
+		{"a huge job is bounded", wire.ShapeService, 1000, 0, forecast.MaxTasks},
 		{"an old record is out of the window", wire.ShapeService, 10, 121, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l := newForecastLeader(t)
 			l.noteArrival(&job{Job: wire.Job{Class: "c", Shape: tc.shape}, tasks: make([]task, tc.tasks), since: l.c.wall - tc.ageS*1000})
-			if got := len(l.arrivals["c"].times); got != tc.want {
+			if got := l.arrivals["c"].Recent(l.c.now); got != tc.want {
 				t.Errorf("%d arrivals, want %d", got, tc.want)
 			}
 		})
--- a/internal/core/foreseen_test.go
+++ b/internal/core/foreseen_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/forecast"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -54,8 +55,8 @@
 // A huge array is one event, not the size of those to come.
 func TestHugeArrayIsNotForeseen(t *testing.T) {
 	b, l := leading(t, func(*config.Settings) {})
-	record(b, l, wire.Job{ID: "job-1", Tasks: 50 * maxArrival}, nil)
-	if size := l.arrivals["c"].size; size > maxArrival {
+	record(b, l, wire.Job{ID: "job-1", Tasks: 50 * forecast.MaxTasks}, nil)
+	if size := l.arrivals["c"].JobSize(); size > forecast.MaxTasks {
 		t.Errorf("arrays of %v tasks are foreseen", size)
 	}
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/depgraph"
+	"github.com/brookwalk/brookwalk/internal/core/forecast"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -38,8 +39,8 @@
 	deps      *depgraph.Graph
 
 	fleet    fleet
-	arrivals map[string]*arrivals
-	estimate map[string]*estimate
+	arrivals map[string]*classArrivals     // by class
+	runTimes map[string]*forecast.RunTimes // by class
 	fetches  fetchEvidence
 }
 
@@ -53,8 +54,8 @@
 		deps:     depgraph.New(),
 		lookups:  jobLookups{due: map[string]time.Duration{}},
 		lists:    awaitLists{unread: map[string]time.Duration{}},
-		arrivals: map[string]*arrivals{},
-		estimate: map[string]*estimate{},
+		arrivals: map[string]*classArrivals{},
+		runTimes: map[string]*forecast.RunTimes{},
 		fleet:    newFleet(),
 		fetches:  fetchEvidence{before: c.fetchesQueue},
 	}
--- a/internal/core/runestimate.go
+++ b/internal/core/runestimate.go
@@ -2,34 +2,25 @@
 
 import (
 	"time"
-)
 
-// estimate is a class's learned ratio of run times to the owners' estimates.
-type estimate struct {
-	ratio float64
-	n     int
-}
+	"github.com/brookwalk/brookwalk/internal/core/forecast"
+)
 
 // learnRun corrects a class's estimates by a finished task.
 func (l *leader) learnRun(j *job, run time.Duration, known bool) {
 	if !known || j.EstimateS <= 0 || run <= 0 {
 		return
 	}
-	e := l.estimate[j.Class]
-	if e == nil {
-		e = &estimate{ratio: 1}
-		l.estimate[j.Class] = e
+	if l.runTimes[j.Class] == nil {
+		l.runTimes[j.Class] = &forecast.RunTimes{}
 	}
-	e.n++
-	w := max(1/float64(e.n+1), 0.05)
-	r := min(max(run.Seconds()/j.EstimateS, 0.25), 4)
-	e.ratio += (r - e.ratio) * w
+	l.runTimes[j.Class].Learn(run, j.EstimateS)
 }
 
 // runEstimate is a job's expected run time in seconds.
 func (l *leader) runEstimate(j *job) float64 {
-	if e := l.estimate[j.Class]; e != nil {
-		return j.EstimateS * e.ratio
+	if r := l.runTimes[j.Class]; r != nil {
+		return r.Correct(j.EstimateS)
 	}
 	return j.EstimateS
 }
--- a/internal/hollow/controller.go
+++ b/internal/hollow/controller.go
@@ -138,6 +138,17 @@
 	return h
 }
 
+// forget closes the connections of a worker that is gone.
+func (c *controller) forget(worker string) {
+	c.mu.Lock()
+	h := c.clients[worker]
+	delete(c.clients, worker)
+	c.mu.Unlock()
+	if h != nil {
+		h.CloseIdle()
+	}
+}
+
 // Ask sends a request of a user or a worker.
 func (c *controller) Ask(from, method, path string, body []byte, timeout time.Duration, done func(core.Answer)) {
 	go func() {
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -52,15 +52,14 @@
 
 	workers, commands, users, state, cloud traffic
 
-	mu       sync.Mutex
-	servers  []net.Listener // of workers, to be closed
-	machines map[string]bool
+	mu      sync.Mutex
+	servers map[string]net.Listener // by machine or service, to be closed
 }
 
 // Run runs an experiment to its end, or until the context ends, and reports. It
 // ends every process that it started.
 func Run(ctx context.Context, e *Experiment, opts Options) (*Report, error) {
-	r := &runner{e: e, opts: opts, observer: newObserver(), machines: map[string]bool{}}
+	r := &runner{e: e, opts: opts, observer: newObserver(), servers: map[string]net.Listener{}}
 	defer r.stop()
 	if err := r.prepare(); err != nil {
 		return nil, err
@@ -105,12 +104,12 @@
 func (r *runner) prepare() error {
 	cfg := r.settings()
 	r.live = sim.NewLive(sim.LiveConfig{Settings: cfg, Types: r.types(), Stock: r.stock(), Seed: r.e.Seed,
-		Observer: r.observer, Log: r.opts.Log, WorkerAddr: r.workerAddr})
-	state, err := r.serve(&r.state, r.live.ServeState)
+		Observer: r.observer, Log: r.opts.Log, WorkerAddr: r.workerAddr, MachineGone: r.closeServer})
+	state, err := r.serve("state service", &r.state, r.live.ServeState)
 	if err != nil {
 		return err
 	}
-	cloud, err := r.serve(&r.cloud, r.live.ServeCloud)
+	cloud, err := r.serve("cloud", &r.cloud, r.live.ServeCloud)
 	if err != nil {
 		return err
 	}
@@ -140,22 +139,36 @@
 }
 
 // serve serves one of the services at a port of its own.
-func (r *runner) serve(t *traffic, f func(method, path string, body []byte, reply func(int, []byte))) (*server, error) {
+func (r *runner) serve(name string, t *traffic, f func(method, path string, body []byte, reply func(int, []byte))) (*server, error) {
 	s, err := listen(host+":0", t, func(q *httpwire.Request, reply func(int, []byte)) {
 		r.live.Do(func() { f(q.Method, target(q), q.Body, reply) })
 	})
 	if err != nil {
 		return nil, err
 	}
-	r.keep(s.listener)
+	r.keep(name, s.listener)
 	return s, nil
 }
 
-// keep has a listener closed at the end.
-func (r *runner) keep(l net.Listener) {
+// keep has a listener closed at the end, if not before.
+func (r *runner) keep(name string, l net.Listener) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.servers = append(r.servers, l)
+	r.servers[name] = l
+}
+
+// closeServer closes the listener of a machine that is gone.
+func (r *runner) closeServer(machine string) {
+	r.mu.Lock()
+	l := r.servers[machine]
+	delete(r.servers, machine)
+	r.mu.Unlock()
+	if l != nil {
+		l.Close()
+	}
+	for _, c := range r.controllers {
+		c.forget(machine)
+	}
 }
 
 // workerAddr begins to serve a machine's worker, on a loopback address of its own,
@@ -168,7 +181,7 @@
 		r.opts.Log.Error("worker not served", "machine", machine, "err", err)
 		return host + ":9"
 	}
-	r.keep(s.listener)
+	r.keep(machine, s.listener)
 	return s.addr()
 }
 
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -27,7 +27,8 @@
 	reqs        *budget.Bucket
 	noBoot      time.Duration // until then new machines never come up
 
-	workerAddr func(machine string) string // if not nil, gives a worker\'s address
+	workerAddr  func(machine string) string // if not nil, gives a worker\'s address
+	machineGone func(machine string)        // if not nil, is told of machines that are gone
 }
 
 func newCloud(w *World) *cloudService {
@@ -190,6 +191,9 @@
 		m.off(t)
 	}
 	m.clear()
+	if c.machineGone != nil {
+		c.machineGone(name)
+	}
 }
 
 func (c *cloudService) typ(name string) *wire.MachineType {
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -60,6 +60,8 @@
 	Log      *slog.Logger
 	// WorkerAddr gives the address that a machine's worker listens on.
 	WorkerAddr func(machine string) string
+	// MachineGone is told of a machine that is gone for good; it may be nil.
+	MachineGone func(machine string)
 }
 
 // Live plays a world by the real clock, around controllers that are processes of
@@ -81,7 +83,7 @@
 	w.calm = never
 	w.watch = c.Observer
 	w.cloud.types = c.Types
-	w.cloud.workerAddr = c.WorkerAddr
+	w.cloud.workerAddr, w.cloud.machineGone = c.WorkerAddr, c.MachineGone
 	w.after(0, w.store.expire)
 	w.after(time.Second, w.check.sweep)
 	for _, s := range c.Stock {
