--- a/internal/core/await_lists_test.go
+++ b/internal/core/await_lists_test.go
@@ -9,6 +9,7 @@
 	stdjson "encoding/json"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -183,10 +184,8 @@
 
 // leadOver makes a core that leads over a harness's records.
 func leadOver(b *harness) *leader {
-	b.write(keyTerm, "", []byte("5"))
-	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
-	b.c.lead = l
-	b.c.elect.term, b.c.elect.leader, b.c.elect.busy = 5, b.c.cfg.Name, true
+	b.write(election.KeyTerm, "", []byte("5"))
+	l := b.lead()
 	l.loading.retry = l.recover // with the next tick
 	b.run(time.Second)
 	return l
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -212,7 +213,7 @@
 	if len(encode(rec)) > c.maxValue() {
 		rec = rec.reduced()
 	}
-	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: keyTerm, Version: termVersion}}, func(k *openJob, status int) {
+	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: election.KeyTerm, Version: termVersion}}, func(k *openJob, status int) {
 		x.busy = false
 		if c.users.cancels[id] != x {
 			return // over meanwhile
@@ -289,7 +290,7 @@
 // noteCancelled takes in the cancellations that another controller has
 // recorded, and tells it what has become of the jobs.
 func (l *leader) noteCancelled(from string, list []wire.Cancelled) {
-	e := wire.Ends{TermVersion: l.termVersion}
+	e := wire.Ends{TermVersion: l.mandate.TermVersion}
 	for _, x := range list {
 		j := l.jobs[x.ID]
 		if j != nil && !j.cancelled {
@@ -361,7 +362,7 @@
 	if len(e.Over)+len(e.Gone) == 0 {
 		return
 	}
-	e.TermVersion = l.termVersion
+	e.TermVersion = l.mandate.TermVersion
 	for _, p := range l.c.cfg.Peers {
 		l.c.send(p.Name, &wire.PeerMessage{Ends: &e})
 	}
--- a/internal/core/cancel_test.go
+++ b/internal/core/cancel_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -25,9 +26,9 @@
 			b := newHarness(t, someTypes)
 			b.c.cfg.Peers = append(b.c.cfg.Peers, config.Peer{Name: "n1", Zone: "b"})
 			b.c.peers["n1"] = &peerState{}
-			b.write(keyTerm, "", []byte("5"))
-			termVersion := b.store[keyTerm].Version
-			b.write(keyLeader, "", []byte(`{"name":"n1","term":5}`))
+			b.write(election.KeyTerm, "", []byte("5"))
+			termVersion := b.store[election.KeyTerm].Version
+			b.write(election.KeyLeader, "", []byte(`{"name":"n1","term":5}`))
 			b.run(0)
 			if a := b.ask("POST", "/submissions", body()); a.Status != 201 {
 				t.Fatalf("submission: %d %s", a.Status, a.Body)
@@ -43,7 +44,7 @@
 				t.Fatalf("told before any word of its tasks: %d %s", a.Status, a.Body)
 			}
 			if tc.deposed {
-				b.write(keyTerm, "", []byte("6"))
+				b.write(election.KeyTerm, "", []byte("6"))
 			}
 			b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: termVersion}}})
 			a := b.answers[b.nextReq]
--- a/internal/core/chains_test.go
+++ b/internal/core/chains_test.go
@@ -10,6 +10,7 @@
 	stdjson "encoding/json"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -191,7 +192,7 @@
 // wants it cancelled.
 func nextLeader(b *harness, old *leader, cancelled string) *leader {
 	old.deposed = true
-	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
+	l := newLeader(b.c, election.Mandate{Term: 5, TermVersion: b.store[election.KeyTerm].Version, Lease: 1})
 	b.c.lead = l
 	for _, key := range sortedKeys(b.store) {
 		id, open := strings.CutPrefix(key, prefixOpen)
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -67,7 +67,7 @@
 // reports: its outcome is recorded, and no copy of its start can still come,
 // which would start it again.
 func (l *leader) mayForget(m *machine, name string, attempt uint64) bool {
-	if m.directStarts[attemptID{name, attempt}] > 0 || m.token < l.term {
+	if m.directStarts[attemptID{name, attempt}] > 0 || m.token < l.mandate.Term {
 		return false
 	}
 	j := l.jobs[jobOf(name)]
@@ -113,7 +113,7 @@
 
 // mayCommand tells whether direct commands may be sent to a machine now.
 func (l *leader) mayCommand(m *machine) bool {
-	return l.ready && m.addr != "" && m.directCalls == 0 && l.c.now >= m.directRetry && m.token >= l.term && !m.returning
+	return l.ready && m.addr != "" && m.directCalls == 0 && l.c.now >= m.directRetry && m.token >= l.mandate.Term && !m.returning
 }
 
 // sendCommands sends a worker its commands at once instead of with the answer to
@@ -132,7 +132,7 @@
 	}
 	m.directCalls++
 	session := m.session
-	body := encode(wire.Orders{Token: l.term, Session: session, Commands: commands})
+	body := encode(wire.Orders{Token: l.mandate.Term, Session: session, Commands: commands})
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
 		m.directCalls--
 		if l.deposed {
@@ -182,7 +182,7 @@
 	if !ok || rep.Machine != m.name {
 		return
 	}
-	if rep.Token > l.term {
+	if rep.Token > l.mandate.Term {
 		l.c.stepDown(stepDownWorkerKnows)
 		return
 	}
--- a/internal/core/commands_test.go
+++ b/internal/core/commands_test.go
@@ -90,7 +90,7 @@
 		{
 			name:   "an end on a worker that has not heard this term",
 			listed: []wire.Task{ended},
-			change: func(l *leader, m *machine) { m.token = l.term - 1 },
+			change: func(l *leader, m *machine) { m.token = l.mandate.Term - 1 },
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -98,7 +98,7 @@
 			record(b, l, wire.Job{ID: "job-101"}, nil)
 			j := l.jobs["job-101"]
 			m := l.machine("n-1")
-			m.token = l.term
+			m.token = l.mandate.Term
 			m.tasks = tc.listed
 			if tc.placed != nil {
 				j.tasks[0] = *tc.placed
--- a/internal/core/compat_test.go
+++ b/internal/core/compat_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -148,7 +149,7 @@
 			{Task: 10, Attempt: 11, Machine: "n-000027", Zone: "east", Session: 1},
 			{Task: 11, Attempt: 12, Machine: "n-000027", Zone: "east", Session: 1}}}, productionPlace{}},
 		"place_done": {placeRecord{Next: 243, Done: firstInts(128)}, productionPlace{}},
-		"leader":     {leaderValue{Name: "node-2", Term: 3}, productionLeader{}},
+		"leader":     {election.LeaderValue{Name: "node-2", Term: 3}, productionLeader{}},
 		"term":       {uint64(3), uint64(0)},
 		"types": {wire.MachineTypes{Types: []wire.MachineType{
 			{Name: "small", CPUs: 8, MemGB: 32, CacheGB: 200, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: zones},
@@ -235,9 +236,9 @@
 	c := &Core{cfg: &config.Settings{}}
 	_, from, to, numbered, isPlace := c.rangeOf(key)
 	switch {
-	case key == keyLeader:
-		return "leader", &leaderValue{}
-	case key == keyTerm:
+	case key == election.KeyLeader:
+		return "leader", &election.LeaderValue{}
+	case key == election.KeyTerm:
 		return "term", new(uint64)
 	case key == keyTypes:
 		return "types", &wire.MachineTypes{}
@@ -303,8 +304,8 @@
 // TestOldElection reads the transaction by which an old version came to lead,
 // whose key is bound to a lease, and writes it again.
 func TestOldElection(t *testing.T) {
-	want := wire.Txn{If: []wire.Cond{{Key: keyLeader}, {Key: keyTerm, Version: 101}}, Writes: []wire.Write{
-		{Put: keyLeader, Value: encode(leaderValue{"node-1", 2}), Lease: 2}, {Put: keyTerm, Value: encode(2)}}}
+	want := wire.Txn{If: []wire.Cond{{Key: election.KeyLeader}, {Key: election.KeyTerm, Version: 101}}, Writes: []wire.Write{
+		{Put: election.KeyLeader, Value: encode(election.LeaderValue{Name: "node-1", Term: 2}), Lease: 2}, {Put: election.KeyTerm, Value: encode(2)}}}
 	for _, dir := range []string{"production", "chains"} {
 		data, err := os.ReadFile("testdata/" + dir + "/transactions.jsonl")
 		if err != nil {
@@ -322,7 +323,7 @@
 
 // TestProductionKeys holds the keys under which both versions look for records.
 func TestProductionKeys(t *testing.T) {
-	for got, want := range map[string]string{keyLeader: "leader", keyTerm: "term", keyTypes: "types", prefixOpen + "job-000001": "o/job-000001",
+	for got, want := range map[string]string{election.KeyLeader: "leader", election.KeyTerm: "term", keyTypes: "types", prefixOpen + "job-000001": "o/job-000001",
 		prefixFinal + "job-000001": "f/job-000001", numberedKey("job-000001", 1): "p/job-000001/1", rangeKey("job-000001", 12, 24): "p/job-000001/12-24"} {
 		if got != want {
 			t.Errorf("key %q, want %q", got, want)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -37,7 +38,7 @@
 	typesRaw  string
 
 	users users
-	elect election
+	elect *election.Election
 
 	fewerOps    int  // changes in a transaction, if fewer than announced; 0 unknown
 	smallValues bool // values that the settings allow were refused
@@ -84,6 +85,7 @@
 	for _, p := range cfg.Peers {
 		c.peers[p.Name] = &peerState{}
 	}
+	c.elect = election.New(cfg.Name, c.ttl(), electionStore{c}, electionHost{c}, log)
 	c.users.init()
 	return c
 }
@@ -116,7 +118,7 @@
 }
 
 func (c *Core) onTick() {
-	c.tickElection()
+	c.elect.Tick()
 	c.tickTypes()
 	c.tickPreload()
 	c.tickUsers()
--- a/internal/core/forecast_test.go
+++ b/internal/core/forecast_test.go
@@ -22,7 +22,7 @@
 	b := newHarness(t, someTypes)
 	b.c.types = forecastTypes
 	b.c.now = 1000 * time.Second
-	return newLeader(b.c, 5, 1, 1)
+	return newLeader(b.c, electedBy(5))
 }
 
 func TestLeadTime(t *testing.T) {
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -72,7 +72,7 @@
 // expire ends the placements of a silent worker once its lease has certainly
 // run out: case 4.
 func (l *leader) expire(m *machine) {
-	if m.token < l.term || m.answered == 0 || m.lostTerm || l.c.now-m.answered <= l.leaseBound() || !l.leaseOver(m) {
+	if m.token < l.mandate.Term || m.answered == 0 || m.lostTerm || l.c.now-m.answered <= l.leaseBound() || !l.leaseOver(m) {
 		return
 	}
 	m.lostTerm = true
--- a/internal/core/gone_test.go
+++ b/internal/core/gone_test.go
@@ -11,7 +11,7 @@
 // passed for vanished, was started elsewhere, and ran twice.
 func TestEarlierAttemptListed(t *testing.T) {
 	b := newHarness(t, someTypes)
-	l := newLeader(b.c, 5, 1, 1)
+	l := newLeader(b.c, electedBy(5))
 	b.c.lead, l.ready = l, true
 	job := wire.Job{ID: "job-000001", Class: "c", Team: "vision", Shape: wire.ShapeArray, Priority: wire.PriorityIdle, Tasks: 1, CPUs: 1, MemGB: 1}
 	l.noteOpen(job.ID, 7, openRecord{Job: job, At: b.c.wall})
--- a/internal/core/health_test.go
+++ b/internal/core/health_test.go
@@ -90,7 +90,7 @@
 			l.reached["a"] = l.c.now
 		}
 		if tc.answers {
-			l.onDirectReport(m, encode(wire.Report{Machine: "n-1", Type: "g4", Zone: "a", Session: 1, Seq: 9, Token: l.term}))
+			l.onDirectReport(m, encode(wire.Report{Machine: "n-1", Type: "g4", Zone: "a", Session: 1, Seq: 9, Token: l.mandate.Term}))
 		}
 		if got := l.dead(m, l.surveySilence()); got != tc.want {
 			t.Errorf("%s: dead %v, want %v", tc.name, got, tc.want)
--- a/internal/core/imagefetch_test.go
+++ b/internal/core/imagefetch_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -99,7 +100,7 @@
 	for _, told := range []bool{true, false, true} {
 		b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 6, Leader: true, FetchesQueue: told}}})
 		b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 6, FetchesQueue: !told}}})
-		if got := newLeader(b.c, 7, 1, 1).fetches.queue(); got != told {
+		if got := newLeader(b.c, election.Mandate{Term: 7, TermVersion: 1, Lease: 1}).fetches.queue(); got != told {
 			t.Errorf("the new leader expects %v, the one before told %v", got, told)
 		}
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -4,18 +4,17 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/depgraph"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/internal/core/forecast"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
 // leader is the state of the controller that decides, for one term.
 type leader struct {
-	c           *Core
-	term        uint64
-	termVersion uint64
-	grant       uint64
-	deposed     bool // the term is over
-	ready       bool // the records are loaded
+	c       *Core
+	mandate election.Mandate
+	deposed bool // the term is over
+	ready   bool // the records are loaded
 
 	jobs     map[string]*job
 	order    []*job // by submission
@@ -44,9 +43,9 @@
 	fetches  fetchEvidence
 }
 
-func newLeader(c *Core, term, termVersion, grant uint64) *leader {
+func newLeader(c *Core, m election.Mandate) *leader {
 	return &leader{
-		c: c, term: term, termVersion: termVersion, grant: grant,
+		c: c, mandate: m,
 		jobs:     map[string]*job{},
 		machines: map[string]*machine{},
 		reached:  map[string]time.Duration{},
@@ -61,7 +60,9 @@
 	}
 }
 
-func (l *leader) termCond() wire.Cond { return wire.Cond{Key: keyTerm, Version: l.termVersion} }
+func (l *leader) termCond() wire.Cond {
+	return wire.Cond{Key: election.KeyTerm, Version: l.mandate.TermVersion}
+}
 
 // tick does what has become due.
 func (l *leader) tick() {
--- a/internal/core/leaseextension.go
+++ b/internal/core/leaseextension.go
@@ -64,7 +64,7 @@
 }
 
 // mayExtendLeases tells whether this controller still extends leases on its own.
-func (c *Core) mayExtendLeases() bool { return c.now-c.elect.leaderHeard < c.maxExtension() }
+func (c *Core) mayExtendLeases() bool { return c.now-c.elect.LeaderHeard() < c.maxExtension() }
 
 // extendLease answers a report in the leader's place.
 func (c *Core) extendLease(req uint64, body []byte) bool {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -172,6 +172,6 @@
 // reached but loses its lease reports to nobody: whatever it is given ends with
 // the next lease.
 func (l *leader) usable(m *machine) bool {
-	return m.token >= l.term && m.lapsed <= m.heard && m.drain == "" && !m.returning && !m.lostTerm && m.leaving == 0 &&
+	return m.token >= l.mandate.Term && m.lapsed <= m.heard && m.drain == "" && !m.returning && !m.lostTerm && m.leaving == 0 &&
 		l.c.now-max(m.heard, m.contact) < 3*l.c.report()+l.c.report()/2 && m.deafSince == 0
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -68,11 +68,11 @@
 		// Only the controllers may be apart: the worker asks the leader
 		// itself, and comes back if it does not reach it either. One that
 		// has tasks is not risked while its lease can be kept.
-		worker.redirected, worker.redirectedTo = c.now, c.elect.leader
-		c.redirect(req, c.elect.leader)
+		worker.redirected, worker.redirectedTo = c.now, c.elect.Leader()
+		c.redirect(req, c.elect.Leader())
 		return true
 	}
-	if worker.redirectedTo == c.elect.leader && c.now-worker.redirected < 2*c.lease() {
+	if worker.redirectedTo == c.elect.Leader() && c.now-worker.redirected < 2*c.lease() {
 		worker.returned = c.now
 	}
 	if c.extendLease(req, body) {
@@ -100,8 +100,8 @@
 	case c.lead != nil:
 		delete(c.forwards, id)
 		c.answerReport(f.req, f.body)
-	case c.elect.leader != "" && c.elect.leader != c.cfg.Name && f.sentTo != c.elect.leader:
-		f.sentTo = c.elect.leader
+	case c.elect.Leader() != "" && c.elect.Leader() != c.cfg.Name && f.sentTo != c.elect.Leader():
+		f.sentTo = c.elect.Leader()
 		body := f.body
 		if p := c.peers[f.sentTo]; p == nil || p.version == 0 {
 			body = presentFirst(body)
@@ -215,18 +215,18 @@
 	}
 	if d.Leader {
 		c.onLeaderDigest(from, d)
-	} else if c.lead != nil && d.Term > c.lead.term {
+	} else if c.lead != nil && d.Term > c.lead.mandate.Term {
 		c.stepDown(stepDownPeerKnows)
 	}
 }
 
 // onLeaderDigest takes in the digest of a controller that leads.
 func (c *Core) onLeaderDigest(from string, d *wire.Digest) {
-	c.learn(d.Term, from)
-	if c.lead != nil || c.elect.leader != from {
+	c.elect.Learn(d.Term, from)
+	if c.lead != nil || c.elect.Leader() != from {
 		return
 	}
-	c.elect.leaderHeard = c.now
+	c.elect.NoteLeaderHeard()
 	c.noteEcho(d)
 	c.fetchesQueue = d.FetchesQueue
 	if !d.HasJobs {
@@ -242,7 +242,7 @@
 
 // sendDigest tells the other controllers of this one.
 func (c *Core) sendDigest() {
-	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.term, StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.extensions.list(c.now)}
+	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.Term(), StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.extensions.list(c.now)}
 	for _, id := range sortedKeys(c.users.cancels) {
 		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels[id].version})
 	}
@@ -324,14 +324,14 @@
 
 // hearsLeader tells whether this controller leads or hears the one that does.
 func (c *Core) hearsLeader() bool {
-	return c.lead != nil || c.elect.leader != "" && c.now-c.elect.leaderHeard < c.ttl()
+	return c.lead != nil || c.elect.Leader() != "" && c.now-c.elect.LeaderHeard() < c.ttl()
 }
 
 // leaderAlive tells whether another controller's leadership was lately seen in
 // the state service.
 func (c *Core) leaderAlive() bool {
-	e := &c.elect
-	return e.leader != "" && e.leader != c.cfg.Name && e.keyAt != 0 && c.now-e.keyAt < c.ttl()
+	leader, read := c.elect.Leader(), c.elect.KeyRead()
+	return leader != "" && leader != c.cfg.Name && read != 0 && c.now-read < c.ttl()
 }
 
 // leaderLost tells whether a peer agrees that the leader, though it holds its
@@ -343,7 +343,7 @@
 	}
 	agreed := false
 	for _, p := range c.cfg.Peers {
-		if s := c.peers[p.Name]; p.Name != c.elect.leader && c.fresh(s) {
+		if s := c.peers[p.Name]; p.Name != c.elect.Leader() && c.fresh(s) {
 			if s.hearsLeader {
 				return false
 			}
@@ -356,7 +356,7 @@
 	// With all peers out of reach, workers that did not find the leader either
 	// speak against it.
 	for _, worker := range c.reporters {
-		if worker.returned != 0 && c.now-worker.returned < c.lease() && c.now-c.elect.leaderHeard > 2*c.lease() {
+		if worker.returned != 0 && c.now-worker.returned < c.lease() && c.now-c.elect.LeaderHeard() > 2*c.lease() {
 			return true
 		}
 	}
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -85,7 +85,7 @@
 	body := encode(reportOf(8, rand.New(rand.NewPCG(2, 2))))
 	for version, want := range map[int][]byte{0: presentFirst(body), wire.PeerVersion: body} {
 		c := New(&config.Settings{Name: "n0", Peers: []config.Peer{{Name: "n1", Zone: "b"}}}, nil, 1, nil)
-		c.elect.leader = "n1"
+		c.elect.Learn(1, "n1")
 		c.peers["n1"].version = version
 		c.forwards[7] = &forward{req: 1, from: &reporter{}, body: body}
 		c.forwardToLeader(7)
--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -298,6 +298,6 @@
 func idleMachine(l *leader, name, typ, zone string) *machine {
 	m := l.machine(name)
 	l.describe(m, "", typ, zone, false)
-	m.heard, m.token, m.session = l.c.now, l.term, 1
+	m.heard, m.token, m.session = l.c.now, l.mandate.Term, 1
 	return m
 }
--- a/internal/core/probes.go
+++ b/internal/core/probes.go
@@ -42,7 +42,7 @@
 		l.probeControl(m)
 	case r.Status != statusOK:
 	default:
-		if report, ok := decodeReport(r.Body); ok && report.Machine == m.name && report.Token < l.term {
+		if report, ok := decodeReport(r.Body); ok && report.Machine == m.name && report.Token < l.mandate.Term {
 			l.showTerm(m, report.Session)
 			return
 		}
@@ -53,7 +53,7 @@
 // showTerm sends a worker that has not heard this term an empty list of commands.
 func (l *leader) showTerm(m *machine, session uint64) {
 	m.probeBusy = true
-	body := encode(wire.Orders{Token: l.term, Session: session, Commands: []wire.Command{}})
+	body := encode(wire.Orders{Token: l.mandate.Term, Session: session, Commands: []wire.Command{}})
 	l.c.call(Call{Dest: DestWorker, Addr: m.addr, Method: "POST", Path: "/do", Body: body, Timeout: l.c.report()}, func(r Result) {
 		m.probeBusy = false
 		if !l.deposed && (r.Status == statusOK || r.Status == statusConflict) {
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -1,5 +1,7 @@
 package core
 
+import "github.com/brookwalk/brookwalk/internal/core/election"
+
 // stopReason tells why a task is stopped.
 type stopReason string
 
@@ -43,13 +45,10 @@
 	drainIdle         drainReason = "idle"
 )
 
-// stepDownReason tells why a controller gives up its leadership.
-type stepDownReason string
-
+// Reasons for which a controller gives up its leadership, beside those that the
+// election finds.
 const (
-	stepDownHigherTerm  stepDownReason = "a higher term exists"
-	stepDownWorkerKnows stepDownReason = "a worker has seen a higher term"
-	stepDownPeerKnows   stepDownReason = "a peer knows a higher term"
-	stepDownTermChanged stepDownReason = "the term has changed"
-	stepDownLeaseEnded  stepDownReason = "the lease ran out"
+	stepDownWorkerKnows election.Reason = "a worker has seen a higher term"
+	stepDownPeerKnows   election.Reason = "a peer knows a higher term"
+	stepDownTermChanged election.Reason = "the term has changed"
 )
--- a/internal/core/records_load.go
+++ b/internal/core/records_load.go
@@ -81,7 +81,7 @@
 			waiting++
 		}
 	}
-	l.c.log.Info("records loaded", "term", l.term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
+	l.c.log.Info("records loaded", "term", l.mandate.Term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
 	l.passes.requested = true
 	l.watch()
 }
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -93,7 +94,7 @@
 func (l *leader) conflict(failed []string) {
 	for _, key := range failed {
 		switch {
-		case key == keyTerm:
+		case key == election.KeyTerm:
 			l.c.stepDown(stepDownTermChanged)
 			return
 		case strings.HasPrefix(key, prefixOpen):
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -9,6 +9,7 @@
 	stdjson "encoding/json"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -53,7 +54,7 @@
 
 // recordedTasks counts the tasks of a job that a next leader would find placed.
 func recordedTasks(b *harness, id string, tasks int) int {
-	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
+	l := newLeader(b.c, election.Mandate{Term: 5, TermVersion: b.store[election.KeyTerm].Version, Lease: 1})
 	var rec openRecord
 	stdjson.Unmarshal(b.store[prefixOpen+id].Value, &rec)
 	l.noteOpen(id, b.store[prefixOpen+id].Version, rec)
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -32,7 +32,7 @@
 	if m.heard == 0 {
 		return l.bootOverdue(m) <= bootLate
 	}
-	return l.usable(m) || m.token < l.term && l.c.now-m.heard < 3*l.c.report()
+	return l.usable(m) || m.token < l.mandate.Term && l.c.now-m.heard < 3*l.c.report()
 }
 
 // rentalPlan packs the tasks that found no room, and those that are expected
@@ -235,7 +235,7 @@
 		f.rentNext = l.c.now + time.Duration(2/l.c.cfg.Deployment.Cloud.RPS*float64(time.Second))
 		f.rentSeq++
 		r := &rent{req: wire.RentRequest{
-			Request: "r-" + strconv.FormatUint(l.term, 10) + "-" + strconv.Itoa(f.rentSeq),
+			Request: "r-" + strconv.FormatUint(l.mandate.Term, 10) + "-" + strconv.Itoa(f.rentSeq),
 			Type:    w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(w.Count, maxRentCount),
 		}}
 		f.rents = append(f.rents, r)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -16,7 +16,7 @@
 	if !ok {
 		return 400, []byte(`{"error":"not a report"}`)
 	}
-	if r.Token > l.term {
+	if r.Token > l.mandate.Term {
 		l.c.stepDown(stepDownWorkerKnows)
 		return 503, []byte("{}")
 	}
@@ -45,7 +45,7 @@
 	if r.Newer(m.session, m.seq) {
 		l.apply(m, r)
 	}
-	orders := wire.Orders{Token: l.term, Commands: []wire.Command{}}
+	orders := wire.Orders{Token: l.mandate.Term, Commands: []wire.Command{}}
 	if l.ready && r.Session == m.session {
 		orders.Commands = l.commands(m)
 	}
@@ -69,7 +69,7 @@
 		m.deafSince = 0
 	}
 	m.session, m.seq = r.Session, r.Seq
-	if m.token < l.term && r.Token >= l.term {
+	if m.token < l.mandate.Term && r.Token >= l.mandate.Term {
 		// Until it heard this term a deposed leader may have renewed its lease,
 		// whatever late copy of a report was answered here: the lease is counted
 		// from now. Counted from the copy it seemed to have run out, and its
@@ -98,6 +98,6 @@
 		}
 	}
 	if l.ready {
-		l.review(m, r.Token >= l.term)
+		l.review(m, r.Token >= l.mandate.Term)
 	}
 }
--- a/internal/core/submission_test.go
+++ b/internal/core/submission_test.go
@@ -10,6 +10,7 @@
 	stdjson "encoding/json"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -77,6 +78,8 @@
 			if b.watch != nil {
 				b.watch()
 			}
+		case k.Dest == DestStore && strings.HasSuffix(k.Path, "/extend"):
+			r.Status = 200
 		case k.Dest == DestStore && strings.HasPrefix(k.Path, "/store?"):
 			r.Status, r.Body = 200, b.page(k.Path)
 		case k.Dest == DestStore && strings.HasPrefix(k.Path, "/store/"):
@@ -88,6 +91,15 @@
 	}
 }
 
+// lead has the core lead under the term that is in the store, which is 5. Its lease
+// holds; nobody else runs.
+func (b *harness) lead() *leader {
+	b.c.elect.Learn(5, b.c.cfg.Name)
+	l := newLeader(b.c, election.Mandate{Term: 5, TermVersion: b.store[election.KeyTerm].Version, Lease: 1})
+	b.c.lead = l
+	return l
+}
+
 // answered is the answer to a transaction.
 func (b *harness) answered(body []byte) (status int, answer []byte) {
 	if b.answer == nil {
@@ -431,3 +443,8 @@
 		}
 	})
 }
+
+// electedBy is what the winner of a term leads by, over a term key of that version.
+func electedBy(term uint64) election.Mandate {
+	return election.Mandate{Term: term, TermVersion: 1, Lease: 1}
+}
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -9,6 +9,7 @@
 	stdjson "encoding/json"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -16,11 +17,9 @@
 func leading(t *testing.T, change func(*config.Settings)) (*harness, *leader) {
 	b := newHarness(t, someTypes)
 	change(b.c.cfg)
-	b.write(keyTerm, "", []byte("5"))
-	l := newLeader(b.c, 5, b.store[keyTerm].Version, 1)
-	b.c.lead, l.ready = l, true
-	// Its lease holds; nobody else runs.
-	b.c.elect.term, b.c.elect.leader, b.c.elect.busy = 5, b.c.cfg.Name, true
+	b.write(election.KeyTerm, "", []byte("5"))
+	l := b.lead()
+	l.ready = true
 	return b, l
 }
 
@@ -127,7 +126,7 @@
 // while it cannot read, it does not know of the latest of them.
 func TestNeededIsNotTold(t *testing.T) {
 	b := newHarness(t, someTypes)
-	b.write(keyTerm, "", []byte("5"))
+	b.write(election.KeyTerm, "", []byte("5"))
 	id := "job-000412"
 	if a := b.ask("POST", "/submissions", body()); a.Status != 201 {
 		t.Fatalf("%d %s", a.Status, a.Body)
@@ -140,7 +139,7 @@
 	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 5, Leader: true, HearsLeader: true, StoreOK: true}}})
 	b.nextReq++
 	b.step(Request{ID: b.nextReq, Method: "POST", Path: "/submissions/" + id + "/cancel"})
-	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: b.store[keyTerm].Version}}})
+	b.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Ends: &wire.Ends{Gone: []string{id}, TermVersion: b.store[election.KeyTerm].Version}}})
 	if a := b.answers[b.nextReq]; a.Status != 503 || a.RetryAfter == 0 {
 		t.Errorf("answered %d %s, want 503 and when to come back", a.Status, a.Body)
 	}
@@ -230,7 +229,7 @@
 		t.Errorf("%d records", named)
 	}
 	// A next leader finds all of it.
-	n := newLeader(b.c, 6, l.termVersion, 1)
+	n := newLeader(b.c, election.Mandate{Term: 6, TermVersion: l.mandate.TermVersion, Lease: 1})
 	record(b, n, wire.Job{ID: "job-1", Tasks: 100}, nil)
 	var found []loadedPlace
 	for _, k := range sortedKeys(b.store) {
--- a/internal/core/waitreason_test.go
+++ b/internal/core/waitreason_test.go
@@ -72,7 +72,7 @@
 	var out bytes.Buffer
 	l.c.log = slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	idle := planMachine(l, "n-1", "small", "b")
-	idle.heard, idle.token = l.c.now, l.term
+	idle.heard, idle.token = l.c.now, l.mandate.Term
 	c := planCandidate(wire.Job{ID: "job-000007", CPUs: 1, MemGB: 1}, 1)
 	other := planCandidate(wire.Job{ID: "job-000008", CPUs: 4, MemGB: 1}, 1)
 	for range 2 {
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -31,6 +31,7 @@
 	Channels map[string]Channel `json:"channels"`
 
 	StateKeys    int     `json:"state_keys"`
+	StateChanges float64 `json:"state_changes_a_second"`
 	StateRefused int     `json:"state_refused_for_rates"`
 	StartsPeak   float64 `json:"starts_a_second_peak"` // mean of the best 5 s
 	StartsMean   float64 `json:"starts_a_second"`
@@ -91,9 +92,9 @@
 	})
 	o := r.observer
 	rep := &Report{Experiment: r.e.Name, Seconds: ran.Seconds(), Workers: c.Workers, Tasks: c.Tasks, Jobs: c.Jobs, Accepted: c.Accepted,
-		StartsSent: c.Starts, LeaseLosses: c.LeaseLosses, StateKeys: c.Keys, StateRefused: c.StateRefused,
+		StartsSent: c.Starts, LeaseLosses: c.LeaseLosses, NextStartS: []float64{}, StateKeys: c.Keys, StateChanges: perSecond(float64(c.Changes), ran.Seconds()), StateRefused: c.StateRefused,
 		StartsPeak: o.peakStarts(), StartsMean: perSecond(float64(o.starts), ran.Seconds()), Urgent: waitOf(o.urgent),
-		Waits: map[string]Wait{}, NoStartAfterKill: o.interrupted, Broken: c.Broken}
+		Waits: map[string]Wait{}, NoStartAfterKill: o.interrupted, Broken: append([]string{}, c.Broken...)}
 	if o.killedTerm != 0 {
 		rep.NoStartAfterKill++
 	}
@@ -174,6 +175,7 @@
 		rep.Waits[class].row(w, class)
 	}
 	rep.Urgent.row(w, "urgent and critical")
+	fmt.Fprintf(w, "state service: %d keys, %.0f changes a second, %d requests refused for its rates\n", rep.StateKeys, rep.StateChanges, rep.StateRefused)
 	fmt.Fprintf(w, "starts a second: %.0f on average, %.0f at the peak; next start after a leader's end: %.2f s\n", rep.StartsMean, rep.StartsPeak, rep.NextStartS)
 	fmt.Fprintf(w, "rules broken: %d\n", len(rep.Broken))
 	for _, b := range rep.Broken[:min(len(rep.Broken), 10)] {
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -259,6 +259,7 @@
 	Starts       int // start commands that workers have carried out
 	LeaseLosses  int // tasks that a worker dropped for want of an answer
 	Keys         int // of the state service
+	Changes      int // puts and deletes that the state service has carried out
 	StateRefused int // requests that the state service turned away for its rates
 	Broken       []string
 }
@@ -266,7 +267,7 @@
 // Counts counts what the world holds.
 func (l *Live) Counts() Counts {
 	w := l.world
-	c := Counts{Starts: w.started, LeaseLosses: w.expired, Keys: len(w.store.keys), StateRefused: w.store.busy, Broken: w.check.faults}
+	c := Counts{Starts: w.started, LeaseLosses: w.expired, Keys: len(w.store.keys), Changes: w.store.changes, StateRefused: w.store.busy, Broken: w.check.faults}
 	for _, m := range w.cloud.machines {
 		if !m.gone && m.upAt <= w.now {
 			c.Workers++
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -47,6 +47,7 @@
 	reqs      *budget.Bucket
 	writes    *budget.Bucket
 	busy      int // requests turned away for the rates
+	changes   int // puts and deletes carried out
 	late      late
 	slow      time.Duration // what it takes over a request
 	slowUntil time.Duration
@@ -324,6 +325,7 @@
 	}
 	if len(t.Writes) > 0 {
 		s.rev++
+		s.changes += len(t.Writes)
 		for _, w := range t.Writes {
 			s.apply(w)
 		}
