--- a/internal/core/pass_test.go
+++ b/internal/core/pass_test.go
@@ -15,7 +15,7 @@
 
 // busyFleet makes a leader of a fleet whose machines have room for three more tasks
 // each.
-func busyFleet(b *testing.B, machines int) *leader {
+func busyFleet(b testing.TB, machines int) *leader {
 	h := newHarness(b, someTypes)
 	h.c.types = map[string]*wire.MachineType{"plain": {Name: "plain", CPUs: tasksOfMachine + 3, GPUs: 8, MemGB: 1000, FetchGBPS: 10, Price: 1, BootS: 10, Zones: []string{"a", "b", "c"}}}
 	h.c.cfg.Deployment.Teams = []config.Team{{Name: "vision", CPUs: 1e6, GPUs: 1e6}}
@@ -45,6 +45,26 @@
 	return j
 }
 
+// TestPassCountsTasks makes room for a job on a fleet full of work of a lower priority.
+// What a pass costs there grows with the tasks that may be stopped: counted by machines
+// alone, passes after the loss of a zone took more than a second of a leader's time.
+func TestPassCountsTasks(t *testing.T) {
+	const machines = 50
+	l := busyFleet(t, machines)
+	l.passes.leaves = l.byName
+	for _, j := range l.order {
+		j.rank = 0
+		m := j.tasks[0].machine
+		m.usedByRank[0], m.usedByRank[3] = m.usedByRank[3], m.usedByRank[0]
+	}
+	j := addJob(l, wire.Job{ID: "job-999999", Class: "gate", Shape: wire.ShapeService, Priority: wire.PriorityCritical, CPUs: 20, MemGB: 1, Tasks: 1})
+	before := l.passes.visits
+	l.preemptions(&candidate{job: j, pending: []int{0}, preemptionRank: j.rank}, 1, "", false)
+	if got := l.passes.visits - before; got < machines*tasksOfMachine {
+		t.Errorf("%d looks for %d tasks", got, machines*tasksOfMachine)
+	}
+}
+
 // BenchmarkPass is a placement pass with its rental plan over a busy fleet in which
 // nothing waits: what every pass costs.
 func BenchmarkPass(b *testing.B) {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -330,6 +330,7 @@
 // the least loss first, and adds what is already on its way out to what is free.
 func (l *leader) victimsOn(c *candidate, m *machine, free topology.Resources, quick bool) ([]victim, topology.Resources) {
 	whole, _ := l.total(m)
+	l.passes.visits += len(m.placed) // weighing a task takes about as long as a look at a machine
 	var victims []victim
 	for _, p := range m.placed {
 		t := p.task()
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -81,6 +81,9 @@
 	return false
 }
 
+// tasksOfLook is how many tasks are passed over in the time of a look at a machine.
+const tasksOfLook = 10
+
 // ownVictims lists the tasks of a candidate's team that may be stopped for it,
 // the least loss first. A gang is listed once, by its first task.
 func (l *leader) ownVictims(c *candidate) []preemption {
@@ -90,6 +93,7 @@
 		if !ok {
 			continue
 		}
+		l.passes.visits += 1 + len(m.placed)/tasksOfLook
 		for _, p := range m.placed {
 			v := p.job
 			if v.Team != c.job.Team || v.rank >= c.preemptionRank || p.task().stop != nil {
