--- a/internal/core/await_lists.go
+++ b/internal/core/await_lists.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -317,7 +318,7 @@
 		// been written.
 		txn := &wire.Txn{If: []wire.Cond{
 			l.termCond(),
-			{Key: prefixOpen + a.job},
+			{Key: records.OpenKey(a.job)},
 			{Key: a.ref.key(0), Version: a.version},
 		}}
 		for _, key := range a.keys[:count] {
--- a/internal/core/awaited.go
+++ b/internal/core/awaited.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -21,22 +22,22 @@
 type prepared struct {
 	conds  []wire.Cond
 	writes []wire.Write
-	marks  map[string]openRecord // awaited jobs, as they are written
+	marks  map[string]records.Open // awaited jobs, as they are written
 	bytes  int
 }
 
-func (s *submit) final() finalRecord {
-	return finalRecord{Status: wire.StatusCancelled, Tasks: s.rec.Job.Tasks}
+func (s *submit) final() records.Final {
+	return records.Final{Status: wire.StatusCancelled, Tasks: s.rec.Job.Tasks}
 }
 
 // prepare makes the conditions and changes of a submission; not ok if what is
 // known of the jobs that it awaits has to be looked at again.
 func (c *Core) prepare(s *submit) (p prepared, ok bool) {
 	id := s.rec.Job.ID
-	p.conds = []wire.Cond{{Key: prefixOpen + id}, {Key: prefixFinal + id}}
-	p.marks = map[string]openRecord{}
+	p.conds = []wire.Cond{{Key: records.OpenKey(id)}, {Key: records.FinalKey(id)}}
+	p.marks = map[string]records.Open{}
 	if s.withdrawn {
-		p.write(prefixFinal+id, encode(s.final()))
+		p.write(records.FinalKey(id), encode(s.final()))
 		return p, true
 	}
 	if s.list != nil {
@@ -48,16 +49,16 @@
 			return p, false
 		}
 		if len(p.conds) < c.maxConds() {
-			p.conds = append(p.conds, wire.Cond{Key: prefixOpen + a, Version: k.version})
+			p.conds = append(p.conds, wire.Cond{Key: records.OpenKey(a), Version: k.version})
 		}
 		if c.canMark(k) {
 			rec := k.rec
 			rec.Needed = true
 			p.marks[a] = rec
-			p.write(prefixOpen+a, encode(rec))
+			p.write(records.OpenKey(a), encode(rec))
 		}
 	}
-	p.write(prefixOpen+id, encode(s.rec))
+	p.write(records.OpenKey(id), encode(s.rec))
 	return p, len(p.writes) <= c.limits().TxnOps
 }
 
@@ -74,7 +75,7 @@
 
 // mayMarkOtherwise takes in that the state service has refused a transaction with
 // marks. It tells whether smaller ones may do, or one with fewer marks.
-func (c *Core) mayMarkOtherwise(writes int, marks map[string]openRecord) bool {
+func (c *Core) mayMarkOtherwise(writes int, marks map[string]records.Open) bool {
 	smaller := c.refusedTxn(writes)
 	fewer := c.noteUnwritable(marks)
 	return smaller || fewer
@@ -82,7 +83,7 @@
 
 // noteUnwritable takes the large ones among refused marks for the cause of the
 // refusal. It tells whether there are any.
-func (c *Core) noteUnwritable(marks map[string]openRecord) bool {
+func (c *Core) noteUnwritable(marks map[string]records.Open) bool {
 	found := false
 	for id, rec := range marks {
 		if k := c.users.open[id]; k != nil && mayBeUnmarked(rec) {
@@ -94,7 +95,7 @@
 
 // mayBeUnmarked tells whether an open record is so large that the state service may
 // have refused to have it marked as needed.
-func mayBeUnmarked(rec openRecord) bool { return len(encode(rec)) > smallValue }
+func mayBeUnmarked(rec records.Open) bool { return len(encode(rec)) > smallValue }
 
 func (p *prepared) write(key string, v []byte) {
 	p.writes = append(p.writes, wire.Write{Put: key, Value: v})
@@ -211,14 +212,14 @@
 // markNeeded marks some of the jobs that a submission awaits.
 func (c *Core) markNeeded(s *submit, ids []string) {
 	txn := &wire.Txn{}
-	marks := map[string]openRecord{}
+	marks := map[string]records.Open{}
 	for _, id := range ids {
 		k := c.users.open[id]
 		rec := k.rec
 		rec.Needed = true
 		marks[id] = rec
-		txn.If = append(txn.If, wire.Cond{Key: prefixOpen + id, Version: k.version})
-		txn.Writes = append(txn.Writes, wire.Write{Put: prefixOpen + id, Value: encode(rec)})
+		txn.If = append(txn.If, wire.Cond{Key: records.OpenKey(id), Version: k.version})
+		txn.Writes = append(txn.Writes, wire.Write{Put: records.OpenKey(id), Value: encode(rec)})
 	}
 	c.commit(txn, false, func(r Result) {
 		var tr wire.TxnResult
--- a/internal/core/cancel.go
+++ b/internal/core/cancel.go
@@ -5,6 +5,7 @@
 
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/election"
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -75,7 +76,7 @@
 			c.answerRetry(req, errorStoreSilent)
 		case f.open == nil && f.final == nil:
 			c.answerError(req, statusNotFound, errorNoSuchJob)
-		case f.final != nil || f.open.rec.acknowledged():
+		case f.final != nil || f.open.rec.Acknowledged():
 			c.answer(req, statusOK, c.statusOf(id, f), 0)
 		case f.open.rec.Cancelled:
 			c.awaitGone(req, id, f.open)
@@ -92,7 +93,7 @@
 	rec.Cancelled, rec.AskedAt = true, c.wall
 	rec.Needed = rec.Needed || mayBeUnmarked(rec)
 	if least || len(encode(rec)) > c.maxValue() {
-		rec, least = rec.reduced(), true
+		rec, least = rec.Reduced(), true
 	}
 	c.writeOpen(id, k.version, rec, nil, func(now *openJob, status int) {
 		switch {
@@ -109,10 +110,10 @@
 }
 
 // writeOpen changes a job's open record; f gets what is known then, or nil.
-func (c *Core) writeOpen(id string, version uint64, rec openRecord, also []wire.Cond, f func(k *openJob, status int)) {
+func (c *Core) writeOpen(id string, version uint64, rec records.Open, also []wire.Cond, f func(k *openJob, status int)) {
 	txn := &wire.Txn{
-		If:     append([]wire.Cond{{Key: prefixOpen + id, Version: version}}, also...),
-		Writes: []wire.Write{{Put: prefixOpen + id, Value: encode(rec)}},
+		If:     append([]wire.Cond{{Key: records.OpenKey(id), Version: version}}, also...),
+		Writes: []wire.Write{{Put: records.OpenKey(id), Value: encode(rec)}},
 	}
 	c.commit(txn, true, func(r Result) {
 		var tr wire.TxnResult
@@ -133,7 +134,7 @@
 func (c *Core) awaitGone(req uint64, id string, k *openJob) {
 	u := &c.users
 	if rec, ok := u.final[id]; ok {
-		c.answer(req, statusOK, rec.status(id), 0)
+		c.answer(req, statusOK, rec.JobStatus(id), 0)
 		return
 	}
 	x := u.cancels[id]
@@ -170,12 +171,12 @@
 
 // noteEnd takes in that a job's end is recorded for good.
 func (c *Core) noteEnd(e wire.JobEnd) {
-	f := finalRecord{Status: wire.JobState(e.Status), Tasks: e.Tasks}
+	f := records.Final{Status: wire.JobState(e.Status), Tasks: e.Tasks}
 	c.cacheFinal(e.ID, f)
 	if x := c.users.cancels[e.ID]; x != nil {
 		delete(c.users.cancels, e.ID)
 		for _, w := range x.waiting {
-			c.answer(w.req, statusOK, f.status(e.ID), 0)
+			c.answer(w.req, statusOK, f.JobStatus(e.ID), 0)
 		}
 	}
 }
@@ -211,7 +212,7 @@
 	rec := k.rec
 	rec.CancelledAt = c.wall
 	if len(encode(rec)) > c.maxValue() {
-		rec = rec.reduced()
+		rec = rec.Reduced()
 	}
 	c.writeOpen(id, k.version, rec, []wire.Cond{{Key: election.KeyTerm, Version: termVersion}}, func(k *openJob, status int) {
 		x.busy = false
@@ -247,12 +248,12 @@
 }
 
 // noteCancellation takes in what an open record says of a cancellation.
-func (l *leader) noteCancellation(j *job, rec openRecord) {
+func (l *leader) noteCancellation(j *job, rec records.Open) {
 	ago := func(at int64, skew float64) time.Duration {
 		return l.c.now - time.Duration(max(0, l.c.wall-at+int64(skew)))*time.Millisecond
 	}
 	if rec.Cancelled && !j.cancelled {
-		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.acknowledged())
+		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.Acknowledged())
 		l.markCancelled(j)
 		if rec.AskedAt != 0 {
 			j.askedAt = ago(rec.AskedAt, 0)
@@ -262,7 +263,7 @@
 		l.recomputeInherited(before)
 		l.cancelAfter(j.ID)
 	}
-	if rec.acknowledged() && !j.acknowledged {
+	if rec.Acknowledged() && !j.acknowledged {
 		j.acknowledged = true
 		// Not from when this leader learns of it: each of several leaders in
 		// a row would take its time anew, and the task run on beyond it.
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -97,7 +98,7 @@
 }
 
 // sendStarts sends recorded starts straight to the workers.
-func (l *leader) sendStarts(j *job, starts []placeEntry) {
+func (l *leader) sendStarts(j *job, starts []records.PlacedTask) {
 	byMachine := map[string]bool{}
 	var order []*machine
 	for _, s := range starts {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -11,10 +12,10 @@
 // job is an unfinished job.
 type job struct {
 	wire.Job
-	rec     openRecord // as recorded
-	version uint64     // of the open record
-	order   uint64     // version of the first record seen: submission order
-	since   int64      // ms, time of day from which its waiting counts
+	rec     records.Open // as recorded
+	version uint64       // of the open record
+	order   uint64       // version of the first record seen: submission order
+	since   int64        // ms, time of day from which its waiting counts
 
 	tasks       []task
 	done        int
@@ -90,7 +91,7 @@
 }
 
 // newJob makes a job of an open record that was read at a version.
-func newJob(rec openRecord, version uint64) *job {
+func newJob(rec records.Open, version uint64) *job {
 	return &job{
 		Job: rec.Job, rec: rec, version: version, order: version, since: rec.At,
 		tasks: make([]task, rec.Job.Tasks), nextAttempt: 1,
--- a/internal/core/jobcache.go
+++ b/internal/core/jobcache.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -8,7 +9,7 @@
 // openJob is what a controller remembers of an open job.
 type openJob struct {
 	version    uint64
-	rec        openRecord
+	rec        records.Open
 	unwritable bool // the state service does not take a record of this size any more
 }
 
@@ -33,7 +34,7 @@
 }
 
 // cacheFinal keeps a final state in memory; the oldest ones make way.
-func (c *Core) cacheFinal(id string, f finalRecord) {
+func (c *Core) cacheFinal(id string, f records.Final) {
 	u := &c.users
 	delete(u.open, id)
 	if _, ok := u.final[id]; !ok {
@@ -57,7 +58,7 @@
 }
 
 func (c *Core) preload(after string) {
-	c.readPage(prefixOpen, after, false, func(p *wire.Page) {
+	c.readPage(records.PrefixOpen, after, false, func(p *wire.Page) {
 		u := &c.users
 		if p == nil {
 			u.preloaded, u.preloadAt = false, c.now+c.ttl()
@@ -65,7 +66,7 @@
 		}
 		for _, it := range p.Items {
 			after = it.Key
-			id := it.Key[len(prefixOpen):]
+			id := it.Key[len(records.PrefixOpen):]
 			k := &openJob{version: it.Version}
 			if _, over := u.final[id]; !over && u.open[id] == nil && json.Unmarshal(it.Value, &k.rec) == nil {
 				c.cacheOpen(id, k)
--- a/internal/core/machinetypes.go
+++ b/internal/core/machinetypes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -25,12 +26,12 @@
 		if r.Status == 200 && c.setTypes(r.Body) {
 			if raw := string(r.Body); c.lead != nil && raw != c.typesRaw && len(raw) <= c.maxValue() {
 				c.typesRaw = raw
-				c.commit(&wire.Txn{If: []wire.Cond{c.lead.termCond()}, Writes: []wire.Write{{Put: keyTypes, Value: r.Body}}}, false, func(Result) {})
+				c.commit(&wire.Txn{If: []wire.Cond{c.lead.termCond()}, Writes: []wire.Write{{Put: records.KeyTypes, Value: r.Body}}}, false, func(Result) {})
 			}
 			return
 		}
 		if len(c.types) == 0 {
-			c.get(keyTypes, func(r Result) {
+			c.get(records.KeyTypes, func(r Result) {
 				var it wire.Item
 				if r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && len(c.types) == 0 {
 					c.setTypes(it.Value)
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -3,10 +3,9 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -33,24 +32,6 @@
 	busy     bool
 }
 
-// placeRecord is the value of a placement record. Versions share the records:
-// keys and JSON names never change, see compat_test.go.
-type placeRecord struct {
-	Next  uint64       `json:"n"`
-	Done  []int        `json:"d,omitempty"`
-	Tasks []placeEntry `json:"t,omitempty"`
-}
-
-type placeEntry struct {
-	Task    int    `json:"i"`
-	Attempt uint64 `json:"a"`
-	Machine string `json:"m"`
-	// Zone counts for spread and one-zone jobs while a new leader has not
-	// heard the machine yet.
-	Zone    string `json:"z"`
-	Session uint64 `json:"s"`
-}
-
 // entryBytes is about what a task takes in a record, at most. numberedBytes is
 // what the numbered layout allows for it, and cannot change any more.
 const (
@@ -64,31 +45,6 @@
 	return max(1, int(c.cfg.Deployment.State.ValueKB*1024)/numberedBytes)
 }
 
-func numberedKey(id string, n int) string { return prefixPlace + id + "/" + strconv.Itoa(n) }
-
-func rangeKey(id string, from, to int) string {
-	return prefixPlace + id + "/" + strconv.Itoa(from) + "-" + strconv.Itoa(to)
-}
-
-// rangeOf tells which tasks a placement record covers.
-func (c *Core) rangeOf(key string) (id string, from, to int, numbered, ok bool) {
-	id, part, found := strings.Cut(strings.TrimPrefix(key, prefixPlace), "/")
-	if !found {
-		return "", 0, 0, false, false
-	}
-	first, last, ranged := strings.Cut(part, "-")
-	n, err := strconv.Atoi(first)
-	if err != nil || n < 0 {
-		return "", 0, 0, false, false
-	}
-	if !ranged {
-		per := c.numberedTasks()
-		return id, n * per, (n + 1) * per, true, true
-	}
-	to, err = strconv.Atoi(last)
-	return id, n, to, false, err == nil && to > n
-}
-
 // ranges tells whether records that name their range are to be written.
 func (l *leader) ranges() bool {
 	smaller := l.c.limits().ValueKB < l.c.cfg.Deployment.State.ValueKB || l.c.smallValues
@@ -114,7 +70,7 @@
 	gap := func(to int) {
 		for ; from < to; from += per {
 			end := min(from+per, to)
-			add = append(add, chunk{key: rangeKey(j.ID, from, end), from: from, to: end})
+			add = append(add, chunk{key: records.RangeKey(j.ID, from, end), from: from, to: end})
 		}
 	}
 	for _, ch := range j.chunks {
@@ -199,16 +155,16 @@
 	return true
 }
 
-func encodeChunk(j *job, ch *chunk) ([]byte, []placeEntry) {
-	rec := placeRecord{Next: j.nextAttempt}
-	var starts []placeEntry
+func encodeChunk(j *job, ch *chunk) ([]byte, []records.PlacedTask) {
+	rec := records.Placement{Next: j.nextAttempt}
+	var starts []records.PlacedTask
 	for i := ch.from; i < ch.to; i++ {
 		t := &j.tasks[i]
 		if t.done {
 			rec.Done = append(rec.Done, i)
 		}
 		if t.machine != nil {
-			e := placeEntry{Task: i, Attempt: t.attempt, Machine: t.machine.name, Zone: t.zone, Session: t.session}
+			e := records.PlacedTask{Task: i, Attempt: t.attempt, Machine: t.machine.name, Zone: t.zone, Session: t.session}
 			rec.Tasks = append(rec.Tasks, e)
 			if !t.recorded {
 				starts = append(starts, e)
@@ -220,30 +176,29 @@
 
 // loadedPlace is a placement record as a new leader finds it.
 type loadedPlace struct {
-	key      string
-	version  uint64
-	from, to int
-	numbered bool
-	rec      placeRecord
+	records.PlaceRange
+	key     string
+	version uint64
+	rec     records.Placement
 }
 
 // loadPlaces reads the placements of open jobs. What is left of jobs that are
 // over is to be deleted.
 func (l *leader) loadPlaces(after string, found map[string][]loadedPlace) {
-	l.page(prefixPlace, after, func(p *wire.Page) {
+	l.page(records.PrefixPlace, after, func(p *wire.Page) {
 		for _, it := range p.Items {
 			after = it.Key
-			id, from, to, numbered, ok := l.c.rangeOf(it.Key)
-			var rec placeRecord
+			r, ok := records.ParsePlaceKey(it.Key, l.c.numberedTasks())
+			var rec records.Placement
 			if !ok || json.Unmarshal(it.Value, &rec) != nil {
 				l.c.log.Error("placement record is not readable", "key", it.Key)
 				continue
 			}
-			if l.jobs[id] == nil {
+			if l.jobs[r.Job] == nil {
 				l.records.leftOver = append(l.records.leftOver, it.Key)
 				continue
 			}
-			found[id] = append(found[id], loadedPlace{it.Key, it.Version, from, to, numbered, rec})
+			found[r.Job] = append(found[r.Job], loadedPlace{r, it.Key, it.Version, rec})
 		}
 		if p.More {
 			l.loadPlaces(after, found)
@@ -266,11 +221,11 @@
 	}
 	j.chunks = nil
 	for _, f := range found {
-		f.to = min(f.to, len(j.tasks))
-		if f.from >= f.to || named && f.numbered {
+		f.To = min(f.To, len(j.tasks))
+		if f.From >= f.To || named && f.Numbered {
 			j.superseded = append(j.superseded, f.key)
 		} else {
-			j.chunks = append(j.chunks, chunk{key: f.key, from: f.from, to: f.to, version: f.version})
+			j.chunks = append(j.chunks, chunk{key: f.key, from: f.From, to: f.To, version: f.version})
 		}
 		l.adoptTasks(j, f, covered)
 	}
@@ -288,11 +243,11 @@
 func namedRanges(found []loadedPlace, tasks int) (covered []bool, named bool) {
 	covered = make([]bool, tasks)
 	for _, f := range found {
-		if f.numbered {
+		if f.Numbered {
 			continue
 		}
 		named = true
-		for i := f.from; i < min(f.to, tasks); i++ {
+		for i := f.From; i < min(f.To, tasks); i++ {
 			covered[i] = true
 		}
 	}
@@ -310,7 +265,7 @@
 		}
 	}
 	for _, e := range f.rec.Tasks {
-		if e.Task >= len(j.tasks) || f.numbered && covered[e.Task] {
+		if e.Task >= len(j.tasks) || f.Numbered && covered[e.Task] {
 			continue
 		}
 		m := l.machine(e.Machine)
@@ -330,7 +285,7 @@
 	per := l.c.numberedTasks()
 	j.chunks = nil
 	for from := 0; from < len(j.tasks); from += per {
-		ch := chunk{key: numberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))}
+		ch := chunk{key: records.NumberedKey(j.ID, from/per), from: from, to: min(from+per, len(j.tasks))}
 		if known, ok := found[ch.key]; ok {
 			ch = known
 		}
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -88,7 +89,7 @@
 
 // addWriter notes that the batch writes for a job whose open record is unchanged.
 func (b *recordBatch) addWriter(j *job) {
-	b.require(prefixOpen+j.ID, j.version)
+	b.require(records.OpenKey(j.ID), j.version)
 	b.writers = append(b.writers, j)
 }
 
@@ -122,13 +123,13 @@
 	if !b.reserve(writes) {
 		return false
 	}
-	final := finalRecord{Status: wire.StatusDone, Tasks: len(j.tasks)}
+	final := records.Final{Status: wire.StatusDone, Tasks: len(j.tasks)}
 	if j.cancelled {
 		final.Status = wire.StatusCancelled
 	}
 	b.addWriter(j)
-	b.remove(prefixOpen + j.ID)
-	b.put(prefixFinal+j.ID, encode(final))
+	b.remove(records.OpenKey(j.ID))
+	b.put(records.FinalKey(j.ID), encode(final))
 	deleted := writes - endWrites
 	for _, key := range keys[:deleted] {
 		b.remove(key)
@@ -141,7 +142,7 @@
 
 // endAnswered takes in the answer to the end of a job. Its records that are left
 // over are deleted by later batches.
-func (b *recordBatch) endAnswered(j *job, final finalRecord, leftOver []string, answer batchOutcome) {
+func (b *recordBatch) endAnswered(j *job, final records.Final, leftOver []string, answer batchOutcome) {
 	l := b.leader
 	j.endPending = false
 	if !answer.committed {
@@ -185,7 +186,7 @@
 	body := encode(rec)
 	b.bytes += len(body) + recordOverhead
 	b.addWriter(j)
-	b.put(prefixOpen+j.ID, body)
+	b.put(records.OpenKey(j.ID), body)
 	j.openWritePending = true
 	b.onAnswer(func(answer batchOutcome) { b.leader.openRecordAnswered(j, rec, answer) })
 }
@@ -198,12 +199,12 @@
 			return
 		}
 		b.awaitedConds++
-		b.require(prefixOpen+awaited, 0)
+		b.require(records.OpenKey(awaited), 0)
 	}
 }
 
 // openRecordAnswered takes in the answer to the open record of a job that goes on.
-func (l *leader) openRecordAnswered(j *job, rec openRecord, answer batchOutcome) {
+func (l *leader) openRecordAnswered(j *job, rec records.Open, answer batchOutcome) {
 	j.openWritePending = false
 	if !answer.committed {
 		l.records.dirty = true
@@ -270,7 +271,7 @@
 
 // placementAnswered takes in the answer to a placement record: what it is the
 // first to place is started now.
-func (l *leader) placementAnswered(j *job, ch *chunk, starts []placeEntry, answer batchOutcome) {
+func (l *leader) placementAnswered(j *job, ch *chunk, starts []records.PlacedTask, answer batchOutcome) {
 	ch.busy = false
 	if !answer.committed {
 		ch.dirty, ch.due, l.records.dirty = true, 0, true
--- /dev/null
+++ b/internal/core/records/records_test.go
@@ -0,0 +1,31 @@
+package records
+
+import "testing"
+
+func TestParsePlaceKey(t *testing.T) {
+	for _, tc := range []struct {
+		key  string
+		want PlaceRange
+		ok   bool
+	}{
+		{NumberedKey("job-000001", 2), PlaceRange{"job-000001", 20, 30, true}, true},
+		{RangeKey("job-000001", 5, 9), PlaceRange{"job-000001", 5, 9, false}, true},
+		{"p/job-000001", PlaceRange{}, false},
+		{"p/job-000001/x", PlaceRange{}, false},
+		{"p/job-000001/-1", PlaceRange{}, false},
+		{"p/job-000001/9-5", PlaceRange{}, false},
+		{"p/job-000001/5-x", PlaceRange{}, false},
+	} {
+		got, ok := ParsePlaceKey(tc.key, 10)
+		if ok != tc.ok || ok && got != tc.want {
+			t.Errorf("%s: %+v %v, want %+v %v", tc.key, got, ok, tc.want, tc.ok)
+		}
+	}
+}
+
+func TestJobs(t *testing.T) {
+	got := Jobs([]string{OpenKey("a"), FinalKey("b"), OpenKey("a")})
+	if len(got) != 2 || !got["a"] || !got["b"] {
+		t.Errorf("jobs %v, want a and b", got)
+	}
+}
--- a/internal/core/records_load.go
+++ b/internal/core/records_load.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -40,18 +41,18 @@
 
 // loadOpen reads the open records after a key, then the placements.
 func (l *leader) loadOpen(after string) {
-	l.page(prefixOpen, after, func(p *wire.Page) {
+	l.page(records.PrefixOpen, after, func(p *wire.Page) {
 		if after == "" {
 			l.loading.revision = p.Revision
 		}
 		for _, it := range p.Items {
 			after = it.Key
-			var rec openRecord
+			var rec records.Open
 			if json.Unmarshal(it.Value, &rec) != nil {
 				l.c.log.Error("open record is not readable", "key", it.Key)
 				continue
 			}
-			l.noteOpen(it.Key[len(prefixOpen):], it.Version, rec)
+			l.noteOpen(it.Key[len(records.PrefixOpen):], it.Version, rec)
 		}
 		if p.More {
 			l.loadOpen(after)
@@ -90,7 +91,7 @@
 // controller come this way.
 func (l *leader) watch() {
 	hold := 20 * time.Second
-	path := "/changes?under=" + prefixOpen + "&since=" + strconv.FormatUint(l.loading.revision, 10) + "&holdMs=" + strconv.Itoa(int(hold/time.Millisecond))
+	path := "/changes?under=" + records.OpenKey("&since=") + strconv.FormatUint(l.loading.revision, 10) + "&holdMs=" + strconv.Itoa(int(hold/time.Millisecond))
 	l.c.call(Call{Dest: DestStore, Method: "GET", Path: path, Timeout: hold + l.c.lease()/2, Watch: true}, func(r Result) {
 		if l.deposed {
 			return
@@ -108,12 +109,12 @@
 			if e.Put == "" {
 				continue
 			}
-			var rec openRecord
+			var rec records.Open
 			if json.Unmarshal(e.Value, &rec) != nil {
 				l.c.log.Error("open record is not readable", "key", e.Put)
 				continue
 			}
-			l.noteOpen(e.Put[len(prefixOpen):], e.Version, rec)
+			l.noteOpen(e.Put[len(records.PrefixOpen):], e.Version, rec)
 		}
 		l.loading.revision = max(l.loading.revision, ch.Revision)
 		l.watch()
@@ -121,7 +122,7 @@
 }
 
 // noteOpen takes in an open record, new or changed.
-func (l *leader) noteOpen(id string, version uint64, rec openRecord) {
+func (l *leader) noteOpen(id string, version uint64, rec records.Open) {
 	j := l.jobs[id]
 	if j == nil {
 		if f, ok := l.c.users.final[id]; ok && f.Status != "" {
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/election"
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -97,13 +98,13 @@
 		case key == election.KeyTerm:
 			l.c.stepDown(stepDownTermChanged)
 			return
-		case strings.HasPrefix(key, prefixOpen):
-			if j := l.jobs[key[len(prefixOpen):]]; j != nil && !j.stale {
+		case strings.HasPrefix(key, records.PrefixOpen):
+			if j := l.jobs[key[len(records.PrefixOpen):]]; j != nil && !j.stale {
 				j.stale = true
 				l.rereadOpen(j)
 			}
-		case strings.HasPrefix(key, prefixPlace):
-			j := l.jobs[jobOf(key[len(prefixPlace):])]
+		case strings.HasPrefix(key, records.PrefixPlace):
+			j := l.jobs[jobOf(key[len(records.PrefixPlace):])]
 			if j == nil {
 				continue
 			}
@@ -116,12 +117,12 @@
 }
 
 func (l *leader) rereadOpen(j *job) {
-	l.c.get(prefixOpen+j.ID, func(r Result) {
+	l.c.get(records.OpenKey(j.ID), func(r Result) {
 		if l.deposed {
 			return
 		}
 		var it wire.Item
-		var rec openRecord
+		var rec records.Open
 		switch {
 		case r.Status == 200 && json.Unmarshal(r.Body, &it) == nil && json.Unmarshal(it.Value, &rec) == nil:
 			j.stale = false
--- a/internal/core/refused.go
+++ b/internal/core/refused.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -32,7 +33,7 @@
 	switch {
 	case len(txn.Writes) > 2:
 		l.c.refusedTxn(len(txn.Writes))
-	case !l.c.smallValues && hasLarge(txn, prefixPlace):
+	case !l.c.smallValues && hasLarge(txn, records.PrefixPlace):
 		l.c.smallValues, l.c.fewerOps = true, 0
 		l.c.log.Info("the state service takes smaller values only", "bytes", smallValue)
 	case len(writers) > 1:
@@ -40,7 +41,7 @@
 	default:
 		l.records.oneJob = false
 		for _, j := range writers {
-			if hasLarge(txn, prefixOpen) && !j.oversize {
+			if hasLarge(txn, records.PrefixOpen) && !j.oversize {
 				j.oversize, l.c.fewerOps = true, 0
 			}
 			j.refusals++
@@ -92,17 +93,3 @@
 	}
 	return false
 }
-
-// reduced is an open record of a cancelled job without what only matters to one that
-// is to run: so that a cancellation request can be recorded where the service has come
-// to take less than the description.
-func (r openRecord) reduced() openRecord {
-	j := r.Job
-	if len(j.Class) > 64 {
-		j.Class = ""
-	}
-	r.Job = wire.Job{ID: j.ID, Class: j.Class, Team: j.Team, Shape: j.Shape, Priority: j.Priority, Tasks: j.Tasks, CPUs: j.CPUs, GPUs: j.GPUs,
-		MemGB: j.MemGB, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, EstimateS: j.EstimateS, CheckpointS: j.CheckpointS,
-		SaveS: j.SaveS, DeadlineS: j.DeadlineS}
-	return r
-}
--- a/internal/core/routes.go
+++ b/internal/core/routes.go
@@ -75,10 +75,10 @@
 
 func (c *Core) statusOf(id string, f lookupResult) wire.JobStatus {
 	if f.final != nil {
-		return f.final.status(id)
+		return f.final.JobStatus(id)
 	}
 	s := wire.JobStatus{ID: id, Status: wire.StatusPending}
-	if f.open.rec.acknowledged() {
+	if f.open.rec.Acknowledged() {
 		s.Status = wire.StatusCancelled
 		return s
 	}
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -8,6 +8,7 @@
 	"unicode/utf8"
 
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -293,7 +294,7 @@
 // and other changes add to it later has to fit as well.
 func (c *Core) maxRecord() int { return c.maxValue() - 200 }
 
-func (c *Core) recordable(rec openRecord) bool { return len(encode(rec)) <= c.maxRecord() }
+func (c *Core) recordable(rec records.Open) bool { return len(encode(rec)) <= c.maxRecord() }
 
 // Why a job can never run.
 var (
@@ -333,7 +334,7 @@
 	// Only the jobs that are not over when it is accepted go on record.
 	plain := *j
 	plain.Awaits = nil
-	if !c.recordable(openRecord{Job: plain}) {
+	if !c.recordable(records.Open{Job: plain}) {
 		return errTooLarge
 	}
 	return nil
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/brookwalk/brookwalk/internal/core/records"
 )
 
 // users serves the users on every controller, straight from the state
@@ -11,7 +13,7 @@
 type users struct {
 	open       map[string]*openJob
 	openOrder  []string // as they became known; some may be gone
-	final      map[string]finalRecord
+	final      map[string]records.Final
 	finalOrder []string
 
 	submits    []*submit
@@ -29,7 +31,7 @@
 
 func (u *users) init() {
 	u.open = map[string]*openJob{}
-	u.final = map[string]finalRecord{}
+	u.final = map[string]records.Final{}
 	u.lookups = map[string][]*lookup{}
 	u.cancels = map[string]*cancelling{}
 }
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/depgraph"
+	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -182,7 +183,7 @@
 func (l *leader) mayHaveUnread(j *job) bool { return j.rec.Needed && len(l.lists.unread) > 0 }
 
 // ownDue is when a job's user wants it done, as a time of day in seconds.
-func ownDue(rec *openRecord) float64 {
+func ownDue(rec *records.Open) float64 {
 	if rec.Job.DeadlineS == nil {
 		return math.Inf(1)
 	}
