--- a/internal/core/pass_test.go
+++ b/internal/core/pass_test.go
@@ -36,6 +36,16 @@
 	return l
 }
 
+// allIdle makes all work of the fleet that of the lowest priority.
+func allIdle(l *leader) {
+	l.passes.leaves = l.byName
+	for _, j := range l.order {
+		j.rank = 0
+		m := j.tasks[0].machine
+		m.usedByRank[0], m.usedByRank[3] = m.usedByRank[3], m.usedByRank[0]
+	}
+}
+
 // addJob adds a job that waits.
 func addJob(l *leader, spec wire.Job) *job {
 	spec.Team, spec.Image = "vision", "img"
@@ -52,12 +62,7 @@
 func TestPassCountsTasks(t *testing.T) {
 	const machines = 50
 	l := busyFleet(t, machines)
-	l.passes.leaves = l.byName
-	for _, j := range l.order {
-		j.rank = 0
-		m := j.tasks[0].machine
-		m.usedByRank[0], m.usedByRank[3] = m.usedByRank[3], m.usedByRank[0]
-	}
+	allIdle(l)
 	j := addJob(l, wire.Job{ID: "job-999999", Class: "gate", Shape: wire.ShapeService, Priority: wire.PriorityCritical, CPUs: 20, MemGB: 1, Tasks: 1})
 	before := l.passes.visits
 	l.preemptions(&candidate{job: j, pending: []int{0}, preemptionRank: j.rank}, 1, "", false)
@@ -117,12 +122,7 @@
 	for _, machines := range []int{300, 1000, 2000, 4200} {
 		b.Run(fmt.Sprint(machines), func(b *testing.B) {
 			l := busyFleet(b, machines)
-			l.passes.leaves = l.byName
-			for _, j := range l.order {
-				j.rank = 0
-				m := j.tasks[0].machine
-				m.usedByRank[0], m.usedByRank[3] = m.usedByRank[3], m.usedByRank[0]
-			}
+			allIdle(l)
 			j := addJob(l, wire.Job{ID: "job-999999", Class: "gate", Shape: wire.ShapeService, Priority: wire.PriorityCritical, CPUs: 20, MemGB: 1, Tasks: 8})
 			c := &candidate{job: j, pending: j.unplacedTasks(), preemptionRank: j.rank}
 			for b.Loop() {
