--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -89,7 +89,7 @@
 		if cx, cy := x.drain != "", y.drain != ""; cx != cy {
 			return cx
 		}
-		if px, py := l.price(x.typ, x.spot), l.price(y.typ, y.spot); px != py {
+		if px, py := l.priceOf(x), l.priceOf(y); px != py {
 			return px > py
 		}
 		return len(x.placed) < len(y.placed)
@@ -179,7 +179,7 @@
 func (l *leader) unneeded(b moveTarget, from *machine) bool {
 	m := b.machine
 	idle := !b.Used && len(m.placed) == 0
-	return idle && from.drain == "" && l.priceOf(m) >= l.price(from.typ, from.spot)
+	return idle && from.drain == "" && l.priceOf(m) >= l.priceOf(from)
 }
 
 // moveTarget finds the tightest target that may take a job's replica from a
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -263,17 +263,9 @@
 // claimTerm writes the leader key and the next term, on the condition that
 // neither has changed.
 func (e *Election) claimTerm(leaderVersion, term, termVersion, lease uint64) {
-	leader, err := json.Marshal(LeaderValue{e.name, term})
-	if err != nil {
-		panic("election: encode: " + err.Error()) // a type of this package
-	}
-	next, err := json.Marshal(term)
-	if err != nil {
-		panic("election: encode: " + err.Error()) // a number
-	}
 	txn := &wire.Txn{
 		If:     []wire.Cond{{Key: KeyLeader, Version: leaderVersion}, {Key: KeyTerm, Version: termVersion}},
-		Writes: []wire.Write{{Put: KeyLeader, Value: leader, Lease: lease}, {Put: KeyTerm, Value: next}},
+		Writes: []wire.Write{{Put: KeyLeader, Value: encode(LeaderValue{e.name, term}), Lease: lease}, {Put: KeyTerm, Value: encode(term)}},
 	}
 	e.store.Commit(txn, func(status int, body []byte) {
 		e.busy = false
@@ -285,6 +277,15 @@
 	})
 }
 
+// encode encodes a value of a key of this package.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("election: encode: " + err.Error()) // only own types and numbers come here
+	}
+	return b
+}
+
 // win begins to lead under a term that was won, unless another controller has won a
 // later one meanwhile.
 func (e *Election) win(m Mandate) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/core/records"
+	"github.com/brookwalk/brookwalk/internal/core/rental"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -127,7 +128,7 @@
 }
 
 // ranks is the number of priorities.
-const ranks = 4
+const ranks = rental.Ranks
 
 var priorityRank = map[wire.Priority]int{
 	wire.PriorityCritical: 3, wire.PriorityUrgent: 2, wire.PriorityNormal: 1, wire.PriorityIdle: 0,
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -125,8 +125,7 @@
 
 // anyRoom tells whether any machine that a job may use has room for a task.
 func (l *leader) anyRoom(tree *topology.Tree, j *job) bool {
-	before := tree.Looks()
-	defer func() { l.passes.visits += tree.Looks() - before }()
+	defer l.countLooks(tree)()
 	return tree.Any(size(&j.Job), func(t *topology.Machine) bool {
 		m := l.passes.leaves[t.Key]
 		return eligible(&j.Job, m.typ, m.zone, m.spot)
@@ -173,15 +172,12 @@
 	if n < 1 {
 		return
 	}
-	before := p.tree.Looks()
+	defer l.countLooks(p.tree)()
 	where := p.tree.PlaceEach(l.placementRequest(j, c.pending[:1], quick), n)
-	l.passes.visits += p.tree.Looks() - before
-	machines := make([]*machine, len(where))
-	for k, leaf := range where {
-		machines[k] = l.passes.leaves[leaf.Key]
+	for range where {
 		p.usage[j.Team] = p.usage[j.Team].Add(task)
 	}
-	l.bindTasks(j, c.pending[:len(where)], machines)
+	l.bindTasks(j, c.pending[:len(where)], l.machinesOf(where))
 	l.passes.visits += bindLooks * len(where)
 	c.pending = c.pending[len(where):]
 }
@@ -189,18 +185,29 @@
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
-	before := tree.Looks()
+	defer l.countLooks(tree)()
 	where := tree.Place(l.placementRequest(c.job, tasks, quick))
-	l.passes.visits += tree.Looks() - before
 	if where == nil {
 		return false
 	}
-	machines := make([]*machine, len(where))
-	for k, leaf := range where {
+	l.bindTasks(c.job, tasks, l.machinesOf(where))
+	return true
+}
+
+// machinesOf lists the machines that leaves of the pass's tree stand for.
+func (l *leader) machinesOf(leaves []*topology.Machine) []*machine {
+	machines := make([]*machine, len(leaves))
+	for k, leaf := range leaves {
 		machines[k] = l.passes.leaves[leaf.Key]
 	}
-	l.bindTasks(c.job, tasks, machines)
-	return true
+	return machines
+}
+
+// countLooks begins to count what a tree looks at; the function that it returns adds it
+// to the pass's cost.
+func (l *leader) countLooks(tree *topology.Tree) func() {
+	before := tree.Looks()
+	return func() { l.passes.visits += tree.Looks() - before }
 }
 
 // placementRequest asks for room for tasks of a job that start together. quick
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -27,9 +27,6 @@
 	return rental.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}
 }
 
-// price is the hourly price of a type of machine.
-func (l *leader) price(typ string, spot bool) float64 { return priceOf(l.c.types[typ], spot) }
-
 // priceOf is the hourly price of a machine.
 func (l *leader) priceOf(m *machine) float64 { return priceOf(l.typeOf(m), m.spot) }
 
@@ -57,7 +54,7 @@
 			for _, spot := range []bool{true, false} {
 				o := rental.Offer{Type: name, Zone: zone, Spot: spot}
 				if limit := l.offerLimit(o); limit > 0 {
-					out = append(out, rental.Terms{Offer: o, Capacity: capacity(t), Price: l.price(name, spot), Limit: limit})
+					out = append(out, rental.Terms{Offer: o, Capacity: capacity(t), Price: priceOf(t, spot), Limit: limit})
 				}
 			}
 		}
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -84,7 +84,7 @@
 // Tree holds the machines that may take tasks.
 type Tree struct {
 	machines []*Machine // by name
-	byRoom   []*Machine // the least free room first, see tighterMachine
+	byRoom   []*Machine // the least free room first, see compareRoom
 	looks    int
 }
 
@@ -367,13 +367,7 @@
 	if fa != fb {
 		return fa > fb
 	}
-	if a.m.Free != b.m.Free {
-		return a.m.Free.Less(b.m.Free)
-	}
-	if a.m.Price != b.m.Price {
-		return a.m.Price < b.m.Price
-	}
-	return a.m.Name < b.m.Name
+	return compareRoom(a.m, b.m) < 0
 }
 
 // PlaceEach chooses machines for tasks that start one by one, lowers their room and
--- a/internal/hollow/controller.go
+++ b/internal/hollow/controller.go
@@ -1,7 +1,6 @@
 package hollow
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -188,6 +187,3 @@
 		}
 	}
 }
-
-// String names the controller, for logs.
-func (c *controller) String() string { return fmt.Sprintf("%s (%s)", c.name, c.listen) }
--- a/internal/hollow/observer.go
+++ b/internal/hollow/observer.go
@@ -65,7 +65,7 @@
 }
 
 // second notes the starts of one more second.
-func (o *observer) second(time.Duration) {
+func (o *observer) second() {
 	o.perSecond = append(o.perSecond, o.starts-o.lastStarts)
 	o.lastStarts = o.starts
 }
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"text/tabwriter"
@@ -166,12 +167,12 @@
 			r.PeakMemoryMB, r.ReadBytesPerS/1024, r.WrittenBytesPerS/1024, r.Sockets)
 	}
 	fmt.Fprintln(w, "channel\tmessages/s\trequests KB/s\tanswers KB/s")
-	for _, name := range sortedKeys(rep.Channels) {
+	for _, name := range slices.Sorted(maps.Keys(rep.Channels)) {
 		c := rep.Channels[name]
 		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\n", name, c.MessagesPerS, c.InBytesPerS/1024, c.OutBytesPerS/1024)
 	}
 	fmt.Fprintln(w, "wait\ttasks\tp50 s\tp90 s\tp99 s\tmax s")
-	for _, class := range sortedKeys(rep.Waits) {
+	for _, class := range slices.Sorted(maps.Keys(rep.Waits)) {
 		rep.Waits[class].row(w, class)
 	}
 	rep.Urgent.row(w, "urgent and critical")
@@ -187,12 +188,3 @@
 func (v Wait) row(w io.Writer, name string) {
 	fmt.Fprintf(w, "%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\n", name, v.Count, v.P50, v.P90, v.P99, v.Max)
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -345,7 +345,7 @@
 		if u, err := readUsage(os.Getpid()); err == nil {
 			r.own.add(os.Getpid(), u, time.Now())
 		}
-		r.live.Do(func() { r.observer.second(r.live.Now()) })
+		r.live.Do(r.observer.second)
 		if r.opts.Progress != nil && time.Since(told) >= r.opts.ProgressEvery {
 			told = time.Now()
 			r.progress()
