Teams without a guarantee come after those with one

Cause: where only GPUs are guaranteed, work without GPUs of a team that is guaranteed nothing passed for work within a guarantee: it went ahead of the other teams' arrays and nothing of its priority was stopped (36 of nightsort's tasks were stopped for it, none of its own for nightsort).

--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -26,6 +26,7 @@
 	noOffer        bool // no machine can be rented for it just now
 	preemptionRank int  // the rank by which it may stop other work
 	ownTeamOnly    bool // it may stop work of its own team only
+	guest          bool // its team has no guarantee, and it has not waited too long
 }
 
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
@@ -51,10 +52,11 @@
 	return out
 }
 
-// candidates lists the jobs with work to place: within a guarantee first, then
-// by priority, deadline slack and submission.
+// candidates lists the jobs with work to place: within a guarantee first, then by
+// priority, those of teams with a guarantee first, deadline slack and submission.
 func (l *leader) candidates() []*candidate {
 	l.guarantee()
+	guests := l.guestTeams()
 	var out []*candidate
 	for _, j := range l.order {
 		p := j.pendingTasks()
@@ -62,6 +64,7 @@
 			continue
 		}
 		c := &candidate{job: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p, preemptionRank: l.preemptionRank(j)}
+		c.guest = guests[j.Team] && (j.Shape == wire.ShapeArray || !l.mustBegin(j))
 		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
 			// One task makes a job begin. Where more jobs wait than there is
 			// room for, all tasks of one ahead of the next kept every job of
@@ -79,6 +82,9 @@
 		if x.job.rank != y.job.rank {
 			return x.job.rank > y.job.rank
 		}
+		if x.guest != y.guest {
+			return y.guest
+		}
 		if x.slack != y.slack {
 			return x.slack < y.slack
 		}
@@ -90,6 +96,15 @@
 	return out
 }
 
+// guestTeams names the teams that are guests.
+func (l *leader) guestTeams() map[string]bool {
+	guests := map[string]bool{}
+	for _, t := range l.c.cfg.Deployment.Teams {
+		guests[t.Name] = l.c.isGuest(t.Name)
+	}
+	return guests
+}
+
 // preemptionRank is the rank by which a job may stop other work. That of a dependent
 // counts once the chain would be late without it.
 func (l *leader) preemptionRank(j *job) int {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -111,10 +111,24 @@
 	return false
 }
 
+// noGuarantee tells whether a team is guaranteed nothing: its work gets what the
+// other teams leave.
+func noGuarantee(t *config.Team) bool { return t.CPUs <= 0 && t.GPUs <= 0 }
+
+// isGuest tells whether a team is guaranteed nothing while others are guaranteed
+// something.
+func (c *Core) isGuest(name string) bool {
+	t := c.team(name)
+	return t != nil && noGuarantee(t) &&
+		slices.ContainsFunc(c.cfg.Deployment.Teams, func(o config.Team) bool { return !noGuarantee(&o) })
+}
+
 // guarantee notes which jobs fit into their team's guarantee along with the
 // team's earlier unfinished jobs. A job that waits for others holds no part of
-// it. A resource for which no team has a
-// guarantee is not guaranteed to anybody and does not count.
+// it. A resource for which no team has a guarantee is not guaranteed to anybody and
+// does not count; a team without any guarantee has none of the work that takes
+// nothing else either. Where only GPUs are guaranteed, such a team's work without GPUs
+// passed for guaranteed and went ahead of the other teams'.
 func (l *leader) guarantee() {
 	cpus, gpus := false, false
 	for _, t := range l.c.cfg.Deployment.Teams {
@@ -128,7 +142,7 @@
 			continue
 		}
 		t := l.c.team(j.Team)
-		if t == nil {
+		if t == nil || noGuarantee(t) {
 			continue
 		}
 		n := float64(len(j.tasks) - j.done)
