Preempted work gets no time to save where the job would be late by that alone

Work within a guarantee also made room for eight tasks a pass only.

Change: a preempted task is stopped at once where the wait for its save alone makes the job late; room within a guarantee is made in one pass.

--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -131,7 +131,7 @@
 
 // mustBegin tells whether a job has waited long without a beginning.
 func (l *leader) mustBegin(j *job) bool {
-	return j.done+j.placed == 0 && time.Duration(l.c.wall-j.since)*time.Millisecond > beginWithin
+	return j.done+j.placed == 0 && l.waited(j) > beginWithin
 }
 
 // work is what a job of a class that is to be finished within a time still has
--- a/internal/core/machinechoice.go
+++ b/internal/core/machinechoice.go
@@ -83,13 +83,44 @@
 // slowFetch is how long a fetch may take, in seconds, before the class's wait
 // is in danger: other fetches share the rate, which varies by a third.
 func (c *Core) slowFetch(class string) float64 {
+	return c.classWait(class) * 2 / 3
+}
+
+// classWait is how long the tasks of a class may wait by its objectives, in seconds;
+// infinite if none says so.
+func (c *Core) classWait(class string) float64 {
 	within := math.Inf(1)
 	for _, o := range c.cfg.Deployment.Objectives {
 		if o.Kind == objectiveWait && o.Class == class {
 			within = min(within, o.WithinS)
 		}
 	}
-	return within * 2 / 3
+	return within
+}
+
+// mayWait is how long a job's tasks may wait by the objectives of its class and, where
+// it is within its team's guarantee, of guarantees, in seconds; infinite if none says so.
+func (l *leader) mayWait(j *job) float64 {
+	within := l.c.classWait(j.Class)
+	if !j.within || !l.c.guarantees(&j.Job) {
+		return within
+	}
+	for _, o := range l.c.cfg.Deployment.Objectives {
+		if o.Kind == objectiveGuarantee {
+			within = min(within, o.WithinS)
+		}
+	}
+	return within
+}
+
+// fetchTime is how long the fetch of a job's image usually takes on a machine, in
+// seconds.
+func (l *leader) fetchTime(j *job, m *machine) float64 {
+	t := l.typeOf(m)
+	if t == nil || t.FetchGBPS <= 0 || m.hasImage(j.Image) {
+		return 0
+	}
+	return j.ImageGB / t.FetchGBPS
 }
 
 // slow tells whether a job's image would come too late on a machine.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -16,10 +16,20 @@
 	cost    float64 // seconds of a task's work that are lost
 }
 
-// maxPreemptions bounds how many tasks of an array or a service make room in one
-// pass: what is stopped for them comes back as work to place.
+// maxPreemptions bounds how many tasks of an array or a service that is not within its
+// team's guarantee make room in one pass: what is stopped for them comes back as work to
+// place. Work within a guarantee is owed its room at once: eight tasks at a time took an
+// array of sixty half a minute.
 const maxPreemptions = 8
 
+// mostPreemptions is for how many of a candidate's tasks a pass may make room.
+func (c *candidate) mostPreemptions() int {
+	if c.guaranteed || c.job.Shape == wire.ShapeGang {
+		return len(c.pending)
+	}
+	return min(len(c.pending), maxPreemptions)
+}
+
 // preempt makes room for tasks of a job that found none: it stops work of
 // lower priority, or work that another team runs beyond its guarantee when the
 // job is within its own. A gang gets its whole room in one domain, at the least
@@ -70,7 +80,7 @@
 		}
 		return len(c.pending)
 	}
-	want := min(len(c.pending), maxPreemptions)
+	want := c.mostPreemptions()
 	for want > 0 && !fits(want) {
 		want--
 	}
@@ -99,7 +109,7 @@
 	wait := 0.0
 	for _, s := range chosen {
 		for _, v := range s.victims {
-			grace := l.preemptGrace(v.job)
+			grace := l.graceFor(j, s.machine, v.job)
 			wait = max(wait, grace)
 			l.c.log.Info("preempt", "task", v.name, "machine", s.machine.name, "for", j.ID, "grace_s", grace)
 			if v.job.Shape == wire.ShapeGang {
@@ -140,6 +150,25 @@
 	return j.SaveS
 }
 
+// graceFor is the time that work which is preempted for a job on a machine gets to
+// save: none where the job starts in time without the wait for it alone. Beside work
+// that saves for three seconds, nothing that was to start within five ever did.
+func (l *leader) graceFor(j *job, m *machine, v *job) float64 {
+	grace := l.preemptGrace(v)
+	if grace == 0 {
+		return 0
+	}
+	left := l.mayWait(j) - l.waited(j).Seconds()
+	fetch := l.fetchTime(j, m)
+	if fetch < left && grace+fetch*slowestFetch+l.c.report().Seconds() > left {
+		return 0
+	}
+	return grace
+}
+
+// slowestFetch is how much longer than usual an image's fetch may take.
+const slowestFetch = 4.0 / 3
+
 // stopLoss is what the stop of a task loses, in seconds of its work.
 func (l *leader) stopLoss(j *job, t *task) float64 {
 	if j.CheckpointS == 0 {
--- a/internal/core/waitreason.go
+++ b/internal/core/waitreason.go
@@ -23,11 +23,16 @@
 	toldAt time.Duration // the last time; 0 never
 }
 
+// waited is how long ago a job was submitted, or the last job that it awaited ended.
+func (l *leader) waited(j *job) time.Duration {
+	return time.Duration(l.c.wall-j.since) * time.Millisecond
+}
+
 // noteWait logs why a job waits when the reason changes: for operators once it has
 // waited for long, at debug always.
 func (l *leader) noteWait(j *job, why waitReason) {
 	w := &j.wait
-	waited := time.Duration(l.c.wall-j.since) * time.Millisecond
+	waited := l.waited(j)
 	log := l.c.log.Debug
 	switch {
 	case waited >= logWaitAfter && w.told != why && (w.toldAt == 0 || l.c.now-w.toldAt >= logWaitAfter):
