Faulty jobs are told from faulty machines by evidence from both sides

Change: package faults weighs both sides. A job that failed on three machines, on which fewer jobs failed, is tried one task at a time in free room, stops and rents nothing. A machine that fails several sound jobs is cordoned as before, uncordoned when the jobs turn out to be the cause, and returned after three leases. A start counts as good once it ran for two reports.

--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -26,6 +26,7 @@
 	noOffer        bool // no machine can be rented for it just now
 	preemptionRank int  // the rank by which it may stop other work
 	ownTeamOnly    bool // it may stop work of its own team only
+	faulty         bool // it fails on every machine, see failures.go
 	guest          bool // its team has no guarantee, and it has not waited too long
 }
 
@@ -64,6 +65,13 @@
 			continue
 		}
 		c := &candidate{job: j, guaranteed: j.within, slack: l.slack(j), work: l.work(j, len(p)), pending: p, preemptionRank: l.preemptionRank(j)}
+		if l.faults.JobFaulty(j.ID) {
+			if c.pending = l.tryFaulty(j, p); len(c.pending) > 0 {
+				c.faulty, c.guaranteed, c.preemptionRank = true, false, 0
+				out = append(out, c)
+			}
+			continue
+		}
 		c.guest = guests[j.Team] && (j.Shape == wire.ShapeArray || !l.mustBegin(j))
 		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
 			// One task makes a job begin. Where more jobs wait than there is
@@ -76,6 +84,9 @@
 	}
 	sort.SliceStable(out, func(a, b int) bool {
 		x, y := out[a], out[b]
+		if x.faulty != y.faulty {
+			return y.faulty
+		}
 		if x.guaranteed != y.guaranteed {
 			return x.guaranteed
 		}
--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// anyPending tells whether tasks wait for room.
+// anyPending tells whether tasks wait for room, but for those that fail everywhere.
 func anyPending(cands []*candidate) bool {
-	return slices.ContainsFunc(cands, func(c *candidate) bool { return len(c.pending) > 0 })
+	return slices.ContainsFunc(cands, func(c *candidate) bool { return len(c.pending) > 0 && !c.faulty })
 }
 
 // moveTarget is a machine that replicas may move to.
@@ -195,7 +195,7 @@
 		if t, ok := taken[b.Bin]; ok {
 			free = free.Sub(t)
 		}
-		if m == from || !free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || len(m.failed) > 0 || l.unneeded(b, from) {
+		if m == from || !free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || l.faults.Doubtful(m.name) || l.unneeded(b, from) {
 			continue
 		}
 		if zoneRoom != nil {
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -62,11 +62,11 @@
 	}
 	if w.State == wire.TaskRunning && t.state != wire.TaskRunning {
 		t.upAt = l.c.now
-		if t.ours {
-			t.machine.failed = map[string]bool{} // it can start tasks after all
-		}
 	}
 	t.state = w.State
+	if t.state == wire.TaskRunning {
+		l.noteRunning(p)
+	}
 }
 
 // expire ends the placements of a silent worker once its lease has certainly
@@ -119,6 +119,9 @@
 	switch w.Cause {
 	case wire.CauseDone:
 		l.learnRun(j, l.c.now-t.upAt, t.upAt != 0)
+		if t.ours {
+			l.didWell(p)
+		}
 		l.markDone(j, i)
 		if j.Shape == wire.ShapeGang {
 			for k := range j.tasks {
--- a/internal/core/imagefetch_test.go
+++ b/internal/core/imagefetch_test.go
@@ -165,7 +165,7 @@
 	for _, image := range []string{"a", "b", "c", "d", "e", "f"} {
 		m.beginFetch(image, 20, l.c.now)
 	}
-	failing.failed["job-7"] = true
+	l.faults.Failed("job-7", failing.name)
 	j := startFetch(l, "job-2", "y", 20, nil)
 	wait := l.c.slowFetch(j.Class)
 	if a, b := l.machineRank(j, m, wait), l.machineRank(j, failing, wait); a >= b {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -87,8 +87,7 @@
 // jobRetries is what a job keeps of its tasks' failures.
 type jobRetries struct {
 	retryAt  time.Duration
-	failures int
-	failedOn map[string]bool // machines on which it failed
+	failures int // in a row
 }
 
 // newJob makes a job of an open record that was read at a version.
@@ -96,9 +95,8 @@
 	return &job{
 		Job: rec.Job, rec: rec, version: version, order: version, since: rec.At,
 		tasks: make([]task, rec.Job.Tasks), nextAttempt: 1,
-		jobRank:    jobRank{rank: priorityRank[rec.Job.Priority], due: ownDue(&rec)},
-		jobRetries: jobRetries{failedOn: map[string]bool{}},
-		moveTo:     map[int]*machine{},
+		jobRank: jobRank{rank: priorityRank[rec.Job.Priority], due: ownDue(&rec)},
+		moveTo:  map[int]*machine{},
 	}
 }
 
@@ -116,6 +114,7 @@
 	seen     bool   // a report under this term showed it
 	state    wire.TaskState
 	upAt     time.Duration // first seen running
+	proven   bool          // it started well, see failures.go
 	placedAt time.Duration
 	stop     *stop
 }
@@ -236,6 +235,7 @@
 	delete(l.jobs, j.ID)
 	delete(l.cancelled, j.ID)
 	delete(l.lists.unread, j.ID)
+	l.faults.ForgetJob(j.ID)
 	var before []string
 	l.deps.EachAwaited(j.ID, func(a string) { before = append(before, a) })
 	l.deps.Drop(j.ID)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -5,6 +5,7 @@
 
 	"github.com/brookwalk/brookwalk/internal/core/depgraph"
 	"github.com/brookwalk/brookwalk/internal/core/election"
+	"github.com/brookwalk/brookwalk/internal/core/faults"
 	"github.com/brookwalk/brookwalk/internal/core/forecast"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -41,6 +42,7 @@
 	arrivals map[string]*classArrivals     // by class
 	runTimes map[string]*forecast.RunTimes // by class
 	fetches  fetchEvidence
+	faults   *faults.Evidence
 }
 
 func newLeader(c *Core, m election.Mandate) *leader {
@@ -57,6 +59,7 @@
 		runTimes: map[string]*forecast.RunTimes{},
 		fleet:    newFleet(),
 		fetches:  fetchEvidence{before: c.fetchesQueue},
+		faults:   faults.New(),
 	}
 }
 
@@ -81,6 +84,7 @@
 		l.records.dueAt, l.records.dirty = 0, true
 	}
 	l.tickMachines()
+	l.tickFaults()
 	l.tickFleet()
 	l.tickStops()
 	l.tickGone()
--- a/internal/core/machinechoice.go
+++ b/internal/core/machinechoice.go
@@ -64,7 +64,7 @@
 // fewer images, if fetches wait for each other.
 func (l *leader) machineRank(j *job, m *machine, wait float64) int {
 	rank := 0
-	if len(m.failed) > 0 {
+	if l.faults.Doubtful(m.name) {
 		rank = rankFailed
 	}
 	if m.hasImage(j.Image) {
@@ -129,12 +129,8 @@
 	return !m.hasImage(j.Image) && t != nil && j.ImageGB > wait*t.FetchGBPS
 }
 
-// maxFailedOn is on how many machines a job may fail before the job passes for
-// the cause.
-const maxFailedOn = 3
-
 // avoid keeps a job away from machines on which it failed, until it has
 // failed on so many that the job is the likelier cause.
 func (l *leader) avoid(j *job, m *machine) bool {
-	return len(j.failedOn) < maxFailedOn && j.failedOn[m.name]
+	return l.faults.FailedOn(j.ID, m.name) && !l.faults.JobFaulty(j.ID)
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -57,6 +57,7 @@
 	createdAt time.Duration // estimate of the rental
 	leaving   time.Duration // when the cloud takes it; 0 unknown
 	drain     drainReason   // why it takes no more tasks
+	drainedAt time.Duration // since when
 	evict     bool          // its tasks are stopped, to run elsewhere
 	lostTerm  bool          // its lease ran out while it was silent
 	lapsed    time.Duration // when a direct answer showed a session that no report had
@@ -69,8 +70,7 @@
 	directStarts map[attemptID]int // direct starts whose outcome is unknown
 	probeBusy    bool
 	probeAt      time.Duration
-	probeFailed  time.Duration   // when the last probe without an answer was sent
-	failed       map[string]bool // jobs that failed since a task last started well
+	probeFailed  time.Duration // when the last probe without an answer was sent
 
 	// A machine whose tasks are stopped for a job is kept for it.
 	reserved      *job
@@ -82,7 +82,7 @@
 func (l *leader) machine(name string) *machine {
 	m := l.machines[name]
 	if m == nil {
-		m = &machine{name: name, directStarts: map[attemptID]int{}, failed: map[string]bool{}, idleSince: l.c.now, createdAt: l.c.now}
+		m = &machine{name: name, directStarts: map[attemptID]int{}, idleSince: l.c.now, createdAt: l.c.now}
 		l.machines[name] = m
 		at, _ := slices.BinarySearchFunc(l.byName, name, func(m *machine, name string) int { return strings.Compare(m.name, name) })
 		l.byName = slices.Insert(slices.Clone(l.byName), at, m)
@@ -93,6 +93,7 @@
 // dropMachine forgets a machine.
 func (l *leader) dropMachine(m *machine) {
 	delete(l.machines, m.name)
+	l.faults.ForgetMachine(m.name)
 	m.reserved = nil
 	l.byName = slices.DeleteFunc(slices.Clone(l.byName), func(o *machine) bool { return o == m })
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -103,7 +103,12 @@
 func (p *placementPass) placeCandidate(c *candidate) {
 	l, j := p.l, c.job
 	key := shapeOf(c)
-	plain := len(j.failedOn) == 0 && !j.Spread
+	if c.faulty {
+		// It takes free room alone: nothing makes way for what fails everywhere.
+		p.fill(c, false)
+		return
+	}
+	plain := l.faults.Failures(j.ID) == 0 && !j.Spread
 	if !math.IsInf(l.c.slowFetch(j.Class), 1) {
 		p.placeAtImage(c, key)
 	}
--- a/internal/core/relocation.go
+++ b/internal/core/relocation.go
@@ -120,7 +120,7 @@
 	for _, leaf := range p.roomWithImage(j.Image) {
 		l.passes.visits++
 		m := l.passes.leaves[leaf.Key]
-		if m == from || !leaf.Free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || len(m.failed) > 0 {
+		if m == from || !leaf.Free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || l.faults.Doubtful(m.name) {
 			continue
 		}
 		if m.reserved != nil && m.reserved != j && l.c.now < m.reservedUntil || allowed != nil && !allowed(m) {
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -94,9 +94,11 @@
 // them to the teams' usage.
 func (p *rentalPlan) packPending(cands []*candidate, usage map[string]topology.Resources) {
 	for _, c := range cands {
-		if len(c.job.failedOn) < maxFailedOn {
-			p.packCandidate(c, usage)
+		if c.faulty {
+			p.l.noteWait(c.job, waitFaulty)
+			continue
 		}
+		p.packCandidate(c, usage)
 	}
 }
 
--- a/internal/core/rentalplan_test.go
+++ b/internal/core/rentalplan_test.go
@@ -14,7 +14,7 @@
 // planCandidate is a job of team vision whose tasks all wait for room.
 func planCandidate(spec wire.Job, tasks int) *candidate {
 	spec.Team = "vision"
-	c := &candidate{job: &job{Job: spec, tasks: make([]task, tasks), jobRetries: jobRetries{failedOn: map[string]bool{}}}}
+	c := &candidate{job: &job{Job: spec, tasks: make([]task, tasks)}}
 	for i := range tasks {
 		c.pending = append(c.pending, i)
 	}
@@ -174,7 +174,7 @@
 			name: "a job that fails everywhere",
 			cands: []*candidate{func() *candidate {
 				c := planCandidate(wire.Job{CPUs: 2, MemGB: 1}, 1)
-				c.job.failedOn = map[string]bool{"n-1": true, "n-2": true, "n-3": true}
+				c.faulty = true
 				return c
 			}()},
 		},
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -121,11 +121,11 @@
 		return ""
 	case len(m.placed) > 0:
 		return ""
-	case m.drain != "":
+	case m.drain != "" && !l.mayBeSound(m):
 		return m.drain
 	case m.leaving != 0:
 		return drainTakenByCloud
-	case l.idleTooLong(m):
+	case m.drain == "" && l.idleTooLong(m):
 		return drainIdle
 	}
 	return ""
--- a/internal/core/waitreason.go
+++ b/internal/core/waitreason.go
@@ -9,6 +9,7 @@
 	waitLimit    waitReason = "its team is at its limit"
 	waitNoOffer  waitReason = "no machine can be rented for it now"
 	waitMachines waitReason = "machines for it boot, are asked for or come free"
+	waitFaulty   waitReason = "it fails on every machine"
 	waitStops    waitReason = "other work is stopped for it"
 )
 
