--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/boots"
 	"github.com/brookwalk/brookwalk/internal/core/rental"
 )
 
@@ -57,10 +59,22 @@
 // another is rented in time, and later it is given up.
 const (
 	bootSlow = 1.5
-	bootLate = 1.6
+	bootLate = boots.Late
 	bootGone = 4
 )
 
+// bootKind names the machines that a machine is alike with in how it boots.
+func (m *machine) bootKind() boots.Kind { return boots.Kind{Type: m.typ, Zone: m.zone} }
+
+// noteUp takes in that a machine that this leader rented has come up.
+func (l *leader) noteUp(m *machine) {
+	t := l.typeOf(m)
+	if t == nil || m.rentedAt == 0 {
+		return
+	}
+	l.boots.Up(m.bootKind(), l.c.now, l.c.now-m.rentedAt, config.Seconds(t.BootS))
+}
+
 // bootOverdue tells how many times its type's boot time a machine has taken.
 func (l *leader) bootOverdue(m *machine) float64 {
 	t := l.c.types[m.typ]
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/boots"
 	"github.com/brookwalk/brookwalk/internal/core/depgraph"
 	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/internal/core/faults"
@@ -43,6 +44,7 @@
 	runTimes map[string]*forecast.RunTimes // by class
 	fetches  fetchEvidence
 	faults   *faults.Evidence
+	boots    *boots.History
 }
 
 func newLeader(c *Core, m election.Mandate) *leader {
@@ -60,6 +62,7 @@
 		fleet:    newFleet(),
 		fetches:  fetchEvidence{before: c.fetchesQueue},
 		faults:   faults.New(),
+		boots:    boots.New(),
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -55,6 +55,7 @@
 	listedAs  wire.MachineState
 	listedAt  time.Duration
 	createdAt time.Duration // estimate of the rental
+	rentedAt  time.Duration // when this leader asked for it; 0 if another did
 	leaving   time.Duration // when the cloud takes it; 0 unknown
 	drain     drainReason   // why it takes no more tasks
 	drainedAt time.Duration // since when
--- a/internal/core/rental.go
+++ b/internal/core/rental.go
@@ -185,7 +185,7 @@
 		if !m.known {
 			l.describe(m, "", o.Type, o.Zone, o.Spot)
 		}
-		m.createdAt = asked
+		m.createdAt, m.rentedAt = asked, asked
 	}
 	if len(names.Machines) < r.req.Count {
 		l.noteRefused(o, l.refusedFor())
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -75,9 +75,13 @@
 // of use, and with those that have been asked for.
 func newRentalPlan(l *leader) *rentalPlan {
 	p := &rentalPlan{l: l, Plan: rental.New(l.terms()), stoppable: map[teamRank]topology.Resources{}}
+	late := l.boots.CountLate(l.c.now)
 	for _, m := range l.byName {
 		total, ok := l.total(m)
-		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 || !l.willBeUsable(m) {
+		if !ok || m.returning || l.fleet.returns[m.name] || m.drain != "" || m.leaving != 0 {
+			continue
+		}
+		if !l.willBeUsable(m) && !(m.heard == 0 && late.CountOn(m.bootKind())) {
 			continue
 		}
 		p.AddMachine(m.name, m.offer(), total.Sub(m.used), m.usedByRank)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -33,6 +33,7 @@
 	m.repSession, m.repSeq = r.Session, r.Seq
 	if m.firstHeard == 0 {
 		m.firstHeard = l.c.now
+		l.noteUp(m)
 		l.c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
 	}
 	if l.c.now-m.heard > 3*l.c.report() {
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -25,7 +25,9 @@
 	next        int
 	outage      time.Duration
 	reqs        *budget.Bucket
-	noBoot      time.Duration // until then new machines never come up
+	noBoot      late // machines that never come up
+	lateBoot    late // machines that take bootFactor times as long to come up
+	bootFactor  float64
 
 	workerAddr  func(machine string) string // if not nil, gives a worker\'s address
 	machineGone func(machine string)        // if not nil, is told of machines that are gone
--- a/internal/sim/scenario_acts.go
+++ b/internal/sim/scenario_acts.go
@@ -122,6 +122,10 @@
 	return up[:n]
 }
 
+// longestBoot is about the longest time, in seconds, that a machine of a scenario
+// usually takes to boot.
+const longestBoot = 60
+
 // trouble tells how long after it began the trouble of a line may be felt;
 // false for what is none.
 func (l *line) trouble(lease time.Duration) (time.Duration, bool) {
@@ -137,6 +141,8 @@
 		d += seconds(l.num("delay", 15))
 	case "cancel_now":
 		d = seconds(l.num("hang", 0))
+	case "lateboot":
+		d += seconds(longestBoot * l.num("factor", 3))
 	}
 	return d, true
 }
@@ -172,6 +178,8 @@
 		w.endCancels = late{l.num("share", 0.5), w.now + d}
 	case "odd_requests":
 		w.users.odd(w.now + d)
+	case "poll_storm":
+		w.users.storm, w.users.stormFactor = late{1, w.now + d}, l.num("factor", 8)
 	default:
 		return false
 	}
@@ -192,6 +200,13 @@
 		if !l.has("oneway") {
 			w.cuts = append(w.cuts, &cut{b, a, w.now + d, l.has("hold")})
 		}
+	case "pause": // a controller stands still and goes on as if nothing had been
+		for _, n := range w.nodesOf(l.arg(0)) {
+			n.pause(d)
+		}
+		if l.arg(0) == "all" {
+			w.standstills = append(w.standstills, span{w.now, w.now + d})
+		}
 	case "isolate": // a controller loses state service and peers, both ways
 		for _, n := range w.nodesOf(l.arg(0)) {
 			for _, other := range []string{"state", "nodes"} {
@@ -223,7 +238,9 @@
 	case "limits": // the state service has lower limits from now on
 		w.store.limit(l.limits(w.cfg.Deployment.State))
 	case "noboot":
-		w.cloud.noBoot = w.now + d
+		w.cloud.noBoot = late{l.num("share", 1), w.now + d}
+	case "lateboot":
+		w.cloud.lateBoot, w.cloud.bootFactor = late{l.num("share", 1), w.now + d}, l.num("factor", 3)
 	default:
 		return false
 	}
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -238,6 +238,57 @@
 	}
 }
 
+// operations writes a day of meetings on which, besides, machines come up late or never,
+// controllers stand still, users ask many times as often, a team without a guarantee has
+// work and jobs are submitted with a mistake.
+func operations(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 13))
+	var b strings.Builder
+	b.WriteString("team g\n")
+	b.WriteString(meetings(seed))
+	for i := 101; i <= 112; i++ {
+		at, id := r.IntN(200), fmt.Sprintf("job-%06d", i)
+		switch r.IntN(3) {
+		case 0:
+			fmt.Fprintf(&b, "at %d submit %s team=g priority=idle tasks=%d cpus=2 run=%d checkpoint=5 save=2 image=g\n", at, id, 1+r.IntN(30), 5+r.IntN(30))
+		case 1:
+			fmt.Fprintf(&b, "at %d submit %s team=g priority=idle tasks=1 cpus=1 run=%d image=h\n", at, id, 2+r.IntN(10))
+		case 2:
+			shape := []string{"array", "service", "gang"}[r.IntN(3)]
+			fmt.Fprintf(&b, "at %d submit %s shape=%s team=t priority=%s tasks=%d cpus=2 image=f fail\nat %d cancel %s\n", at, id, shape,
+				[]string{"critical", "urgent", "idle"}[r.IntN(3)], 1+r.IntN(8), at+20+r.IntN(150), id)
+		}
+	}
+	for range 6 {
+		at, d := 10+r.IntN(200), 5+r.IntN(90)
+		switch r.IntN(4) {
+		case 0:
+			who := []string{"leader", "follower", "all", "leader"}[r.IntN(4)]
+			if who == "all" {
+				d = min(d, 25) // users try to submit for a minute
+			}
+			fmt.Fprintf(&b, "at %d pause %s for=%d\n", at, who, d)
+		case 1:
+			fmt.Fprintf(&b, "at %d lateboot share=%g factor=%d for=%d\n", at, []float64{0.3, 1}[r.IntN(2)], 2+r.IntN(4), d)
+		case 2:
+			fmt.Fprintf(&b, "at %d noboot share=%g for=%d\n", at, []float64{0.2, 0.6}[r.IntN(2)], d)
+		case 3:
+			fmt.Fprintf(&b, "at %d poll_storm factor=%d for=%d\n", at, 4+r.IntN(12), d)
+		}
+	}
+	return b.String()
+}
+
+// TestOperations plays random days of the troubles that operators met.
+func TestOperations(t *testing.T) {
+	for seed := uint64(1); seed <= uint64(soakDays(25)); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playDay(t, operations(seed))
+		})
+	}
+}
+
 // playDay plays a random day: no rule may break, and all that can be done is
 // done once the troubles are over.
 func playDay(t *testing.T, text string) {
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -18,6 +18,9 @@
 	odds int // jobs submitted to be refused
 
 	unsent map[string]*jobTruth // wait for those that they name to be accepted
+
+	storm       late // users ask stormFactor times as often
+	stormFactor float64
 }
 
 // userJob is what a job's user has been told.
@@ -33,8 +36,8 @@
 	last      wire.JobStatus
 	answered  time.Duration
 	finalAt   time.Duration // was told the final state
-	down      time.Duration // how long the state service had been out before
-	hopeless  bool          // it was out for nearly all of the minute of trying
+	down      time.Duration // how long nobody could be served before, see unserved
+	hopeless  bool          // nobody could be for nearly all of the minute of trying
 }
 
 func newUsers(w *World) *users {
@@ -50,11 +53,15 @@
 	return out
 }
 
+// probesLost is how long the load balancer takes to notice that a controller does not
+// answer its probes.
+const probesLost = 3 * time.Second
+
 // pick stands in for the load balancer.
 func (u *users) pick() *node {
 	var up []*node
 	for _, n := range u.w.nodes {
-		if n.alive {
+		if n.alive && !(u.w.now < n.paused && u.w.now-n.pausedAt > probesLost) {
 			up = append(up, n)
 		}
 	}
@@ -81,7 +88,7 @@
 	u.w.jobs[t.ID] = t
 	j := &userJob{id: t.ID, early: when == whenever}
 	u.jobs[t.ID] = j
-	j.down = u.w.store.down
+	j.down = u.w.unserved()
 	t.submitted = u.w.now
 	u.trySubmit(j, t, u.w.now+60*time.Second)
 }
@@ -171,7 +178,7 @@
 			if u.w.now < until {
 				u.w.after(time.Second, func() { u.trySubmit(j, t, until) })
 			} else {
-				j.hopeless = u.w.store.down-j.down > 50*time.Second
+				j.hopeless = u.w.unserved()-j.down > 50*time.Second
 			}
 		}
 	})
@@ -181,7 +188,11 @@
 	if j.final != "" {
 		return
 	}
-	u.w.after(5*time.Second, func() { u.poll(j) })
+	every := 5 * time.Second
+	if u.w.now < u.storm.until {
+		every = time.Duration(float64(every) / u.stormFactor)
+	}
+	u.w.after(every, func() { u.poll(j) })
 	u.ask(j, u.pick())
 }
 
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -75,10 +75,13 @@
 	w := m.w
 	t := w.cloud.typ(m.typ)
 	delay := seconds(t.BootS * (0.6 + 0.9*w.rng.Float64()))
-	if w.now < w.cloud.noBoot {
+	if w.cloud.noBoot.strikes(w) {
 		m.upAt = never
 		return
 	}
+	if w.cloud.lateBoot.strikes(w) {
+		delay = time.Duration(float64(delay) * w.cloud.bootFactor)
+	}
 	m.comeUp(delay)
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -79,6 +79,7 @@
 	started int
 	expired int // tasks that a worker dropped for want of an answer
 
+	standstills []span        // in which all controllers stood still
 	calm        time.Duration // when the last trouble is over
 	lateReports late          // copies of reports that come again
 	endCancels  late          // jobs called off at the moment of their end
@@ -197,8 +198,12 @@
 	// fields of the simulated one are not used then.
 	process Process
 	next    uint64
-	pace    *store.Pace
-	cloud   *budget.Bucket
+	paused  time.Duration // it stands still until then
+	held    []core.Input  // what has come for it meanwhile
+	// pausedAt is when it began to stand still.
+	pausedAt time.Duration
+	pace     *store.Pace
+	cloud    *budget.Bucket
 }
 
 func (n *node) settings() *config.Settings {
@@ -222,6 +227,7 @@
 		return
 	}
 	n.reqs = map[uint64]func(core.Answer){}
+	n.paused, n.held = 0, nil
 	n.pace, n.cloud = store.NewPace(n.w.cfg), cloud.NewPace(n.w.cfg)
 	boot := uint64(n.index+1)<<32 + uint64(n.life)
 	if n.w.newCore != nil {
@@ -250,11 +256,34 @@
 	if !n.alive || n.life != life {
 		return
 	}
-	n.feed(core.Tick{})
+	if n.w.now >= n.paused {
+		n.feed(core.Tick{})
+	}
 	n.w.after(75*time.Millisecond, func() { n.tick(life) })
 }
 
+// pause has the controller stand still for a while. What comes meanwhile is there when it
+// goes on, as if nothing had been.
+func (n *node) pause(d time.Duration) {
+	n.pausedAt, n.paused = n.w.now, n.w.now+d
+	life := n.life
+	n.w.after(d, func() {
+		if n.life != life || n.w.now < n.paused {
+			return
+		}
+		held := n.held
+		n.held = nil
+		for _, in := range held {
+			n.feed(in)
+		}
+	})
+}
+
 func (n *node) feed(in core.Input) {
+	if n.w.now < n.paused {
+		n.held = append(n.held, in)
+		return
+	}
 	now := n.w.now - n.born + time.Millisecond
 	// A drifting steady clock, within what the protocol allows.
 	now += now * time.Duration(n.index) / 4000
@@ -385,6 +414,19 @@
 // clock is the time of the stand-ins, for budgets.
 func (w *World) clock() time.Time { return time.UnixMilli(1e12).Add(w.now) }
 
+// unserved is for how long so far no user could be served: the state service was out, or
+// all controllers stood still.
+func (w *World) unserved() time.Duration {
+	sum := w.store.down
+	for _, s := range w.standstills {
+		sum += min(w.now, s.until) - s.from
+	}
+	return sum
+}
+
+// span is a time from one moment to another.
+type span struct{ from, until time.Duration }
+
 // leader is the node that holds the leader key, or nil.
 func (w *World) leader() *node {
 	e := w.store.keys["leader"]
