Limits follow the size of the fleet; a huge array is placed over several passes

Cause: a plan rented for 500 tasks of one job at most, so a service or a gang of more whole machines never got its machines; eight tasks a pass made room and one machine was emptied at a time whatever the size; the list of 4,200 machines took a third of the cloud's calls; an array's tasks were all bound in one step, and the next machine was looked for among all after each that was filled: 4.1 million looks for 15,000 tasks on 4,200 machines.

Change: a plan rents for all of a service or gang and for so many tasks of an array as are worth a boot; the other bounds are ratios to the fleet or to the cloud's rate; PlaceEach looks at each machine once; a pass binds what its bound allows and goes on in the next.

--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -106,10 +106,19 @@
 	m.evict = true
 }
 
+// machinesOfMove is for how many machines of a fleet one is emptied at a time, so that a
+// larger one shrinks as fast.
+const machinesOfMove = 400
+
 // movePace is the time between two machines that are emptied. A machine that
 // goes takes its images with it: while a class arrives whose image is fetched
 // too slowly everywhere, they go seldom.
 func (l *leader) movePace() time.Duration {
+	return l.movePaceOfOne() / time.Duration(max(1, len(l.byName)/machinesOfMove))
+}
+
+// movePaceOfOne is the pace of a fleet that empties one machine at a time.
+func (l *leader) movePaceOfOne() time.Duration {
 	for _, class := range sortedKeys(l.arrivals) {
 		a := l.arrivals[class]
 		if a.last == nil || !a.Coming(l.c.now) {
--- a/internal/core/guests_test.go
+++ b/internal/core/guests_test.go
@@ -75,11 +75,11 @@
 	_, l := withGuests(t)
 	j := enter(l, "job-1", "vision", "sweep", 60, 1)
 	c := &candidate{job: j, pending: j.unplacedTasks()}
-	if n := c.mostPreemptions(); n != maxPreemptions {
+	if n := l.mostPreemptions(c); n != maxPreemptions {
 		t.Errorf("room for %d tasks beyond the guarantee", n)
 	}
-	if c.guaranteed = true; c.mostPreemptions() != 60 {
-		t.Errorf("room for %d tasks within the guarantee", c.mostPreemptions())
+	if c.guaranteed = true; l.mostPreemptions(c) != 60 {
+		t.Errorf("room for %d tasks within the guarantee", l.mostPreemptions(c))
 	}
 }
 
--- /dev/null
+++ b/internal/core/hugearray_test.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// An array of 100,000 tasks that finds 4,200 empty machines is placed over several passes,
+// each of which costs little more than a pass may: the rental plan comes on top.
+func TestHugeArrayInPasses(t *testing.T) {
+	const machines, seats = 4200, 16
+	b, l := leading(t, func(s *config.Settings) { s.Deployment.Teams = []config.Team{{Name: "vision", GPUsMax: 100}} })
+	b.c.types = fetchTypes
+	for i := range machines {
+		idleMachine(l, fmt.Sprintf("n-%06d", i), "g4", "a")
+	}
+	j := enter(l, "job-1", "vision", "sweep", 100000, 0)
+	passes := 0
+	for ; j.placed < machines*seats; passes++ {
+		placed, before := j.placed, l.passes.visits
+		limit := l.passVisits()
+		l.place()
+		if cost := l.passes.visits - before; cost > limit+limit/2 {
+			t.Fatalf("pass %d places %d tasks and costs %d looks, of %d", passes, j.placed-placed, cost, limit)
+		}
+		if j.placed == placed {
+			t.Fatalf("pass %d places nothing after %d tasks", passes, placed)
+		}
+	}
+	if passes < 3 {
+		t.Errorf("%d tasks placed in %d passes", j.placed, passes)
+	}
+}
+
+// A plan rents for all of a service or a gang however large, and for so many tasks of an
+// array that a machine is worth its boot.
+func TestPlannedTasks(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		shape    wire.Shape
+		tasks    int
+		estimate float64
+		want     int
+	}{
+		{"a service as large as the fleet", wire.ShapeService, 4200, 0, 4200},
+		{"a gang as large as the fleet", wire.ShapeGang, 4200, 60, 4200},
+		{"an array of long tasks", wire.ShapeArray, 100000, 300, 100000},
+		{"an array of tasks of a second", wire.ShapeArray, 25000, 1, leastPlanned},
+		{"an array of tasks of ten seconds", wire.ShapeArray, 25000, 12, 2500},
+		{"a small array", wire.ShapeArray, 60, 1, 60},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, l := withGuests(t) // its machines boot in 30 s
+			j := enter(l, "job-1", "vision", "sweep", test.tasks, 0)
+			j.Shape, j.EstimateS = test.shape, test.estimate
+			if got := l.plannedTasks(&candidate{job: j, pending: j.unplacedTasks()}); got != test.want {
+				t.Errorf("%d tasks, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/core/inventory.go
+++ b/internal/core/inventory.go
@@ -4,15 +4,24 @@
 	"strconv"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
 
 const (
-	listPeriod = 2 * time.Second // between two readings of the list
+	listPeriod = 2 * time.Second // between two readings of the list, at least
 	listLimit  = 500             // machines in a page
+	listShare  = 4               // of the cloud's calls, one in so many may read the list
 )
 
+// listPause is the time between two readings of the list: the more pages it has, the
+// longer, so that rentals and returns find room beside them.
+func (l *leader) listPause() time.Duration {
+	pages := (len(l.fleet.listSeen) + listLimit - 1) / listLimit
+	return max(listPeriod, config.Seconds(float64(pages*listShare)/l.c.cfg.Deployment.Cloud.RPS))
+}
+
 // list reads the cloud's list, for machines that came or went unnoticed.
 func (l *leader) list() {
 	f := &l.fleet
@@ -52,7 +61,7 @@
 			return
 		}
 		f.listBusy = false
-		f.listNext = l.c.now + listPeriod
+		f.listNext = l.c.now + l.listPause()
 		l.returnUnlisted()
 	})
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -29,6 +29,7 @@
 	noVictims  map[shape]bool // nobody to stop for tasks of this shape
 	noMachine  map[needs]bool // no machine at all has room for a task
 	visitLimit int            // of the leader's count
+	cutShort   bool           // a job's tasks did not all get their turn within the limit
 	nodes      []*topology.Machine
 	byImage    map[string][]*topology.Machine // with room, see relocation.go
 }
@@ -59,6 +60,10 @@
 			break
 		}
 		p.placeCandidate(c)
+		if p.cutShort {
+			l.passes.resume, l.passes.requested = c.job, true
+			break
+		}
 	}
 	l.plan(cands, p.usage)
 	l.passes.notBefore = max(l.passes.notBefore, l.c.now+2*l.timeFor(l.passes.visits-before))
@@ -88,6 +93,9 @@
 func (p *placementPass) placeAtImage(c *candidate, key shape) {
 	if !p.noMachine[key.needs] {
 		p.fill(c, true)
+		if p.cutShort {
+			return
+		}
 	}
 	if len(c.pending) > 0 && !p.noVictims[key] {
 		p.l.preempt(c, p.usage, true)
@@ -111,9 +119,15 @@
 	plain := l.faults.Failures(j.ID) == 0 && !j.Spread
 	if !math.IsInf(l.c.slowFetch(j.Class), 1) {
 		p.placeAtImage(c, key)
+		if p.cutShort {
+			return
+		}
 	}
 	if len(c.pending) > c.reserved && !p.full[key] && !p.noMachine[key.needs] {
 		p.fill(c, false)
+		if p.cutShort {
+			return
+		}
 		if len(c.pending) > c.reserved && l.reservedFor(j) == 0 {
 			p.full[key] = plain
 			// Whether a spread job finds room depends on where its other
@@ -177,6 +191,11 @@
 	if n < 1 {
 		return
 	}
+	// Binding the tens of thousands of tasks of a huge array at once would hold up
+	// the workers' reports.
+	if turn := max(1, (p.visitLimit-l.passes.visits)/bindLooks); n > turn {
+		n, p.cutShort = turn, true
+	}
 	defer l.countLooks(p.tree)()
 	where := p.tree.PlaceEach(l.placementRequest(j, c.pending[:1], quick), n)
 	for range where {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -22,12 +22,16 @@
 // array of sixty half a minute.
 const maxPreemptions = 8
 
+// machinesOfPreemption is for how many machines of a fleet one more task may, so that
+// making room takes no longer on a larger fleet.
+const machinesOfPreemption = 40
+
 // mostPreemptions is for how many of a candidate's tasks a pass may make room.
-func (c *candidate) mostPreemptions() int {
+func (l *leader) mostPreemptions(c *candidate) int {
 	if c.guaranteed || c.job.Shape == wire.ShapeGang {
 		return len(c.pending)
 	}
-	return min(len(c.pending), maxPreemptions)
+	return min(len(c.pending), max(maxPreemptions, len(l.byName)/machinesOfPreemption))
 }
 
 // preempt makes room for tasks of a job that found none: it stops work of
@@ -80,7 +84,7 @@
 		}
 		return len(c.pending)
 	}
-	want := c.mostPreemptions()
+	want := l.mostPreemptions(c)
 	for want > 0 && !fits(want) {
 		want--
 	}
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -51,11 +52,33 @@
 }
 
 const (
-	maxPlannedTasks = 500 // tasks of one job that a plan rents for
-	maxOpenRents    = 4   // rental requests without an answer
-	maxRentCount    = 50  // machines in one rental request
+	maxOpenRents = 4  // rental requests without an answer
+	maxRentCount = 50 // machines in one rental request
 )
 
+// Of an array's tasks a plan rents for all that take longer together than worthBoots
+// times a boot on one seat each, and for leastPlanned in any case: tens of thousands of
+// tasks of a second or two are over before the machines for all of them are up.
+const (
+	worthBoots   = 4
+	leastPlanned = 500
+)
+
+// plannedTasks is for how many of a candidate's waiting tasks a plan rents: all of a
+// service or a gang, as large as the fleet may be.
+func (l *leader) plannedTasks(c *candidate) int {
+	pending := len(c.pending)
+	if c.job.Shape != wire.ShapeArray || pending <= leastPlanned {
+		return pending
+	}
+	boot, _, ok := l.leadTime(c.job)
+	if !ok || boot <= 0 {
+		return pending
+	}
+	seats := math.Ceil(float64(pending) * l.runEstimate(c.job) / (worthBoots * boot))
+	return min(pending, max(leastPlanned, int(seats)))
+}
+
 // plan rents for the tasks that found no room, and keeps or rents some room
 // for the work that goes on or is expected while a machine boots.
 func (l *leader) plan(cands []*candidate, usage map[string]topology.Resources) {
@@ -125,7 +148,7 @@
 		// only where there is a machine to start on.
 		stoppable = p.stoppableUse(j.Team, c.preemptionRank)
 	}
-	for k := c.reserved; k < len(c.pending) && k < maxPlannedTasks; k++ {
+	for range l.plannedTasks(c) - c.reserved {
 		if !underLimit(team, used.Sub(stoppable), need.Task, 1) {
 			l.noteWait(j, waitLimit)
 			return
@@ -161,7 +184,7 @@
 func (p *rentalPlan) allowedZones(c *candidate, need *rental.Need, packed map[string]int) func(string) bool {
 	j := c.job
 	if j.OneZone && j.placed == 0 && c.reserved == 0 {
-		only := p.ChooseZone(need, min(len(c.pending), maxPlannedTasks))
+		only := p.ChooseZone(need, len(c.pending))
 		return func(zone string) bool { return zone == only }
 	}
 	zoneRoom := p.l.zoneRoom(j)
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -60,9 +60,9 @@
 		return true
 	}
 	used = used.Sub(l.stoppingOf(c.job.Team))
-	most, least := min(len(c.pending), maxPreemptions), 1
+	most, least := l.mostPreemptions(c), 1
 	if c.job.Shape == wire.ShapeGang {
-		most, least = len(c.pending), len(c.pending)
+		least = most
 	}
 	c.ownTeamOnly = true
 	chosen := l.bestPreemptions(c, most, false)
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -4,6 +4,7 @@
 package topology
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"strings"
@@ -378,44 +379,44 @@
 func (t *Tree) PlaceEach(r Request, tasks int) []*Machine {
 	out := make([]*Machine, 0, tasks)
 	inZone := map[string]int{}
-	mayTake := func(m *Machine) bool {
-		return m.Free.Holds(r.Task) && (r.ZoneRoom == nil || inZone[m.Zone] < r.ZoneRoom(m.Zone))
-	}
-	for len(out) < tasks {
-		m := t.tightest(&r, mayTake)
-		if m == nil {
-			break
-		}
-		// Having less room than before it stays the tightest.
-		for len(out) < tasks && mayTake(m) {
+	// fill takes tasks for a machine; having less room than before it stays the tightest.
+	fill := func(m *Machine) {
+		for len(out) < tasks && m.Free.Holds(r.Task) && (r.ZoneRoom == nil || inZone[m.Zone] < r.ZoneRoom(m.Zone)) {
 			t.Take(m, r.Task)
 			inZone[m.Zone]++
 			out = append(out, m)
 		}
 	}
-	return out
-}
-
-// tightest finds the machine of the lowest rank with the least room among those that
-// may take a task.
-func (t *Tree) tightest(r *Request, mayTake func(*Machine) bool) *Machine {
-	var best *Machine
-	bestRank := 0
-	for _, m := range t.withRoom(r.Task) {
+	// Each machine is looked at once. Looked for again after each that was filled, the
+	// next one of a fleet of thousands cost a look at all of them.
+	var later []rankedMachine
+	for _, m := range slices.Clone(t.withRoom(r.Task)) {
+		if len(out) == tasks {
+			return out
+		}
 		t.looks++
-		if !mayTake(m) || r.Allowed != nil && !r.Allowed(m) {
+		if !m.Free.Holds(r.Task) || r.Allowed != nil && !r.Allowed(m) {
 			continue
 		}
 		rank := 0
 		if r.Rank != nil {
 			rank = r.Rank(m)
 		}
-		if best == nil || rank < bestRank {
-			best, bestRank = m, rank
-		}
-		if bestRank <= r.LeastRank {
-			break
+		if rank <= r.LeastRank {
+			fill(m)
+			continue
 		}
+		later = append(later, rankedMachine{m, rank})
 	}
-	return best
+	slices.SortStableFunc(later, func(a, b rankedMachine) int { return cmp.Compare(a.rank, b.rank) })
+	for _, l := range later {
+		fill(l.machine)
+	}
+	return out
+}
+
+// rankedMachine is a machine that may take a request's tasks, and its rank.
+type rankedMachine struct {
+	machine *Machine
+	rank    int
 }
