A machine takes no more tasks than its report can name

Cause: a worker's report may have 64 KiB, and nothing bounded how many tiny tasks a machine took: of an array of 25,000 some 600 to 1,000 at a time.

--- a/internal/core/machinechoice.go
+++ b/internal/core/machinechoice.go
@@ -38,7 +38,7 @@
 // mayPlaceOn tells whether a machine in use may take a job's tasks, if it has
 // room. wait is how long the image's fetch may take.
 func (l *leader) mayPlaceOn(j *job, m *machine, quick bool, wait float64) bool {
-	if !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) {
+	if !eligible(&j.Job, m.typ, m.zone, m.spot) || l.avoid(j, m) || m.rowsLeft() < 1 {
 		return false
 	}
 	if m.reserved != nil && l.c.now < m.reservedUntil {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -38,6 +38,7 @@
 	contact            time.Duration // last answer to a probe or a direct command
 	firstHeard         time.Duration
 	tasks              []wire.Task // newest report
+	endedRows          int         // of them, those of tasks that have ended
 
 	// placed is ordered by name. It is replaced and never changed in place, so
 	// that whoever walks over it may release tasks; one that is released on
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -244,6 +244,7 @@
 		Allowed: func(t *topology.Machine) bool {
 			return l.mayPlaceOn(j, l.passes.leaves[t.Key], quick, wait)
 		},
+		MostOn: func(t *topology.Machine) int { return l.passes.leaves[t.Key].rowsLeft() },
 		Rank: func(t *topology.Machine) int {
 			if m := j.moveTo[tasks[0]]; m != nil && m.name == t.Name {
 				return rankMoveTarget
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -86,7 +86,7 @@
 		}
 		m.leaving = l.c.now + config.Seconds(*r.WarningS)
 	}
-	m.tasks = r.Tasks
+	m.tasks, m.endedRows = r.Tasks, countEnded(r.Tasks)
 	slices.SortFunc(m.tasks, func(a, b wire.Task) int {
 		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -160,6 +160,9 @@
 	Count int
 	// Allowed tells whether a machine may take the tasks; nil allows all.
 	Allowed func(*Machine) bool
+	// MostOn bounds how many tasks that are placed each for itself a machine takes; nil
+	// sets no bound.
+	MostOn func(*Machine) int
 	// ZoneRoom bounds the tasks in a zone; nil sets no bound.
 	ZoneRoom func(zone string) int
 	// Required is the level at or below which the whole request must be placed;
@@ -381,7 +384,12 @@
 	inZone := map[string]int{}
 	// fill takes tasks for a machine; having less room than before it stays the tightest.
 	fill := func(m *Machine) {
-		for len(out) < tasks && m.Free.Holds(r.Task) && (r.ZoneRoom == nil || inZone[m.Zone] < r.ZoneRoom(m.Zone)) {
+		most := tasks
+		if r.MostOn != nil {
+			most = r.MostOn(m)
+		}
+		last := len(out) + most
+		for len(out) < min(tasks, last) && m.Free.Holds(r.Task) && (r.ZoneRoom == nil || inZone[m.Zone] < r.ZoneRoom(m.Zone)) {
 			t.Take(m, r.Task)
 			inZone[m.Zone]++
 			out = append(out, m)
