--- /dev/null
+++ b/internal/core/gangfetch_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/brookwalk/brookwalk/wire"
+)
+
+// A gang is not spread over a machine that holds its image and one that fetches it for
+// longer than its tasks wait for each other, if it finds machines that all fetch it.
+func TestGangFetchesTogether(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		imageGB float64 // fetched at 1 GB/s; gang_wait_s is 50
+		empty   int     // machines without the image
+		held    int     // tasks that are placed where the image is
+	}{
+		{"a fetch in time", 20, 2, 1},
+		{"a fetch that is too long", 60, 2, 0},
+		{"nowhere else to go", 60, 1, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, l := withGuests(t)
+			holder := idleMachine(l, "n-1", "g4", "a")
+			holder.images = []image{{name: "x", gb: test.imageGB}}
+			for _, name := range []string{"n-2", "n-3"}[:test.empty] {
+				idleMachine(l, name, "g4", "a")
+			}
+			j := enter(l, "job-1", "vision", "train", 2, 4)
+			j.Shape, j.OneZone, j.Image, j.ImageGB = wire.ShapeGang, true, "x", test.imageGB
+			p := l.newPlacementPass()
+			c := &candidate{job: j, pending: j.unplacedTasks()}
+			p.fill(c, false)
+			held := 0
+			for i := range j.tasks {
+				if m := j.tasks[i].machine; m == nil {
+					t.Fatalf("task %d is not placed", i)
+				} else if m == holder {
+					held++
+				}
+			}
+			if held != test.held {
+				t.Errorf("%d tasks where the image is, want %d", held, test.held)
+			}
+		})
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -210,10 +210,14 @@
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
 	defer l.countLooks(tree)()
-	where := tree.Place(l.placementRequest(c.job, tasks, quick))
+	request := l.placementRequest(c.job, tasks, quick)
+	where := tree.Place(request)
 	if where == nil {
 		return false
 	}
+	if l.gangTimesOut(c.job, l.machinesOf(where)) {
+		where = l.placeFetchingTogether(tree, request, c.job, where)
+	}
 	l.bindTasks(c.job, tasks, l.machinesOf(where))
 	return true
 }
