--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -186,3 +186,13 @@
 		c.broken("not_done", "%s: %d of %d tasks", j.id, len(t.done), t.Tasks)
 	}
 }
+
+// maxBody is the most that the body of a request may have, in bytes.
+const maxBody = 64 << 10
+
+// reportSize judges that a machine holds no more tasks than its report can name.
+func (c *checker) reportSize(m *machine, size int) {
+	if size > maxBody {
+		c.broken("limits", "%s has a report of %d bytes", m.name, size)
+	}
+}
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -309,18 +309,13 @@
 	return r
 }
 
-// maxBody is the most that the body of a request may have.
-const maxBody = 64 << 10
-
 func (m *machine) report() {
 	w := m.w
 	m.busy, m.changed = true, false
 	m.lastReport = w.now
 	sent, session := w.now, m.session
 	body, _ := json.Marshal(m.message())
-	if len(body) > maxBody {
-		w.check.broken("limits", "%s has a report of %d bytes", m.name, len(body))
-	}
+	w.check.reportSize(m, len(body))
 	if w.now < m.copyUntil && w.now >= m.muteUntil {
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
 		w.after(m.copyDelay, func() {
