--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -25,14 +25,28 @@
 	next        int
 	outage      time.Duration
 	reqs        *budget.Bucket
-	noBoot      late // machines that never come up
-	lateBoot    late // machines that take bootFactor times as long to come up
-	bootFactor  float64
+	noBoot      bootTrouble // machines that never come up
+	lateBoot    bootTrouble // machines that come up late
 
 	workerAddr  func(machine string) string // if not nil, gives a worker\'s address
 	machineGone func(machine string)        // if not nil, is told of machines that are gone
 }
 
+// bootTrouble befalls machines that are rented while it lasts.
+type bootTrouble struct {
+	late
+	typ, zone string  // only machines of these; all if empty
+	factor    float64 // how many times as long a late machine takes
+}
+
+// befalls tells by chance whether the trouble befalls a machine that is rented now.
+func (b bootTrouble) befalls(m *machine) bool {
+	if b.typ != "" && b.typ != m.typ || b.zone != "" && b.zone != m.zone {
+		return false
+	}
+	return b.strikes(m.w)
+}
+
 func newCloud(w *World) *cloudService {
 	return &cloudService{w: w, capacity: map[string]int{}, machines: map[string]*machine{}, byAddr: map[string]*machine{}, granted: map[string][]string{},
 		reqs: budget.New(w.cfg.Deployment.Cloud.RPS, 2*w.cfg.Deployment.Cloud.RPS)}
@@ -40,11 +54,11 @@
 
 func offer(typ, zone string, spot bool) string { return fmt.Sprint(typ, "/", zone, "/", spot) }
 
-// rented is how many machines are rented now.
-func (c *cloudService) rented() int {
+// rented is how many machines of a type, or of all if it is empty, are rented now.
+func (c *cloudService) rented(typ string) int {
 	n := 0
 	for _, m := range c.machines {
-		if !m.gone {
+		if !m.gone && (typ == "" || typ == m.typ) {
 			n++
 		}
 	}
--- a/internal/sim/fourthousand_test.go
+++ b/internal/sim/fourthousand_test.go
@@ -39,7 +39,7 @@
 		longest = max(longest, now-visits[n])
 		visits[n] = now
 	}
-	w.after(seconds(100), func() { machines = w.cloud.rented() })
+	w.after(seconds(100), func() { machines = w.cloud.rented("") })
 	for _, fault := range s.finish(w) {
 		t.Error(fault)
 	}
--- a/internal/sim/scenario_acts.go
+++ b/internal/sim/scenario_acts.go
@@ -238,15 +238,20 @@
 	case "limits": // the state service has lower limits from now on
 		w.store.limit(l.limits(w.cfg.Deployment.State))
 	case "noboot":
-		w.cloud.noBoot = late{l.num("share", 1), w.now + d}
+		w.cloud.noBoot = l.bootTrouble(w.now + d)
 	case "lateboot":
-		w.cloud.lateBoot, w.cloud.bootFactor = late{l.num("share", 1), w.now + d}, l.num("factor", 3)
+		w.cloud.lateBoot = l.bootTrouble(w.now + d)
 	default:
 		return false
 	}
 	return true
 }
 
+// bootTrouble is the trouble that the line describes, until a time.
+func (l *line) bootTrouble(until time.Duration) bootTrouble {
+	return bootTrouble{late: late{l.num("share", 1), until}, typ: l.opt["type"], zone: l.opt["zone"], factor: l.num("factor", 3)}
+}
+
 // actOnMachines troubles machines or their reports; false if the line is of another
 // kind.
 func (w *World) actOnMachines(l line, d time.Duration) bool {
--- a/internal/sim/scenario_expect.go
+++ b/internal/sim/scenario_expect.go
@@ -21,7 +21,7 @@
 	what := l.arg(0)
 	switch what {
 	case "machines":
-		return atMost(w.cloud.rented(), l.num("most", 1e9), "machines")
+		return atMost(w.cloud.rented(l.opt["type"]), l.num("most", 1e9), "machines")
 	case "rented":
 		return atMost(w.cloud.next, l.num("most", 1e9), "machines rented in all")
 	case "expired":
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -75,12 +75,12 @@
 	w := m.w
 	t := w.cloud.typ(m.typ)
 	delay := seconds(t.BootS * (0.6 + 0.9*w.rng.Float64()))
-	if w.cloud.noBoot.strikes(w) {
+	if w.cloud.noBoot.befalls(m) {
 		m.upAt = never
 		return
 	}
-	if w.cloud.lateBoot.strikes(w) {
-		delay = time.Duration(float64(delay) * w.cloud.bootFactor)
+	if w.cloud.lateBoot.befalls(m) {
+		delay = time.Duration(float64(delay) * w.cloud.lateBoot.factor)
 	}
 	m.comeUp(delay)
 }
