A controller that stood still says so when it goes on

Change: the first step after a report's time without any input logs how long, whether it led, under which term, whether its own lease has ended meanwhile, and the open calls and reports.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,6 +93,7 @@
 // Step feeds one input at the steady time now and the time of day wall, and
 // returns what it leads to.
 func (c *Core) Step(now time.Duration, wall time.Time, in Input) Output {
+	c.noteStandstill(now)
 	if now > c.now {
 		c.now = now
 	}
