Guests have no dear machine rented or kept

Change: types that cost four times as much for a guest's task as the cheapest one are left out of what is rented and kept for it; a machine of such a type on which nothing but guests' work has run for as long as a machine may be idle is emptied, with time to save, and returned.

--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -57,7 +57,6 @@
 // priority, those of teams with a guarantee first, deadline slack and submission.
 func (l *leader) candidates() []*candidate {
 	l.guarantee()
-	guests := l.guestTeams()
 	var out []*candidate
 	for _, j := range l.order {
 		p := j.pendingTasks()
@@ -72,7 +71,7 @@
 			}
 			continue
 		}
-		c.guest = guests[j.Team] && (j.Shape == wire.ShapeArray || !l.mustBegin(j))
+		c.guest = l.guests[j.Team] && (j.Shape == wire.ShapeArray || !l.mustBegin(j))
 		if j.Shape == wire.ShapeArray && len(p) > 1 && l.mustBegin(j) {
 			// One task makes a job begin. Where more jobs wait than there is
 			// room for, all tasks of one ahead of the next kept every job of
@@ -107,15 +106,6 @@
 	return out
 }
 
-// guestTeams names the teams that are guests.
-func (l *leader) guestTeams() map[string]bool {
-	guests := map[string]bool{}
-	for _, t := range l.c.cfg.Deployment.Teams {
-		guests[t.Name] = l.c.isGuest(t.Name)
-	}
-	return guests
-}
-
 // preemptionRank is the rank by which a job may stop other work. That of a dependent
 // counts once the chain would be late without it.
 func (l *leader) preemptionRank(j *job) int {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -49,6 +49,7 @@
 	}
 	l.sendRents()
 	for _, m := range l.byName {
+		l.releaseFromGuests(m)
 		l.drainLeaving(m)
 		l.returnIdle(m)
 	}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -139,6 +139,9 @@
 	t.machine = m
 	m.add(taskRef{j, i, taskName(j.ID, i)})
 	m.count(j, 1)
+	if !l.guests[j.Team] {
+		m.owed++
+	}
 	l.used.count(j, 1)
 	j.placed++
 }
@@ -159,6 +162,10 @@
 	m := t.machine
 	m.remove(j, i)
 	m.count(j, -1)
+	if !l.guests[j.Team] {
+		m.owed--
+		m.owedUntil = l.c.now
+	}
 	l.used.count(j, -1)
 	if len(m.placed) == 0 {
 		m.used, m.usedByRank, m.checkpointedByRank = topology.Resources{}, [ranks]topology.Resources{}, [ranks]topology.Resources{}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -40,6 +40,7 @@
 	deps      *depgraph.Graph
 
 	fleet    fleet
+	guests   map[string]bool               // teams without a guarantee beside others with one
 	arrivals map[string]*classArrivals     // by class
 	runTimes map[string]*forecast.RunTimes // by class
 	fetches  fetchEvidence
@@ -57,6 +58,7 @@
 		deps:     depgraph.New(),
 		lookups:  jobLookups{due: map[string]time.Duration{}},
 		lists:    awaitLists{unread: map[string]time.Duration{}},
+		guests:   c.guestTeams(),
 		arrivals: map[string]*classArrivals{},
 		runTimes: map[string]*forecast.RunTimes{},
 		fleet:    newFleet(),
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -50,8 +50,10 @@
 	stopping           topology.Resources        // what is on its way out, at the last pass
 	reviewDue          bool                      // its tasks or images have changed, see review
 	idleSince          time.Duration
-	images             []image      // believed to be cached, latest use first
-	fetching           []imageFetch // images that its tasks wait for, in their order
+	owed               int           // tasks of teams that are not guests
+	owedUntil          time.Duration // when the last of them was released
+	images             []image       // believed to be cached, latest use first
+	fetching           []imageFetch  // images that its tasks wait for, in their order
 
 	listedAs  wire.MachineState
 	listedAt  time.Duration
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -111,18 +111,6 @@
 	return false
 }
 
-// noGuarantee tells whether a team is guaranteed nothing: its work gets what the
-// other teams leave.
-func noGuarantee(t *config.Team) bool { return t.CPUs <= 0 && t.GPUs <= 0 }
-
-// isGuest tells whether a team is guaranteed nothing while others are guaranteed
-// something.
-func (c *Core) isGuest(name string) bool {
-	t := c.team(name)
-	return t != nil && noGuarantee(t) &&
-		slices.ContainsFunc(c.cfg.Deployment.Teams, func(o config.Team) bool { return !noGuarantee(&o) })
-}
-
 // guarantee notes which jobs fit into their team's guarantee along with the
 // team's earlier unfinished jobs. A job that waits for others holds no part of
 // it. A resource for which no team has a guarantee is not guaranteed to anybody and
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -43,6 +43,7 @@
 	drainNeverUp      drainReason = "does not come up"
 	drainTakenByCloud drainReason = "will be taken"
 	drainIdle         drainReason = "idle"
+	drainDear         drainReason = "dear for the guests' work that alone runs on it"
 )
 
 // Reasons for which a controller gives up its leadership, beside those that the
--- a/internal/core/rental/plan.go
+++ b/internal/core/rental/plan.go
@@ -184,7 +184,7 @@
 	}
 	s.missed = make([]int, len(s.shelves))
 	for _, t := range p.terms {
-		if fit := t.Capacity.Fit(n.Task, maxTasksPerMachine); fit > 0 && n.Accepts(t.Offer) {
+		if fit := t.Capacity.Fit(n.Task, MaxTasksPerMachine); fit > 0 && n.Accepts(t.Offer) {
 			s.offers = append(s.offers, pricedOffer{terms: t, fit: fit, cost: t.Price / float64(fit)})
 		}
 	}
@@ -201,8 +201,8 @@
 	return s
 }
 
-// maxTasksPerMachine bounds how many tasks a price is divided by.
-const maxTasksPerMachine = 1 << 20
+// MaxTasksPerMachine bounds how many tasks a price is divided by.
+const MaxTasksPerMachine = 1 << 20
 
 // Pack finds a bin for a task: the tightest one with room, or else a machine of the
 // cheapest offer, of equal ones in the zone with the fewest machines; nil if there is
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -18,6 +18,16 @@
 	return rental.Need{Task: size(&j.Job), Types: strings.Join(j.Types, ","), Zone: j.Zone, Spot: j.Spot, Rank: j.rank, Expected: expected}
 }
 
+// needOfCandidate is what a waiting task of a candidate asks of a machine. Guests' tasks
+// have no dear machine rented or kept.
+func (l *leader) needOfCandidate(c *candidate) rental.Need {
+	n := needOf(c.job, false)
+	if c.guest {
+		n.Types = strings.Join(l.cheapTypes(&c.job.Job), ",")
+	}
+	return n
+}
+
 // purposeOf tells what room for a task is for.
 func purposeOf(j *job, expected bool) string {
 	if expected {
@@ -136,7 +146,7 @@
 	// pass did not come to it.
 	c.reserved = max(c.reserved, l.reservedFor(j))
 	packed := map[string]int{} // by zone
-	need, purpose := needOf(j, false), purposeOf(j, false)
+	need, purpose := l.needOfCandidate(c), purposeOf(j, false)
 	zoneAllowed := p.allowedZones(c, &need, packed)
 	var last *rental.Bin
 	team := l.c.team(j.Team)
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -140,10 +140,7 @@
 
 // idleTooLong tells whether an empty machine has had no use for long enough.
 func (l *leader) idleTooLong(m *machine) bool {
-	limit := 3 * l.c.lease()
-	if s := l.c.op.IdleReturnS; s != nil {
-		limit = time.Duration(*s * float64(time.Second))
-	}
+	limit := l.idleLimit()
 	if l.fleet.keepIdle[m.name] || l.c.now-l.loadedAt < limit {
 		return false
 	}
