Settings tell how many workers they carry; a fleet that outgrows its sockets is told of

Need: at 800 connections each five controllers carry some 3,300 workers, four some 2,700; nothing told operators before workers were turned away. Change: check and the line at the start name the workers carried; the leader warns once when the machines are more than the controllers carry with one of them away. Measured: TestFleetOutgrowsSockets; the bound itself (five sixths of max_connections) is as before.

--- a/cmd/brookwalk/main.go
+++ b/cmd/brookwalk/main.go
@@ -50,6 +50,9 @@
 		for _, field := range cfg.Ignored {
 			fmt.Printf("%s: unknown field, ignored\n", field)
 		}
+		d := &cfg.Deployment
+		fmt.Printf("at most %d workers can report, %d with one controller away (max_connections %d, size %d)\n",
+			d.WorkersCarried(d.Size), d.WorkersCarried(d.Size-1), d.Limits.MaxConnections, d.Size)
 		fmt.Println("settings are good")
 		return nil
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,6 +57,21 @@
 	Limits     Limits      `toml:"machine_limits"`
 }
 
+// outgoingShare is the part of a controller's sockets that is kept for the services, the
+// peers and direct commands.
+const outgoingShare = 6
+
+// Incoming is how many incoming connections a controller takes. Workers come first: one
+// controller may have to take the reports of all workers.
+func (l Limits) Incoming() int {
+	return max(1, l.MaxConnections-l.MaxConnections/outgoingShare)
+}
+
+// WorkersCarried is how many workers can report at a time to that many controllers.
+func (d *Deployment) WorkersCarried(controllers int) int {
+	return max(1, controllers) * d.Limits.Incoming()
+}
+
 // Team is a team's guarantee and limit; 0 means none.
 type Team struct {
 	Name    string  `toml:"name"`
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -40,6 +40,7 @@
 
 // tickFleet does what is due towards the cloud.
 func (l *leader) tickFleet() {
+	l.checkFleetSize()
 	l.returnBatch()
 	l.list()
 	for _, r := range l.fleet.rents {
--- /dev/null
+++ b/internal/core/fleetsize_test.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/brookwalk/brookwalk/internal/config"
+)
+
+// A fleet that outgrows the sockets of the controllers is told of once, and again once it
+// has been smaller.
+func TestFleetOutgrowsSockets(t *testing.T) {
+	_, l := leading(t, func(s *config.Settings) {
+		s.Deployment.Size, s.Deployment.Limits.MaxConnections = 3, 12 // 10 workers each
+	})
+	var logged bytes.Buffer
+	l.c.log = slog.New(slog.NewTextHandler(&logged, nil))
+	var last *machine
+	for i := range 21 {
+		l.checkFleetSize()
+		if logged.Len() > 0 {
+			t.Fatalf("logged with %d machines: %s", i, logged.String())
+		}
+		last = l.machine(fmt.Sprintf("n-%06d", i))
+	}
+	l.checkFleetSize()
+	l.checkFleetSize()
+	if n := strings.Count(logged.String(), "machines=21 carried_with_one_away=20"); n != 1 {
+		t.Errorf("%d lines: %s", n, logged.String())
+	}
+	l.dropMachine(last)
+	l.checkFleetSize()
+	l.machine(last.name)
+	l.checkFleetSize()
+	if n := strings.Count(logged.String(), "outgrows"); n != 2 {
+		t.Errorf("%d lines after the fleet has been smaller: %s", n, logged.String())
+	}
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -40,6 +40,7 @@
 	deps      *depgraph.Graph
 
 	fleet    fleet
+	outgrown bool                          // the fleet is larger than the controllers carry, see checkFleetSize
 	guests   map[string]bool               // teams without a guarantee beside others with one
 	arrivals map[string]*classArrivals     // by class
 	runTimes map[string]*forecast.RunTimes // by class
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,8 @@
 	}
 	ev := evio.Events{NumLoops: 1}
 	ev.Serving = func(evio.Server) evio.Action {
-		n.log.Info("serving", "name", n.cfg.Name, "listen", n.cfg.Listen, "peers", n.cfg.PeerListen)
+		n.log.Info("serving", "name", n.cfg.Name, "listen", n.cfg.Listen, "peers", n.cfg.PeerListen,
+			"workers_carried", n.cfg.Deployment.WorkersCarried(n.cfg.Deployment.Size))
 		go n.tick()
 		go n.serveUsers()
 		return evio.None
@@ -186,17 +187,6 @@
 	c.ev.Wake()
 }
 
-// outgoing is the part of the sockets that is kept for the services, the peers
-// and direct commands. Incoming connections share the rest, workers first: one
-// controller may have to take the reports of all workers.
-const outgoing = 6
-
-// incoming is how many incoming connections are taken.
-func (n *Node) incoming() int {
-	m := n.cfg.Deployment.Limits.MaxConnections
-	return max(1, m-m/outgoing)
-}
-
 func (n *Node) opened(ec evio.Conn) (out []byte, opts evio.Options, action evio.Action) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -204,7 +194,7 @@
 	ec.SetContext(c)
 	if ec.AddrIndex() == 1 {
 		c.peer = peer.NewDecoder()
-	} else if len(n.conns) >= n.incoming() && !n.makeRoom() {
+	} else if len(n.conns) >= n.cfg.Deployment.Limits.Incoming() && !n.makeRoom() {
 		n.log.Debug("connection refused", "open", len(n.conns))
 		return nil, opts, evio.Close
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -126,10 +126,10 @@
 		return f, action != evio.Close
 	}
 	var users []*fakeConn
-	for i := 0; i < n.incoming()-1; i++ {
+	for i := 0; i < n.cfg.Deployment.Limits.Incoming()-1; i++ {
 		f, ok := open()
 		if !ok {
-			t.Fatalf("user %d of %d was turned away", i, n.incoming())
+			t.Fatalf("user %d of %d was turned away", i, n.cfg.Deployment.Limits.Incoming())
 		}
 		f.ctx.(*conn).last = time.Unix(int64(1000+i), 0)
 		users = append(users, f)
