core: requests that wait for a cancellation in a package of their own

Need: cancellation was one of the two parts that were to leave the core's package. Change: package cancellation keeps who waits for which job, until when, and what a confirmation that is under way means for them; the core records, asks and answers. Behaviour is unchanged.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,7 +86,7 @@
 		c.peers[p.Name] = &peerState{}
 	}
 	c.elect = election.New(cfg.Name, c.ttl(), electionStore{c}, electionHost{c}, log)
-	c.users.init()
+	c.initUsers()
 	return c
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -243,8 +243,8 @@
 // sendDigest tells the other controllers of this one.
 func (c *Core) sendDigest() {
 	d := wire.Digest{Version: wire.PeerVersion, Term: c.elect.Term(), StoreOK: c.storeOK(), HearsLeader: c.hearsLeader(), Boot: c.boot, Clock: int64(c.now), Kept: c.extensions.list(c.now)}
-	for _, id := range sortedKeys(c.users.cancels) {
-		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels[id].version})
+	for _, id := range c.users.cancels.Jobs() {
+		d.Cancelled = append(d.Cancelled, wire.Cancelled{ID: id, Version: c.users.cancels.Version(id)})
 	}
 	if c.lead != nil {
 		d.Leader, d.FetchesQueue = true, c.lead.fetches.queue()
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/cancellation"
 	"github.com/brookwalk/brookwalk/internal/core/records"
 )
 
@@ -22,18 +23,19 @@
 	order      []string             // jobs with lookups, oldest first
 	lookupBusy int
 	confirmAt  time.Duration // known jobs wait until then, to be confirmed together
-	cancels    map[string]*cancelling
+	cancels    *cancellation.Waits
 	preloaded  bool
 	preloadAt  time.Duration
 
 	storeBadSince time.Duration
 }
 
-func (u *users) init() {
+func (c *Core) initUsers() {
+	u := &c.users
 	u.open = map[string]*openJob{}
 	u.final = map[string]records.Final{}
 	u.lookups = map[string][]*lookup{}
-	u.cancels = map[string]*cancelling{}
+	u.cancels = cancellation.New(c.cancelWait(), c.cancelTime())
 }
 
 // maxWaiting is how many requests may wait: each comes on a connection.
@@ -66,7 +68,7 @@
 	c.pumpSubmits()
 	c.expireLookups()
 	c.pumpLookups()
-	c.tickCancels()
+	c.answerStopping(c.users.cancels.Expire(c.now))
 }
 
 // expireSubmits answers the submissions in the queue whose time is up.
