core: who makes room for whom in a package of its own

Change: package preemption finds the rooms of a machine and chooses among those of all machines, by sizes and losses only; which tasks may be stopped and what a stop loses stays the core's. Machines are reserved as such, not as rooms without victims. Behaviour is unchanged.

--- a/internal/core/gangroom.go
+++ b/internal/core/gangroom.go
@@ -40,13 +40,17 @@
 	if best == nil {
 		return
 	}
-	var room []preemption
+	var rooms []room
 	for _, s := range best {
 		p.move(s.moves)
-		room = append(room, preemption{machine: s.machine, victims: s.stops})
+		r := room{Machine: s.machine.name, Zone: s.machine.zone}
+		for _, stop := range s.stops {
+			r.Victims = append(r.Victims, victim{Task: stop})
+		}
+		rooms = append(rooms, r)
 	}
-	c.reserved = len(room)
-	l.reserve(j, room, l.stopVictims(j, room))
+	c.reserved = len(rooms)
+	l.reserve(j, l.machinesOfRooms(rooms), l.stopVictims(j, rooms))
 }
 
 // seatMoves counts the replicas that move.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -2,19 +2,18 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/preemption"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// preemption is room for one more task on a machine, and who has to go for it.
-type preemption struct {
-	machine *machine
-	victims []taskRef
-	cost    float64 // seconds of a task's work that are lost
-}
+// room is room for one more task on a machine, and who has to go for it.
+type room = preemption.Room[taskRef]
+
+// victim is a task that may be stopped.
+type victim = preemption.Victim[taskRef]
 
 // maxPreemptions bounds how many tasks of an array or a service that is not within its
 // team's guarantee make room in one pass: what is stopped for them comes back as work to
@@ -69,7 +68,7 @@
 		return false
 	}
 	c.reserved = len(best)
-	l.reserve(j, best, l.stopVictims(j, best))
+	l.reserve(j, l.machinesOfRooms(best), l.stopVictims(j, best))
 	return false
 }
 
@@ -93,14 +92,14 @@
 
 // bestPreemptions finds room for up to want tasks: for a job that is bound to
 // one zone, in the zone with the most of it, at the least loss.
-func (l *leader) bestPreemptions(c *candidate, want int, quick bool) []preemption {
+func (l *leader) bestPreemptions(c *candidate, want int, quick bool) []room {
 	if !c.job.OneZone {
 		return l.preemptions(c, want, "", quick)
 	}
-	var best []preemption
+	var best []room
 	for _, zone := range l.zones() {
 		s := l.preemptions(c, want, zone, quick)
-		if len(s) > len(best) || len(s) == len(best) && totalCost(s) < totalCost(best) {
+		if len(s) > len(best) || len(s) == len(best) && preemption.TotalCost(s) < preemption.TotalCost(best) {
 			best = s
 		}
 	}
@@ -109,13 +108,15 @@
 
 // stopVictims stops the tasks that go for preemptions, and returns the longest
 // time that one of them gets to save, in seconds.
-func (l *leader) stopVictims(j *job, chosen []preemption) float64 {
+func (l *leader) stopVictims(j *job, chosen []room) float64 {
 	wait := 0.0
-	for _, s := range chosen {
-		for _, v := range s.victims {
-			grace := l.graceFor(j, s.machine, v.job)
+	for _, r := range chosen {
+		m := l.machines[r.Machine]
+		for i := range r.Victims {
+			v := &r.Victims[i].Task
+			grace := l.graceFor(j, m, v.job)
 			wait = max(wait, grace)
-			l.c.log.Info("preempt", "task", v.name, "machine", s.machine.name, "for", j.ID, "grace_s", grace)
+			l.c.log.Info("preempt", "task", v.name, "machine", r.Machine, "for", j.ID, "grace_s", grace)
 			if v.job.Shape == wire.ShapeGang {
 				v.job.preempted++
 				l.stopGang(v.job, grace, stopPreempted)
@@ -127,20 +128,29 @@
 	return wait
 }
 
-// reserve keeps the preemptions' machines for a job until the room is there,
-// wait seconds from now.
-func (l *leader) reserve(j *job, chosen []preemption, wait float64) {
+// machinesOfRooms lists the machines of rooms, in their order.
+func (l *leader) machinesOfRooms(rooms []room) []*machine {
+	machines := make([]*machine, len(rooms))
+	for k := range rooms {
+		machines[k] = l.machines[rooms[k].Machine]
+	}
+	return machines
+}
+
+// reserve keeps machines for a job until the room is there, wait seconds from now; a
+// machine is named once for each of the job's tasks that it is kept for.
+func (l *leader) reserve(j *job, machines []*machine, wait float64) {
 	j.reservedOn = nil
-	for _, s := range chosen {
-		s.machine.reserved, s.machine.reservedTasks = j, 0
-		if !slices.Contains(j.reservedOn, s.machine) {
-			j.reservedOn = append(j.reservedOn, s.machine)
+	for _, m := range machines {
+		m.reserved, m.reservedTasks = j, 0
+		if !slices.Contains(j.reservedOn, m) {
+			j.reservedOn = append(j.reservedOn, m)
 		}
 	}
 	until := l.c.now + time.Duration(wait*float64(time.Second)) + 3*l.c.report()
-	for _, s := range chosen {
-		s.machine.reservedTasks++
-		s.machine.reservedUntil = until
+	for _, m := range machines {
+		m.reservedTasks++
+		m.reservedUntil = until
 	}
 }
 
@@ -206,15 +216,6 @@
 	return (l.stopLoss(j, t) + 1) * share * float64(n) * rank * rank * float64(1+j.preempted)
 }
 
-// totalCost is the cost of preemptions.
-func totalCost(chosen []preemption) float64 {
-	sum := 0.0
-	for _, s := range chosen {
-		sum += s.cost
-	}
-	return sum
-}
-
 // reservedFor counts the tasks for which room is being made.
 func (l *leader) reservedFor(j *job) int {
 	n := 0
@@ -264,10 +265,10 @@
 
 // preemptions finds room for up to want tasks, in one zone or anywhere, at the
 // least loss: free room first.
-func (l *leader) preemptions(c *candidate, want int, zone string, quick bool) []preemption {
+func (l *leader) preemptions(c *candidate, want int, zone string, quick bool) []room {
 	wait := l.c.slowFetch(c.job.Class)
 	zoneRoom := l.zoneRoom(c.job)
-	var all []preemption
+	var all []room
 	l.passes.visits += len(l.passes.leaves)
 	for _, m := range l.passes.leaves {
 		if zone != "" && m.zone != zone || !l.mayPreemptOn(c, m) || quick && l.slow(c.job, m, wait) {
@@ -276,13 +277,9 @@
 		if zoneRoom != nil && zoneRoom(m.zone) < 1 {
 			continue
 		}
-		whole, _ := l.total(m)
-		all = append(all, l.preemptionsOn(c, m, whole.Sub(m.used), want, quick)...)
+		all = append(all, l.roomsOn(c, m, want, quick)...)
 	}
-	// The preemptions of one machine build on each other: a later one never costs
-	// less, see preemptionsOn, so the order by cost keeps theirs.
-	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
-	return choosePreemptions(all, want, zoneRoom)
+	return preemption.Choose(all, want, zoneRoom)
 }
 
 // mayPreemptOn tells whether room for a candidate's task can be made on a
@@ -291,80 +288,23 @@
 	return l.roomByPreemption(c, m).Holds(size(&c.job.Job)) && l.mayTake(c.job, m) && (m.reserved == nil || l.c.now >= m.reservedUntil)
 }
 
-// choosePreemptions takes the first preemptions that the zones' bounds allow. A
-// gang is a victim of the first one only that it goes for.
-func choosePreemptions(all []preemption, want int, zoneRoom func(string) int) []preemption {
-	var out []preemption
-	inZone := map[string]int{}
-	stopped := map[*job]bool{} // gangs
-	for _, s := range all {
-		if len(out) == want {
-			break
-		}
-		if zoneRoom != nil && inZone[s.machine.zone] >= zoneRoom(s.machine.zone) {
-			continue
-		}
-		inZone[s.machine.zone]++
-		var victims []taskRef
-		for _, v := range s.victims {
-			if v.job.Shape == wire.ShapeGang {
-				if stopped[v.job] {
-					continue
-				}
-				stopped[v.job] = true
-			}
-			victims = append(victims, v)
-		}
-		s.victims = victims
-		out = append(out, s)
-	}
-	return out
-}
-
-// victim is a task that may be stopped, and what that loses.
-type victim struct {
-	r    taskRef
-	loss float64
-}
-
-// preemptionsOn lists the preemptions on one machine, cheapest first; each
-// needs those before it. free is what nobody uses there.
-func (l *leader) preemptionsOn(c *candidate, m *machine, free topology.Resources, want int, quick bool) []preemption {
-	need := size(&c.job.Job)
-	var victims []victim
-	counted := false
-	var out []preemption
-	for len(out) < want {
-		s := preemption{machine: m}
-		if !counted && !free.Holds(need) {
-			counted = true
-			victims, free = l.victimsOn(c, m, free, quick)
-		}
-		for !free.Holds(need) {
-			if len(victims) == 0 {
-				return out
-			}
-			v := victims[0]
-			victims = victims[1:]
-			free = free.Add(size(&v.r.job.Job))
-			s.victims = append(s.victims, v.r)
-			s.cost += v.loss
-		}
-		free = free.Sub(need)
-		if len(out) > 0 {
-			s.cost = max(s.cost, out[len(out)-1].cost)
-		}
-		out = append(out, s)
-	}
-	return out
+// roomsOn lists the rooms that stops for a candidate make on one machine.
+func (l *leader) roomsOn(c *candidate, m *machine, want int, quick bool) []room {
+	whole, _ := l.total(m)
+	return preemption.On(&preemption.Machine[taskRef]{
+		Name: m.name, Zone: m.zone, Free: whole.Sub(m.used),
+		Victims: func(free topology.Resources) ([]victim, topology.Resources) {
+			return l.victimsOn(c, m, free, quick)
+		},
+	}, size(&c.job.Job), want)
 }
 
 // weighLooks is about how many looks at machines take as long as weighing a task, see
 // BenchmarkPreemptions.
 const weighLooks = 3
 
-// victimsOn lists the tasks on a machine that may be stopped for a candidate,
-// the least loss first, and adds what is already on its way out to what is free.
+// victimsOn lists the tasks on a machine that may be stopped for a candidate, and adds
+// what is already on its way out to what is free.
 func (l *leader) victimsOn(c *candidate, m *machine, free topology.Resources, quick bool) ([]victim, topology.Resources) {
 	whole, _ := l.total(m)
 	l.passes.visits += weighLooks * len(m.placed)
@@ -378,12 +318,22 @@
 		if !l.mayPreempt(c, p.job) || quick && p.job.rank == c.preemptionRank {
 			continue
 		}
-		victims = append(victims, victim{p, l.victimCost(p.job, t, whole)})
+		victims = append(victims, victim{Task: p, Loss: l.victimCost(p.job, t, whole)})
 	}
-	sort.SliceStable(victims, func(a, b int) bool { return victims[a].loss < victims[b].loss })
 	return victims, free
 }
 
+// Size is what becomes free when the task stops.
+func (p taskRef) Size() topology.Resources { return size(&p.job.Job) }
+
+// Gang names the gang that stops along with the task; empty if it stops alone.
+func (p taskRef) Gang() string {
+	if p.job.Shape == wire.ShapeGang {
+		return p.job.ID
+	}
+	return ""
+}
+
 // mayTake tells whether a machine may take a job's tasks, were there room.
 func (l *leader) mayTake(j *job, m *machine) bool {
 	return l.usable(m) && eligible(&j.Job, m.typ, m.zone, m.spot) && !l.avoid(j, m)
--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -220,7 +220,7 @@
 			},
 			job: array("job-9", wire.PriorityNormal, 4),
 			change: func(l *leader, j *job) {
-				l.reserve(j, []preemption{{machine: l.machines["n-1"]}}, 10)
+				l.reserve(j, []*machine{l.machines["n-1"]}, 10)
 			},
 			reserved: []string{"n-1"},
 		},
--- /dev/null
+++ b/internal/core/preemption/preemption_test.go
@@ -0,0 +1,112 @@
+package preemption
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+)
+
+func cpus(n float64) topology.Resources { return topology.Resources{CPUs: n} }
+
+// task is a task by its name.
+type task struct {
+	name string
+	cpus float64
+	gang string
+}
+
+func (t task) Size() topology.Resources { return cpus(t.cpus) }
+func (t task) Gang() string             { return t.gang }
+
+// machine runs victims beside free CPUs and some that are on their way out.
+func machine(name, zone string, free, leaving float64, victims ...Victim[task]) *Machine[task] {
+	return &Machine[task]{Name: name, Zone: zone, Free: cpus(free), Victims: func(free topology.Resources) ([]Victim[task], topology.Resources) {
+		return slices.Clone(victims), free.Add(cpus(leaving))
+	}}
+}
+
+func victim(name string, size, loss float64) Victim[task] {
+	return Victim[task]{Task: task{name: name, cpus: size}, Loss: loss}
+}
+
+func ofGang(v Victim[task], gang string) Victim[task] {
+	v.Task.gang = gang
+	return v
+}
+
+// told names rooms and their victims: "machine: victims".
+func told(rooms []Room[task]) string {
+	var out []string
+	for _, r := range rooms {
+		s := r.Machine + ":"
+		for _, v := range r.Victims {
+			s += " " + v.Task.name
+		}
+		out = append(out, s)
+	}
+	return strings.Join(out, "; ")
+}
+
+func TestOn(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		m    *Machine[task]
+		size float64
+		want int
+		told string
+		cost float64 // of the last room
+	}{
+		{"free room first", machine("m", "a", 2, 0, victim("x", 1, 5)), 1, 3, "m:; m:; m: x", 5},
+		{"no more than is wanted", machine("m", "a", 9, 0), 1, 2, "m:; m:", 0},
+		{"what is on its way out counts as free", machine("m", "a", 0, 1, victim("x", 1, 5)), 1, 2, "m:; m: x", 5},
+		{"the least loss first", machine("m", "a", 0, 0, victim("x", 1, 5), victim("y", 1, 2)), 1, 1, "m: y", 2},
+		{"as many victims as the size takes", machine("m", "a", 0, 0, victim("x", 1, 5), victim("y", 1, 2), victim("z", 1, 3)), 2, 2, "m: y z", 5},
+		{"what is left of a large victim holds the next", machine("m", "a", 0, 0, victim("x", 2, 5)), 1, 2, "m: x; m:", 5},
+		{"no room", machine("m", "a", 0, 0, victim("x", 1, 5)), 2, 1, "", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rooms := On(tc.m, cpus(tc.size), tc.want)
+			if got := told(rooms); got != tc.told {
+				t.Fatalf("rooms %q, want %q", got, tc.told)
+			}
+			if n := len(rooms); n > 0 && rooms[n-1].Cost != tc.cost {
+				t.Errorf("the last costs %v, want %v", rooms[n-1].Cost, tc.cost)
+			}
+		})
+	}
+}
+
+func TestChoose(t *testing.T) {
+	onA := On(machine("m", "a", 1, 0, victim("x", 1, 4), victim("y", 1, 1)), cpus(1), 3)
+	onB := On(machine("n", "b", 0, 0, victim("z", 1, 2)), cpus(1), 3)
+	gangs := func() []Room[task] {
+		return append(On(machine("m", "a", 0, 0, ofGang(victim("g/0", 1, 3), "g")), cpus(1), 1),
+			On(machine("n", "b", 0, 0, ofGang(victim("g/1", 1, 3), "g"), victim("w", 1, 9)), cpus(1), 2)...)
+	}
+	for _, tc := range []struct {
+		name     string
+		rooms    []Room[task]
+		want     int
+		zoneRoom func(string) int
+		told     string
+		cost     float64
+	}{
+		{"the cheapest of all machines", append(slices.Clone(onB), onA...), 3, nil, "m:; m: y; n: z", 3},
+		{"all there are", append(slices.Clone(onB), onA...), 9, nil, "m:; m: y; n: z; m: x", 7},
+		{"within the zones' bounds", append(slices.Clone(onB), onA...), 3, func(zone string) int { return 1 }, "m:; n: z", 2},
+		{"a gang goes once", gangs(), 3, nil, "m: g/0; n:; n: w", 15},
+		{"none", nil, 3, nil, "", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			chosen := Choose(tc.rooms, tc.want, tc.zoneRoom)
+			if got := told(chosen); got != tc.told {
+				t.Errorf("rooms %q, want %q", got, tc.told)
+			}
+			if got := TotalCost(chosen); got != tc.cost {
+				t.Errorf("cost %v, want %v", got, tc.cost)
+			}
+		})
+	}
+}
--- a/internal/core/relocation.go
+++ b/internal/core/relocation.go
@@ -36,7 +36,7 @@
 	zoneRoom := l.zoneRoom(j)
 	added := map[string]int{} // by zone
 	want := l.preemptionsWanted(c, p.usage)
-	var room []preemption
+	var room []*machine
 	for _, m := range l.passes.leaves {
 		if len(room) == want || l.passes.visits > p.visitLimit {
 			break
@@ -54,7 +54,7 @@
 			p.move(moves)
 			free = free.Add(movedSize(moves)).Sub(size(&j.Job))
 			added[m.zone]++
-			room = append(room, preemption{machine: m})
+			room = append(room, m)
 		}
 	}
 	if len(room) > 0 {
@@ -159,7 +159,7 @@
 		j, to := r.replica.job, l.passes.leaves[r.to.Key]
 		p.tree.Take(r.to, size(&j.Job))
 		j.moveTo[r.replica.index] = to
-		l.reserve(j, []preemption{{machine: to}}, 0)
+		l.reserve(j, []*machine{to}, 0)
 		l.c.log.Info("move replica", "task", r.replica.name, "from", r.replica.task().machine.name, "to", to.name)
 		l.stopTask(j, r.replica.index, 0, stopMoved)
 	}
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -75,7 +75,7 @@
 		c.job.madeRoomInLimit = true
 		c.reserved = len(chosen)
 		wait := max(l.stopVictims(c.job, chosen), l.stopVictims(c.job, extra))
-		l.reserve(c.job, chosen, wait)
+		l.reserve(c.job, l.machinesOfRooms(chosen), wait)
 		break
 	}
 	return false
@@ -86,8 +86,8 @@
 
 // ownVictims lists the tasks of a candidate's team that may be stopped for it,
 // the least loss first. A gang is listed once, by its first task.
-func (l *leader) ownVictims(c *candidate) []preemption {
-	var own []preemption
+func (l *leader) ownVictims(c *candidate) []room {
+	var own []room
 	for _, m := range l.byName {
 		whole, ok := l.total(m)
 		if !ok {
@@ -99,28 +99,29 @@
 			if v.Team != c.job.Team || v.rank >= c.preemptionRank || p.task().stop != nil {
 				continue
 			}
-			if v.Shape == wire.ShapeGang && slices.ContainsFunc(own, func(o preemption) bool { return o.victims[0].job == v }) {
+			if v.Shape == wire.ShapeGang && slices.ContainsFunc(own, func(o room) bool { return o.Victims[0].Task.job == v }) {
 				continue
 			}
-			own = append(own, preemption{machine: m, victims: []taskRef{p}, cost: l.victimCost(v, p.task(), whole)})
+			loss := l.victimCost(v, p.task(), whole)
+			own = append(own, room{Machine: m.name, Zone: m.zone, Victims: []victim{{Task: p, Loss: loss}}, Cost: loss})
 		}
 	}
-	slices.SortStableFunc(own, func(a, b preemption) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortStableFunc(own, func(a, b room) int { return cmp.Compare(a.Cost, b.Cost) })
 	return own
 }
 
 // stopsForLimit chooses, of a team's own victims, those that have to go beside
 // the victims of chosen so that the limit allows a task on each of chosen; not ok
 // if all together are not enough.
-func (l *leader) stopsForLimit(c *candidate, chosen, own []preemption, used topology.Resources) (extra []preemption, ok bool) {
+func (l *leader) stopsForLimit(c *candidate, chosen, own []room, used topology.Resources) (extra []room, ok bool) {
 	team := l.c.team(c.job.Team)
 	task := size(&c.job.Job)
 	stopped := map[taskKey]bool{}
 	for _, s := range chosen {
-		for _, v := range s.victims {
-			if !stopped[v.stopKey()] {
-				stopped[v.stopKey()] = true
-				used = used.Sub(stoppedWith(v))
+		for _, v := range s.Victims {
+			if !stopped[v.Task.stopKey()] {
+				stopped[v.Task.stopKey()] = true
+				used = used.Sub(stoppedWith(v.Task))
 			}
 		}
 	}
@@ -128,7 +129,7 @@
 		if underLimit(team, used, task, len(chosen)) {
 			return extra, true
 		}
-		v := s.victims[0]
+		v := s.Victims[0].Task
 		if stopped[v.stopKey()] || !relieves(team, used.Add(times(task, len(chosen))), size(&v.job.Job)) {
 			continue
 		}
