--- a/internal/core/consolidation.go
+++ b/internal/core/consolidation.go
@@ -26,11 +26,11 @@
 	// Whether all find room changes slowly, and finding out costs a look at many
 	// machines for each source.
 	f.moveNext = l.c.now + l.c.report()
-	limit := l.passes.visits + l.passVisits()
+	limit := l.passes.evaluations + l.passBudget()
 	first := slices.IndexFunc(sources, func(m *machine) bool { return m.name == f.moveFrom })
 	f.moveFrom = ""
 	for _, m := range sources[max(first, 0):] {
-		if l.passes.visits > limit {
+		if l.passes.evaluations > limit {
 			f.moveFrom = m.name // goes on there
 			return
 		}
@@ -198,7 +198,7 @@
 	zoneRoom := l.zoneRoom(j)
 	var best moveTarget
 	var bestFree topology.Resources
-	l.passes.visits += len(targets)
+	l.passes.evaluations += len(targets)
 	for _, b := range targets {
 		m, free := b.machine, b.Free
 		if t, ok := taken[b.Bin]; ok {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -109,13 +109,13 @@
 	return c.out
 }
 
-// Visits counts the looks at machines that this core's decisions took while it
+// Evaluations counts the machines that this core's decisions evaluated while it
 // has led: what they cost, independent of any clock.
-func (c *Core) Visits() int {
+func (c *Core) Evaluations() int {
 	if c.lead == nil {
 		return 0
 	}
-	return c.lead.passes.visits
+	return c.lead.passes.evaluations
 }
 
 func (c *Core) onTick() {
--- a/internal/core/failures.go
+++ b/internal/core/failures.go
@@ -34,18 +34,18 @@
 func (l *leader) noteRunning(p taskRef) {
 	t := p.task()
 	if t.ours && !t.proven && l.c.now-t.upAt >= provenAfter*l.c.report() {
-		l.didWell(p)
+		l.succeeded(p)
 	}
 }
 
-// didWell notes that a task started well or is done.
-func (l *leader) didWell(p taskRef) {
+// succeeded notes that a task started well or is done.
+func (l *leader) succeeded(p taskRef) {
 	t := p.task()
 	t.proven = true
 	if l.faults.JobFaulty(p.job.ID) {
 		l.c.log.Info("job does well after all", "job", p.job.ID)
 	}
-	l.faults.DidWell(p.job.ID, t.machine.name)
+	l.faults.Succeeded(p.job.ID, t.machine.name)
 	p.job.failures = 0
 }
 
--- a/internal/core/faults/faults.go
+++ b/internal/core/faults/faults.go
@@ -41,10 +41,10 @@
 	sets[key][member] = true
 }
 
-// DidWell notes that a task of a job did well on a machine: it is done, or has run for
+// Succeeded notes that a task of a job did well on a machine: it is done, or has run for
 // longer than a start that fails. The job's failures elsewhere still speak against the
 // machines, those of other jobs on this machine still against the jobs.
-func (e *Evidence) DidWell(job, machine string) {
+func (e *Evidence) Succeeded(job, machine string) {
 	delete(e.machinesOf, job)
 	delete(e.jobsOf, machine)
 }
--- a/internal/core/faults/faults_test.go
+++ b/internal/core/faults/faults_test.go
@@ -10,7 +10,7 @@
 	for _, event := range events {
 		job, machine := event[:1], event[2:]
 		if event[1] == '+' {
-			e.DidWell(job, machine)
+			e.Succeeded(job, machine)
 		} else {
 			e.Failed(job, machine)
 		}
--- a/internal/core/gangroom.go
+++ b/internal/core/gangroom.go
@@ -80,7 +80,7 @@
 		plan.emptied[m] = true
 	}
 	for _, m := range machines {
-		if len(plan.seats) == len(c.pending) || l.passes.visits > p.visitLimit {
+		if len(plan.seats) == len(c.pending) || l.passes.evaluations > p.budgetEnd {
 			break
 		}
 		plan.tryMachine(m)
--- a/internal/core/gone.go
+++ b/internal/core/gone.go
@@ -120,7 +120,7 @@
 	case wire.CauseDone:
 		l.learnRun(j, l.c.now-t.upAt, t.upAt != 0)
 		if t.ours {
-			l.didWell(p)
+			l.succeeded(p)
 		}
 		l.markDone(j, i)
 		if j.Shape == wire.ShapeGang {
--- a/internal/core/hugearray_test.go
+++ b/internal/core/hugearray_test.go
@@ -20,11 +20,11 @@
 	j := enter(l, "job-1", "vision", "sweep", 100000, 0)
 	passes := 0
 	for ; j.placed < machines*seats; passes++ {
-		placed, before := j.placed, l.passes.visits
-		limit := l.passVisits()
+		placed, before := j.placed, l.passes.evaluations
+		limit := l.passBudget()
 		l.place()
-		if cost := l.passes.visits - before; cost > limit+limit/2 {
-			t.Fatalf("pass %d places %d tasks and costs %d looks, of %d", passes, j.placed-placed, cost, limit)
+		if cost := l.passes.evaluations - before; cost > limit+limit/2 {
+			t.Fatalf("pass %d places %d tasks and costs %d evaluations, of %d", passes, j.placed-placed, cost, limit)
 		}
 		if j.placed == placed {
 			t.Fatalf("pass %d places nothing after %d tasks", passes, placed)
--- a/internal/core/pass_test.go
+++ b/internal/core/pass_test.go
@@ -64,10 +64,10 @@
 	l := busyFleet(t, machines)
 	allIdle(l)
 	j := addJob(l, wire.Job{ID: "job-999999", Class: "gate", Shape: wire.ShapeService, Priority: wire.PriorityCritical, CPUs: 20, MemGB: 1, Tasks: 1})
-	before := l.passes.visits
+	before := l.passes.evaluations
 	l.preemptions(&candidate{job: j, pending: []int{0}, preemptionRank: j.rank}, 1, "", false)
-	if got := l.passes.visits - before; got < machines*tasksOfMachine {
-		t.Errorf("%d looks for %d tasks", got, machines*tasksOfMachine)
+	if got := l.passes.evaluations - before; got < machines*tasksOfMachine {
+		t.Errorf("%d evaluations for %d tasks", got, machines*tasksOfMachine)
 	}
 }
 
--- a/internal/core/passcost.go
+++ b/internal/core/passcost.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// visitTime is about what a look at a machine takes on a whole processor.
-const visitTime = 100 * time.Nanosecond
+// evaluationTime is about what the evaluation of a machine takes on a whole processor.
+const evaluationTime = 100 * time.Nanosecond
 
-// timeFor is about how long looks at machines take on this controller.
-func (l *leader) timeFor(visits int) time.Duration {
+// timeFor is about how long evaluations of machines take on this controller.
+func (l *leader) timeFor(evaluations int) time.Duration {
 	cpu := l.c.cfg.Deployment.Limits.CPU
 	if cpu <= 0 || cpu > 1 {
 		cpu = 1
 	}
-	return time.Duration(float64(visits) * float64(visitTime) / cpu)
+	return time.Duration(float64(evaluations) * float64(evaluationTime) / cpu)
 }
 
-// passVisits bounds a pass: reports are not answered meanwhile. What a pass
+// passBudget bounds a pass: reports are not answered meanwhile. What a pass
 // does not come to is first in the next one.
-func (l *leader) passVisits() int {
+func (l *leader) passBudget() int {
 	return max(len(l.passes.leaves), int(l.c.report()/20/l.timeFor(1)))
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -11,12 +11,12 @@
 
 // placementPasses is what the leader keeps from one placement pass to the next.
 type placementPasses struct {
-	requested bool          // there is something to place
-	notBefore time.Duration // when the next pass may begin
-	visits    int           // machines looked at by all passes so far
-	leaves    []*machine    // those that may take tasks in this pass
-	resume    *job          // where the last pass was cut short
-	victims   []victim      // kept to be filled again, see victimsOn
+	requested   bool          // there is something to place
+	notBefore   time.Duration // when the next pass may begin
+	evaluations int           // machines evaluated by all passes so far
+	leaves      []*machine    // those that may take tasks in this pass
+	resume      *job          // where the last pass was cut short
+	victims     []victim      // kept to be filled again, see victimsOn
 }
 
 // placementPass is one walk over the jobs that wait for room.
@@ -26,37 +26,37 @@
 	usage map[string]topology.Resources // by team
 	kept  map[string][]limitShare       // of the teams' limits
 	// What is found not to fit in a pass is not tried again: room only shrinks.
-	full       map[shape]bool // no room for tasks of this shape
-	noVictims  map[shape]bool // nobody to stop for tasks of this shape
-	noMachine  map[needs]bool // no machine at all has room for a task
-	visitLimit int            // of the leader's count
-	cutShort   bool           // a job's tasks did not all get their turn within the limit
-	nodes      []*topology.Machine
-	byImage    map[string][]*topology.Machine // with room, see relocation.go
+	full      map[shape]bool // no room for tasks of this shape
+	noVictims map[shape]bool // nobody to stop for tasks of this shape
+	noMachine map[needs]bool // no machine at all has room for a task
+	budgetEnd int            // of the leader's count
+	cutShort  bool           // a job's tasks did not all get their turn within the limit
+	nodes     []*topology.Machine
+	byImage   map[string][]*topology.Machine // with room, see relocation.go
 }
 
 // newPlacementPass begins a pass over the machines as they are.
 func (l *leader) newPlacementPass() *placementPass {
-	before := l.passes.visits
+	before := l.passes.evaluations
 	tree, nodes := l.placementTree()
 	return &placementPass{
 		l: l, tree: tree, nodes: nodes, usage: l.usage(), kept: l.limitShares(),
 		full: map[shape]bool{}, noVictims: map[shape]bool{}, noMachine: map[needs]bool{},
-		visitLimit: before + l.passVisits(),
+		budgetEnd: before + l.passBudget(),
 	}
 }
 
 // place starts what fits, makes room for what does not by preemption, and rents
 // for the rest.
 func (l *leader) place() {
-	before := l.passes.visits
+	before := l.passes.evaluations
 	p := l.newPlacementPass()
 	cands := l.candidates()
 	for _, c := range l.resumed(cands) {
 		if l.c.now < c.job.retryAt {
 			continue
 		}
-		if l.passes.visits > p.visitLimit {
+		if l.passes.evaluations > p.budgetEnd {
 			l.passes.resume, l.passes.requested = c.job, true
 			break
 		}
@@ -67,7 +67,7 @@
 		}
 	}
 	l.plan(cands, p.usage)
-	l.passes.notBefore = max(l.passes.notBefore, l.c.now+2*l.timeFor(l.passes.visits-before))
+	l.passes.notBefore = max(l.passes.notBefore, l.c.now+2*l.timeFor(l.passes.evaluations-before))
 }
 
 // placementTree is the tree of the machines that may take tasks, and its leaves; it
@@ -145,7 +145,7 @@
 
 // anyRoom tells whether any machine that a job may use has room for a task.
 func (l *leader) anyRoom(tree *topology.Tree, j *job) bool {
-	defer l.countLooks(tree)()
+	defer l.countEvaluations(tree)()
 	return tree.Any(size(&j.Job), func(t *topology.Machine) bool {
 		m := l.passes.leaves[t.Key]
 		return eligible(&j.Job, m.typ, m.zone, m.spot)
@@ -180,8 +180,8 @@
 	return len(j.moveTo) == 0 && len(j.reservedOn) == 0 && !j.OneZone
 }
 
-// bindLooks is about how many looks at machines take as long as binding a task.
-const bindLooks = 10
+// bindEvaluations is about how many evaluations of machines take as long as binding a task.
+const bindEvaluations = 10
 
 // fillEach places what of a job of single tasks fits, all in one go.
 func (p *placementPass) fillEach(c *candidate, quick bool, kept topology.Resources) {
@@ -194,23 +194,23 @@
 	}
 	// Binding the tens of thousands of tasks of a huge array at once would hold up
 	// the workers' reports.
-	if turn := max(1, (p.visitLimit-l.passes.visits)/bindLooks); n > turn {
+	if turn := max(1, (p.budgetEnd-l.passes.evaluations)/bindEvaluations); n > turn {
 		n, p.cutShort = turn, true
 	}
-	defer l.countLooks(p.tree)()
+	defer l.countEvaluations(p.tree)()
 	where := p.tree.PlaceEach(l.placementRequest(j, c.pending[:1], quick), n)
 	for range where {
 		p.usage[j.Team] = p.usage[j.Team].Add(task)
 	}
 	l.bindTasks(j, c.pending[:len(where)], l.machinesOf(where))
-	l.passes.visits += bindLooks * len(where)
+	l.passes.evaluations += bindEvaluations * len(where)
 	c.pending = c.pending[len(where):]
 }
 
 // placeTasks finds machines for tasks of a job that start together and binds
 // them there.
 func (l *leader) placeTasks(tree *topology.Tree, c *candidate, tasks []int, quick bool) bool {
-	defer l.countLooks(tree)()
+	defer l.countEvaluations(tree)()
 	request := l.placementRequest(c.job, tasks, quick)
 	where := tree.Place(request)
 	if where == nil {
@@ -232,11 +232,11 @@
 	return machines
 }
 
-// countLooks begins to count what a tree looks at; the function that it returns adds it
+// countEvaluations begins to count the machines that a tree evaluates; the function that it returns adds them
 // to the pass's cost.
-func (l *leader) countLooks(tree *topology.Tree) func() {
-	before := tree.Looks()
-	return func() { l.passes.visits += tree.Looks() - before }
+func (l *leader) countEvaluations(tree *topology.Tree) func() {
+	before := tree.Evaluations()
+	return func() { l.passes.evaluations += tree.Evaluations() - before }
 }
 
 // placementRequest asks for room for tasks of a job that start together. quick
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -239,7 +239,7 @@
 // anyPreemption tells whether any machine that a job may use would have room
 // for a task if all that it may have stopped were gone.
 func (l *leader) anyPreemption(c *candidate) bool {
-	l.passes.visits += len(l.passes.leaves)
+	l.passes.evaluations += len(l.passes.leaves)
 	for _, m := range l.passes.leaves {
 		if eligible(&c.job.Job, m.typ, m.zone, m.spot) && l.roomByPreemption(c, m).Holds(size(&c.job.Job)) {
 			return true
@@ -269,7 +269,7 @@
 	wait := l.c.slowFetch(c.job.Class)
 	zoneRoom := l.zoneRoom(c.job)
 	var all []room
-	l.passes.visits += len(l.passes.leaves)
+	l.passes.evaluations += len(l.passes.leaves)
 	for _, m := range l.passes.leaves {
 		if zone != "" && m.zone != zone || !l.mayPreemptOn(c, m) || quick && l.slow(c.job, m, wait) {
 			continue
@@ -299,15 +299,15 @@
 	}, size(&c.job.Job), want)
 }
 
-// weighLooks is about how many looks at machines take as long as weighing a task, see
+// victimEvaluations is about how many evaluations of machines take as long as that of a task as a victim, see
 // BenchmarkPreemptions.
-const weighLooks = 3
+const victimEvaluations = 3
 
 // victimsOn lists the tasks on a machine that may be stopped for a candidate, and adds
 // what is already on its way out to what is free. The list is good until the next call.
 func (l *leader) victimsOn(c *candidate, m *machine, free topology.Resources, quick bool) ([]victim, topology.Resources) {
 	whole, _ := l.total(m)
-	l.passes.visits += weighLooks * len(m.placed)
+	l.passes.evaluations += victimEvaluations * len(m.placed)
 	victims := l.passes.victims[:0]
 	for _, p := range m.placed {
 		t := p.task()
--- a/internal/core/relocation.go
+++ b/internal/core/relocation.go
@@ -38,7 +38,7 @@
 	want := l.preemptionsWanted(c, p.usage)
 	var room []*machine
 	for _, m := range l.passes.leaves {
-		if len(room) == want || l.passes.visits > p.visitLimit {
+		if len(room) == want || l.passes.evaluations > p.budgetEnd {
 			break
 		}
 		if !m.hasImage(j.Image) || !l.mayTake(j, m) || m.reserved != nil && l.c.now < m.reservedUntil {
@@ -118,7 +118,7 @@
 	zoneRoom := l.zoneRoom(j)
 	var best *topology.Machine
 	for _, leaf := range p.roomWithImage(j.Image) {
-		l.passes.visits++
+		l.passes.evaluations++
 		m := l.passes.leaves[leaf.Key]
 		if m == from || !leaf.Free.Holds(size(&j.Job)) || !eligible(&j.Job, m.typ, m.zone, m.spot) || l.faults.Doubtful(m.name) {
 			continue
--- a/internal/core/rental/plan.go
+++ b/internal/core/rental/plan.go
@@ -84,15 +84,15 @@
 
 // Plan is a plan in the making: first come the machines, then the tasks.
 type Plan struct {
-	bins     []*Bin
-	shelves  []*shelf // by offer, in a fixed order
-	byOffer  map[Offer]*shelf
-	terms    []*Terms
-	machines map[string]int // bins by zone
-	needs    map[Need]*needState
-	open     *Bin // the bin that was packed last; it is on no shelf meanwhile
-	slab     []Bin
-	looks    int
+	bins        []*Bin
+	shelves     []*shelf // by offer, in a fixed order
+	byOffer     map[Offer]*shelf
+	terms       []*Terms
+	machines    map[string]int // bins by zone
+	needs       map[Need]*needState
+	open        *Bin // the bin that was packed last; it is on no shelf meanwhile
+	slab        []Bin
+	evaluations int
 }
 
 // needState is what a plan knows of tasks that are alike.
@@ -209,7 +209,7 @@
 // none. zoneAllowed may be nil. last is the bin of a like task just before, or nil: it
 // was the tightest, so it still is where it has room for one more.
 func (p *Plan) Pack(n *Need, zoneAllowed func(string) bool, last *Bin, purpose string) *Bin {
-	p.looks++
+	p.evaluations++
 	b := last
 	if last == nil || !last.room(n).Holds(n.Task) || zoneAllowed != nil && !zoneAllowed(last.Offer.Zone) {
 		s := p.state(n)
@@ -258,7 +258,7 @@
 		if s.missed[i] == shelf.had+1 || zoneAllowed != nil && !zoneAllowed(shelf.offer.Zone) {
 			continue
 		}
-		b := shelf.tightest(n, &p.looks)
+		b := shelf.tightest(n, &p.evaluations)
 		if b == nil {
 			s.missed[i] = shelf.had + 1 // room only shrinks until another bin comes
 			continue
@@ -299,9 +299,9 @@
 // Bins lists all bins in the order in which they were added.
 func (p *Plan) Bins() []*Bin { return p.bins }
 
-// Looks counts what the plan has looked at so far: what it cost, independent of any
+// Evaluations counts what the plan has looked at so far: what it cost, independent of any
 // clock.
-func (p *Plan) Looks() int { return p.looks }
+func (p *Plan) Evaluations() int { return p.evaluations }
 
 // Wanted is how many machines of an offer are to be rented.
 type Wanted struct {
--- a/internal/core/rental/rental_test.go
+++ b/internal/core/rental/rental_test.go
@@ -154,9 +154,9 @@
 		for i := range tasks {
 			p.Pack(&Need{Task: cpus(float64(1 + i%3))}, nil, nil, "")
 		}
-		return float64(p.Looks()) / float64(tasks)
+		return float64(p.Evaluations()) / float64(tasks)
 	}
 	if small, large := cost(100), cost(3000); large > 1.5*small {
-		t.Errorf("%.1f looks a task among 3,000 machines, %.1f among 100", large, small)
+		t.Errorf("%.1f evaluations a task among 3,000 machines, %.1f among 100", large, small)
 	}
 }
--- a/internal/core/rental/shelf.go
+++ b/internal/core/rental/shelf.go
@@ -97,12 +97,12 @@
 }
 
 // tightest finds the bin with the least free room that a task fits into, of equal ones
-// the first; nil if there is none. looks counts the groups looked at.
-func (s *shelf) tightest(n *Need, looks *int) *Bin {
+// the first; nil if there is none. evaluations counts the groups looked at.
+func (s *shelf) tightest(n *Need, evaluations *int) *Bin {
 	s.sort()
 	var best *Bin
 	for _, g := range s.groups[s.first(n):] {
-		*looks++
+		*evaluations++
 		b := g.bins[0]
 		if best != nil && best.Free.Less(b.Free) {
 			break
--- a/internal/core/rental/zone.go
+++ b/internal/core/rental/zone.go
@@ -48,7 +48,7 @@
 	}
 	for _, shelf := range s.shelves {
 		c := choice(shelf.offer.Zone)
-		c.missing -= shelf.fit(n, c.missing, &p.looks)
+		c.missing -= shelf.fit(n, c.missing, &p.evaluations)
 	}
 	for _, o := range s.offers { // the cheapest first
 		c := choice(o.terms.Zone)
@@ -72,14 +72,14 @@
 }
 
 // fit counts how many tasks fit into the bins on a shelf, at most limit.
-func (s *shelf) fit(n *Need, limit int, looks *int) int {
+func (s *shelf) fit(n *Need, limit int, evaluations *int) int {
 	s.sort()
 	fit := 0
 	for _, g := range slices.Backward(s.groups) {
 		if fit >= limit {
 			break
 		}
-		*looks++
+		*evaluations++
 		if one := g.free.Fit(n.Task, limit-fit); one > 0 {
 			fit += min(limit-fit, one*len(g.bins))
 		}
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -97,7 +97,7 @@
 	p.packPending(cands, planned)
 	p.packNextStages(planned)
 	p.packExpected()
-	l.passes.visits += p.Looks()
+	l.passes.evaluations += p.Evaluations()
 	l.consolidate(p.Bins(), cands)
 	l.fleet.keepIdle = p.usedMachines()
 	p.logKept()
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -81,8 +81,8 @@
 	return false
 }
 
-// tasksOfLook is how many tasks are passed over in the time of a look at a machine.
-const tasksOfLook = 10
+// tasksPerEvaluation is how many tasks are passed over in the time of the evaluation of a machine.
+const tasksPerEvaluation = 10
 
 // ownVictims lists the tasks of a candidate's team that may be stopped for it,
 // the least loss first. A gang is listed once, by its first task.
@@ -93,7 +93,7 @@
 		if !ok {
 			continue
 		}
-		l.passes.visits += 1 + len(m.placed)/tasksOfLook
+		l.passes.evaluations += 1 + len(m.placed)/tasksPerEvaluation
 		for _, p := range m.placed {
 			v := p.job
 			if v.Team != c.job.Team || v.rank >= c.preemptionRank || p.task().stop != nil {
--- a/internal/core/topology/topology.go
+++ b/internal/core/topology/topology.go
@@ -84,9 +84,9 @@
 
 // Tree holds the machines that may take tasks.
 type Tree struct {
-	machines []*Machine // by name
-	byRoom   []*Machine // the least free room first, see compareRoom
-	looks    int
+	machines    []*Machine // by name
+	byRoom      []*Machine // the least free room first, see compareRoom
+	evaluations int
 }
 
 // New builds a tree over machines.
@@ -98,9 +98,9 @@
 	return t
 }
 
-// Looks counts the machines that were looked at so far: what the tree cost,
+// Evaluations counts the machines that were looked at so far: what the tree cost,
 // independent of any clock.
-func (t *Tree) Looks() int { return t.looks }
+func (t *Tree) Evaluations() int { return t.evaluations }
 
 // Take lowers a machine's free room.
 func (t *Tree) Take(m *Machine, r Resources) { t.setFree(m, m.Free.Sub(r)) }
@@ -144,7 +144,7 @@
 // Any tells whether a machine has room for a task.
 func (t *Tree) Any(task Resources, allowed func(*Machine) bool) bool {
 	for _, m := range t.withRoom(task) {
-		t.looks++
+		t.evaluations++
 		if m.Free.Holds(task) && allowed(m) {
 			return true
 		}
@@ -218,7 +218,7 @@
 // finds the tightest machine that holds all of it, if there is one.
 func (t *Tree) domains(r Request) (zones []*domain, machine *domain) {
 	byName := map[string]*domain{}
-	t.looks += len(t.machines)
+	t.evaluations += len(t.machines)
 	for _, m := range t.machines {
 		l := r.leaf(m)
 		if l == nil {
@@ -402,7 +402,7 @@
 		if len(out) == tasks {
 			return out
 		}
-		t.looks++
+		t.evaluations++
 		if !m.Free.Holds(r.Task) || r.Allowed != nil && !r.Allowed(m) {
 			continue
 		}
--- a/internal/sim/fourthousand_test.go
+++ b/internal/sim/fourthousand_test.go
@@ -33,11 +33,11 @@
 	}
 	w := s.world(slog.New(slog.DiscardHandler))
 	longest, machines := 0, 0
-	visits := map[*node]int{}                  // of each controller's decisions, at its last step
+	evaluations := map[*node]int{}             // of each controller's decisions, at its last step
 	w.mutate = func(n *node, _ *core.Output) { // watches, changes nothing
-		now := n.core.(*core.Core).Visits()
-		longest = max(longest, now-visits[n])
-		visits[n] = now
+		now := n.core.(*core.Core).Evaluations()
+		longest = max(longest, now-evaluations[n])
+		evaluations[n] = now
 	}
 	w.after(seconds(100), func() { machines = w.cloud.rented("") })
 	for _, fault := range s.finish(w) {
@@ -47,7 +47,7 @@
 	for i := range services {
 		running += w.running(fmt.Sprintf("job-%06d", i+1))
 	}
-	t.Logf("%d machines, %d looks in the longest step, %d replicas run at the end", machines, longest, running)
+	t.Logf("%d machines, %d evaluations in the longest step, %d replicas run at the end", machines, longest, running)
 	if machines < replicas*services {
 		t.Errorf("%d machines", machines)
 	}
--- a/internal/sim/size_test.go
+++ b/internal/sim/size_test.go
@@ -254,7 +254,7 @@
 			t.Error(f)
 		}
 		lead := w.leader()
-		if lead == nil || lead.core.(*core.Core).Visits() == 0 {
+		if lead == nil || lead.core.(*core.Core).Evaluations() == 0 {
 			t.Fatal("nobody leads")
 		}
 		want, run := 0, 0
@@ -266,10 +266,10 @@
 		if run*20 < want*19 {
 			t.Errorf("%d machines: %d of %d replicas run", machines, run, want)
 		}
-		return float64(lead.core.(*core.Core).Visits()) / float64(len(w.cloud.machines)*len(w.users.jobs))
+		return float64(lead.core.(*core.Core).Evaluations()) / float64(len(w.cloud.machines)*len(w.users.jobs))
 	}
 	if small, large := cost(300), cost(1500); large > 2*small {
-		t.Errorf("%.0f looks at machines for each machine and job at 1,500, %.0f at 300", large, small)
+		t.Errorf("%.0f evaluations for each machine and job at 1,500, %.0f at 300", large, small)
 	}
 }
 
