--- a/internal/hollow/controller.go
+++ b/internal/hollow/controller.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"github.com/brookwalk/brookwalk/internal/httpserve"
 	"io"
 	"log/slog"
 	"os"
@@ -27,8 +28,8 @@
 
 	// do calls a function with the world locked.
 	do      func(func())
-	users   *traffic
-	workers *traffic
+	users   *httpserve.Traffic
+	workers *httpserve.Traffic
 	meter   meter
 
 	mu      sync.Mutex
@@ -175,7 +176,7 @@
 		t = c.users
 	}
 	retry, _ := strconv.Atoi(r.RetryAfter)
-	t.add(len(httpwire.AppendRequest(nil, method, path, c.listen, body)), len(httpwire.AppendResponse(nil, r.Status, r.Body, retry, r.Close)))
+	t.Add(len(httpwire.AppendRequest(nil, method, path, c.listen, body)), len(httpwire.AppendResponse(nil, r.Status, r.Body, retry, r.Close)))
 	return core.Answer{Status: r.Status, Body: r.Body, RetryAfter: retry}
 }
 
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"github.com/brookwalk/brookwalk/internal/httpserve"
 	"io"
 	"maps"
 	"os"
@@ -127,9 +128,9 @@
 		WrittenBytesPerS: perSecond(float64(m.total.writtenB), m.seconds), Sockets: m.total.sockets, Starts: starts, EndedByItself: ended}
 }
 
-func channelOf(t *traffic, ran time.Duration) Channel {
+func channelOf(t *httpserve.Traffic, ran time.Duration) Channel {
 	s := ran.Seconds()
-	return Channel{perSecond(float64(t.requests.Load()), s), perSecond(float64(t.requestBytes.Load()), s), perSecond(float64(t.responseBytes.Load()), s)}
+	return Channel{perSecond(float64(t.Requests.Load()), s), perSecond(float64(t.RequestBytes.Load()), s), perSecond(float64(t.ResponseBytes.Load()), s)}
 }
 
 // peerChannel is what the controllers sent each other: what they read, less what
@@ -139,11 +140,11 @@
 	for _, c := range r.controllers {
 		read += c.meter.total.readB
 	}
-	for _, t := range []*traffic{&r.workers, &r.users} {
-		read -= t.requestBytes.Load()
+	for _, t := range []*httpserve.Traffic{&r.workers, &r.users} {
+		read -= t.RequestBytes.Load()
 	}
-	for _, t := range []*traffic{&r.commands, &r.state, &r.cloud} {
-		read -= t.responseBytes.Load()
+	for _, t := range []*httpserve.Traffic{&r.commands, &r.state, &r.cloud} {
+		read -= t.ResponseBytes.Load()
 	}
 	return Channel{InBytesPerS: perSecond(float64(max(0, read)), ran.Seconds())}
 }
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -18,6 +18,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/brookwalk/brookwalk/httpwire"
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/httpserve"
 	"github.com/brookwalk/brookwalk/internal/sim"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -50,16 +51,16 @@
 	observer    *observer
 	own         meter // this process: all stand-ins
 
-	workers, commands, users, state, cloud traffic
+	workers, commands, users, state, cloud httpserve.Traffic
 
 	mu      sync.Mutex
-	servers map[string]net.Listener // by machine or service, to be closed
+	servers map[string]io.Closer // by machine or service, to be closed
 }
 
 // Run runs an experiment to its end, or until the context ends, and reports. It
 // ends every process that it started.
 func Run(ctx context.Context, e *Experiment, opts Options) (*Report, error) {
-	r := &runner{e: e, opts: opts, observer: newObserver(), servers: map[string]net.Listener{}}
+	r := &runner{e: e, opts: opts, observer: newObserver(), servers: map[string]io.Closer{}}
 	defer r.stop()
 	if err := r.prepare(); err != nil {
 		return nil, err
@@ -97,6 +98,11 @@
 	})
 }
 
+// respond turns a reply into one with a status and a body.
+func respond(reply func(httpserve.Response)) func(status int, body []byte) {
+	return func(status int, body []byte) { reply(httpserve.Response{Status: status, Body: body}) }
+}
+
 // The addresses of the controllers and the services are on loopback.
 const host = "127.0.0.1"
 
@@ -113,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	cfg.External = config.External{State: state.addr(), Cloud: cloud.addr()}
+	cfg.External = config.External{State: state.Addr(), Cloud: cloud.Addr()}
 	ports, err := freePorts(2 * r.e.Controllers)
 	if err != nil {
 		return err
@@ -139,19 +145,19 @@
 }
 
 // serve serves one of the services at a port of its own.
-func (r *runner) serve(name string, t *traffic, f func(method, path string, body []byte, reply func(int, []byte))) (*server, error) {
-	s, err := listen(host+":0", t, func(q *httpwire.Request, reply func(int, []byte)) {
-		r.live.Do(func() { f(q.Method, target(q), q.Body, reply) })
+func (r *runner) serve(name string, t *httpserve.Traffic, f func(method, path string, body []byte, reply func(int, []byte))) (*httpserve.Server, error) {
+	s, err := httpserve.Listen(host+":0", t, func(q *httpwire.Request, reply func(httpserve.Response)) {
+		r.live.Do(func() { f(q.Method, httpserve.Target(q), q.Body, respond(reply)) })
 	})
 	if err != nil {
 		return nil, err
 	}
-	r.keep(name, s.listener)
+	r.keep(name, s)
 	return s, nil
 }
 
 // keep has a listener closed at the end, if not before.
-func (r *runner) keep(name string, l net.Listener) {
+func (r *runner) keep(name string, l io.Closer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.servers[name] = l
@@ -174,15 +180,15 @@
 // workerAddr begins to serve a machine's worker, on a loopback address of its own,
 // and returns the address. Without one its machine gets no direct commands.
 func (r *runner) workerAddr(machine string) string {
-	s, err := listen(workerIP(machine)+":0", &r.commands, func(q *httpwire.Request, reply func(int, []byte)) {
-		r.live.Do(func() { r.live.ServeWorker(machine, q.Method, target(q), q.Body, reply) })
+	s, err := httpserve.Listen(workerIP(machine)+":0", &r.commands, func(q *httpwire.Request, reply func(httpserve.Response)) {
+		r.live.Do(func() { r.live.ServeWorker(machine, q.Method, httpserve.Target(q), q.Body, respond(reply)) })
 	})
 	if err != nil {
 		r.opts.Log.Error("worker not served", "machine", machine, "err", err)
 		return host + ":9"
 	}
-	r.keep(machine, s.listener)
-	return s.addr()
+	r.keep(machine, s)
+	return s.Addr()
 }
 
 // workerIP is the loopback address of a machine's worker, 127.128.0.0 and up.
