--- a/cmd/brookwalk/main.go
+++ b/cmd/brookwalk/main.go
@@ -4,11 +4,17 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/node"
+	"github.com/brookwalk/brookwalk/internal/wake"
+	"github.com/brookwalk/brookwalk/internal/wake/gate"
 )
 
 // version is the program's version.
@@ -19,8 +25,16 @@
 	Operator string           `help:"Operators' own settings (TOML)." type:"path" placeholder:"FILE" env:"BROOKWALK_OPERATOR"`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 
-	Serve struct{} `cmd:"" default:"1" help:"Run the controller (default)."`
-	Check struct{} `cmd:"" help:"Check the settings and exit."`
+	Serve struct{}  `cmd:"" default:"1" help:"Run the controller (default)."`
+	Check struct{}  `cmd:"" help:"Check the settings and exit."`
+	Wake  wakeFlags `cmd:"" help:"Serve requests to models that may sleep."`
+}
+
+// wakeFlags are those of the command wake.
+type wakeFlags struct {
+	Registry string        `help:"Models that may sleep (TOML)." required:"" type:"path" placeholder:"FILE"`
+	Listen   string        `help:"Address for requests to models." default:"127.0.0.1:8090"`
+	Patience time.Duration `help:"How long a request waits at the most." default:"60s"`
 }
 
 func main() {
@@ -57,9 +71,31 @@
 		return nil
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	if command == "wake" {
+		return serveModels(cfg, log)
+	}
 	return node.New(cfg, op, log).Run()
 }
 
+// serveModels serves requests to models until the process is told to end.
+func serveModels(cfg *config.Settings, log *slog.Logger) error {
+	registry, err := wake.LoadRegistry(cli.Wake.Registry)
+	if err != nil {
+		return err
+	}
+	g, err := gate.Start(gate.Config{Name: cfg.Name, Run: rand.Uint64(), Listen: cli.Wake.Listen, State: cfg.External.State,
+		Registry: registry, Patience: cli.Wake.Patience, Log: log})
+	if err != nil {
+		return err
+	}
+	log.Info("serving models", "name", cfg.Name, "listen", g.Addr(), "models", len(registry.Models))
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+	<-end
+	g.Stop()
+	return nil
+}
+
 func logLevel(op *config.Operator) (slog.Level, error) {
 	name := os.Getenv("LOG_LEVEL")
 	if name == "" {
--- a/internal/sim/wake_test.go
+++ b/internal/sim/wake_test.go
@@ -492,7 +492,13 @@
 
 // TestWakeDays plays random days with several failures at a time.
 func TestWakeDays(t *testing.T) {
+	// Each of these days fails once a guard is taken away: the driver's own lease, the
+	// conditions of a claim, the order of the records of a sleep, the server that stays.
+	seeds := []uint64{156, 167, 177, 184}
 	for seed := uint64(1); seed <= uint64(soakDays(60)); seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			playWakeDay(t, seed)
--- /dev/null
+++ b/internal/sim/wakecost_test.go
@@ -0,0 +1,156 @@
+package sim
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/wake"
+)
+
+// wakeCost is what one wake takes.
+type wakeCost struct {
+	stateRequests int           // of all controllers, from the first request to the last answer
+	first, last   time.Duration // answers, after the first request
+	starts        int
+	loaded        time.Duration // the load itself
+}
+
+// measureWake wakes a model once for some requests, spread evenly over the controllers.
+func measureWake(seed uint64, controllers, requests int) wakeCost {
+	w := newWakeWorld(seed, controllers, wakeRegistry)
+	var loaded time.Duration
+	for _, s := range w.servers {
+		draw := s.Load
+		s.Load = func() (time.Duration, bool) {
+			d, fails := draw()
+			loaded = d
+			return d, fails
+		}
+	}
+	w.run(5 * time.Second)
+	before := w.storeCalls
+	for i := range requests {
+		w.ask(w.controllers[i%controllers], "c", fmt.Sprint("k", i), 60*time.Second)
+	}
+	cost := wakeCost{first: never}
+	var judge func()
+	judge = func() {
+		answered := 0
+		for _, q := range w.asked {
+			if q.answers == 0 {
+				continue
+			}
+			answered++
+			if q.status == wake.StatusServed { // beyond max_waiting they are refused at once
+				cost.first, cost.last = min(cost.first, q.after), max(cost.last, q.after)
+			}
+		}
+		if answered < requests {
+			w.after(100*time.Millisecond, judge)
+			return
+		}
+		cost.stateRequests = w.storeCalls - before
+	}
+	judge()
+	w.run(40 * time.Second)
+	cost.starts, cost.loaded = w.starts(), loaded
+	return cost
+}
+
+// What a wake asks of the state service does not grow with the requests that wait, and the
+// first answer comes soon after the copy is ready.
+func TestWakeCost(t *testing.T) {
+	for _, controllers := range []int{1, 3, 5, 17} {
+		var few, many wakeCost
+		for _, requests := range []int{10, 100, 1000, 10000} {
+			var overheads []float64
+			for seed := range uint64(5) {
+				many = measureWake(seed+1, controllers, requests)
+				if many.starts != 1 {
+					t.Errorf("%d controllers, %d requests: %d starts", controllers, requests, many.starts)
+				}
+				overheads = append(overheads, float64(many.first)/float64(many.loaded))
+			}
+			slices.Sort(overheads)
+			if requests == 10 {
+				few = many
+			}
+			t.Logf("%d controllers, %d requests: %d requests to the state service, first answer after %.2f load times at the median, the last after %v",
+				controllers, requests, many.stateRequests, overheads[2], many.last)
+			if overheads[2] > 1.2 {
+				t.Errorf("%d controllers, %d requests: the first answer came after %.2f load times", controllers, requests, overheads[2])
+			}
+		}
+		if many.stateRequests > few.stateRequests+few.stateRequests/2+controllers {
+			t.Errorf("%d controllers: %d requests to the state service for 10 that wait, %d for 10,000", controllers, few.stateRequests, many.stateRequests)
+		}
+	}
+}
+
+// The driver ends while the copy loads: another one drives it within two leases, so the answers come
+// no later than that after the load.
+func TestTakeoverTime(t *testing.T) {
+	var worst time.Duration
+	for seed := range uint64(40) {
+		w := newWakeWorld(seed+1, 3, wakeRegistry)
+		w.run(5 * time.Second)
+		w.ask(w.controllers[0], "c", "x", 60*time.Second)
+		id := uint64(0)
+		w.after(100*time.Millisecond, func() { id = w.ask(w.controllers[1], "c", "y", 60*time.Second) })
+		w.after(time.Duration(200+200*seed)*time.Millisecond, func() { w.controllers[0].crash(50 * time.Second) })
+		w.finish(t, 60*time.Second)
+		if q := w.asked[id]; q.status == wake.StatusServed {
+			worst = max(worst, q.after)
+		} else {
+			t.Errorf("seed %d: answered %d", seed, q.status)
+		}
+	}
+	// The load takes 9.6 s at the most, the driver ends 8.2 s after the request at the latest.
+	lease := seconds(4)
+	t.Logf("the last answer came after %v", worst)
+	if worst > 10*time.Second+2*lease {
+		t.Errorf("an answer came after %v", worst)
+	}
+}
+
+// Without agreement each controller that is asked wakes a copy of its own: the checker sees it.
+func TestBaselineWakesTwice(t *testing.T) {
+	w := newWakeWorld(1, 3, wakeRegistry)
+	w.run(3 * time.Second)
+	for i, server := range []string{"gpu-0", "gpu-1"} {
+		n := w.controllers[i]
+		n.Command(server, wake.Command{Verb: wake.VerbLook, Model: "a", Epoch: 1}, func(r wake.CopyReport) {
+			n.Command(server, wake.Command{Verb: wake.VerbStart, Model: "a", Epoch: 1, Ticket: r.Ticket}, func(wake.CopyReport) {})
+		})
+	}
+	w.run(5 * time.Second)
+	if len(w.faults) == 0 {
+		t.Error("two copies at a time were not noticed")
+	}
+}
+
+// A waiting request takes little memory.
+func TestWaitingMemory(t *testing.T) {
+	const requests = 5000
+	w := newWakeWorld(1, 1, wakeRegistry)
+	w.store.beginOutage(time.Hour) // nothing wakes
+	w.run(time.Second)
+	c := wake.New("node-9", 1, w.reg, w.controllers[0], w.controllers[0], w.controllers[0], w.log)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range requests {
+		c.Handle(&wake.Request{ID: uint64(1e6 + i), Model: "a", Key: "k", Until: time.Hour})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	each := (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / requests
+	t.Logf("%.0f bytes for each waiting request", each)
+	if each > 1024 {
+		t.Errorf("%.0f bytes for each waiting request", each)
+	}
+	runtime.KeepAlive(c)
+}
--- a/internal/wake/gate/gate_test.go
+++ b/internal/wake/gate/gate_test.go
@@ -28,6 +28,7 @@
 	states   []*httpserve.Server // one for each gate, so that each can be cut off
 	cut      []bool
 	gates    []*Gate
+	addrs    []string // of the gates
 	runs     uint64
 
 	mu      sync.Mutex
@@ -74,12 +75,19 @@
 				})
 			})
 		}))
-		p.gates = append(p.gates, p.startGate(i))
 	}
 	go p.judge(ctx)
 	return p
 }
 
+// startGates starts gates within this process.
+func (p *place) startGates() {
+	for i := range p.states {
+		g := p.startGate(i)
+		p.gates, p.addrs = append(p.gates, g), append(p.addrs, g.Addr())
+	}
+}
+
 func (p *place) listen(h httpserve.Handler) *httpserve.Server {
 	s, err := httpserve.Listen("127.0.0.1:0", &httpserve.Traffic{}, h)
 	if err != nil {
@@ -164,9 +172,9 @@
 func (p *place) ask(first int, key string) (answers, status int) {
 	for try := range 20 {
 		p.mu.Lock()
-		g := p.gates[(first+try)%len(p.gates)]
+		addr := p.addrs[(first+try)%len(p.addrs)]
 		p.mu.Unlock()
-		client := httpwire.Client{Addr: g.Addr(), MaxIdle: 1}
+		client := httpwire.Client{Addr: addr, MaxIdle: 1}
 		a, err := client.Do("POST", "/models/m/"+key, nil, 30*time.Second)
 		client.CloseIdle()
 		if err == nil {
@@ -185,6 +193,7 @@
 	r := rand.New(rand.NewPCG(seed, 31))
 	const gates, requests = 3, 60
 	p := newPlace(t, gates, 600*time.Millisecond, 5*time.Millisecond)
+	p.startGates()
 	time.Sleep(300 * time.Millisecond) // the gates register
 	var clients sync.WaitGroup
 	var mu sync.Mutex
@@ -210,7 +219,7 @@
 		time.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
 		g := p.startGate(victim)
 		p.mu.Lock()
-		p.gates[victim] = g
+		p.gates[victim], p.addrs[victim] = g, g.Addr()
 		p.mu.Unlock()
 	} else { // a gate is cut off from the state service, not from the model servers
 		p.mu.Lock()
@@ -258,6 +267,7 @@
 // Requests that name no model, or one that is not in the registry, are answered at once.
 func TestRequestsThatCannotBeTaken(t *testing.T) {
 	p := newPlace(t, 1, time.Second, time.Millisecond)
+	p.startGates()
 	client := httpwire.Client{Addr: p.gates[0].Addr(), MaxIdle: 1}
 	defer client.CloseIdle()
 	for path, want := range map[string]int{"/models/other/k": 404, "/models/m": 400, "/elsewhere": 400, "/models/m/k?wait=0.05": 504} {
--- /dev/null
+++ b/internal/wake/gate/process_test.go
@@ -0,0 +1,101 @@
+package gate
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/brookwalk/brookwalk/internal/config"
+)
+
+// buildProgram builds the program as the deploy file's build does, without its linker flags.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "brookwalk")
+	build := exec.Command("go", "build", "-o", program, "github.com/brookwalk/brookwalk/cmd/brookwalk")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// freeAddr is an address on loopback that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// settingsFor writes the settings of a controller whose state service is at an address.
+func settingsFor(t *testing.T, dir, name, state string) string {
+	t.Helper()
+	cfg := config.Settings{Name: name, Zone: "a", Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:2",
+		External: config.External{State: state, Cloud: state},
+		Deployment: config.Deployment{Size: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "t"}},
+			Workers: config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 10, GangPeerS: 5, CancelS: 20},
+			State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16}, Cloud: config.Cloud{RPS: 1},
+			Limits: config.Limits{CPU: 1, RAMMB: 100, MaxConnections: 100}}}
+	return writeTOML(t, filepath.Join(dir, name+".toml"), cfg)
+}
+
+func writeTOML(t *testing.T, path string, v any) string {
+	t.Helper()
+	f, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := toml.NewEncoder(f).Encode(v); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestWakeByProcesses runs the command wake as three processes. The one that drives the wake
+// is killed in the middle: the copy that it started serves everybody.
+func TestWakeByProcesses(t *testing.T) {
+	t.Parallel()
+	program, dir := buildProgram(t), t.TempDir()
+	p := newPlace(t, 3, time.Second, 5*time.Millisecond)
+	registry := writeTOML(t, filepath.Join(dir, "wake.toml"), p.registry)
+	var processes []*exec.Cmd
+	for i, s := range p.states {
+		addr := freeAddr(t)
+		process := exec.Command(program, "wake", "--config", settingsFor(t, dir, fmt.Sprint("node-", i), s.Addr()),
+			"--registry", registry, "--listen", addr, "--patience", "20s")
+		if err := process.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { process.Process.Kill(); process.Wait() })
+		processes, p.addrs = append(processes, process), append(p.addrs, addr)
+	}
+	var clients sync.WaitGroup
+	for i := range 60 {
+		clients.Go(func() {
+			if answers, status := p.ask(i, fmt.Sprint("k", i)); answers != 1 || status != 200 {
+				t.Errorf("k%d got %d answers, status %d", i, answers, status)
+			}
+		})
+	}
+	for began := time.Now(); p.startsSoFar() == 0 && time.Since(began) < 10*time.Second; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	// Whichever drives, two of three are killed one after the other while it loads.
+	processes[0].Process.Kill()
+	time.Sleep(300 * time.Millisecond)
+	processes[1].Process.Kill()
+	clients.Wait()
+	if n := p.startsSoFar(); n != 1 {
+		t.Errorf("%d copies were started", n)
+	}
+}
--- /dev/null
+++ b/internal/wake/registry_test.go
@@ -0,0 +1,51 @@
+package wake
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+)
+
+const goodRegistry = `
+lease_s = 4
+copy_lease_s = 12
+max_waking = 2
+max_waiting = 100
+[[models]]
+name = "a"
+servers = ["x:1", "y:1"]
+load_s = 10
+idle_s = 20
+`
+
+func TestParseRegistry(t *testing.T) {
+	if r, err := ParseRegistry(goodRegistry); err != nil || len(r.Models) != 1 || r.Models[0].Servers[1] != "y:1" {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, tc := range []struct{ old, new, want string }{
+		{"max_waking = 2", "max_wakin = 2", "unknown field max_wakin"},
+		{"load_s = 10", "load_s = 0", "models[0].load_s"},
+		{"load_s = 10", "load = 1\nload_s = 10", "unknown field models.load"},
+		{"copy_lease_s = 12", "copy_lease_s = 3", "copy_lease_s: 3, more than lease_s (4)"},
+		{`servers = ["x:1", "y:1"]`, "", "models[0].servers: missing"},
+		{`name = "a"`, `name = "a/b"`, "models[0].name"},
+		{"max_waiting = 100", "max_waiting = 0", "max_waiting"},
+		{"idle_s = 20", "idle_s = -1", "models[0].idle_s"},
+	} {
+		_, err := ParseRegistry(strings.Replace(goodRegistry, tc.old, tc.new, 1))
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("with %q: error %v does not name %q", tc.new, err, tc.want)
+		}
+	}
+}
+
+// The example under deploy is a good one.
+func TestExampleRegistry(t *testing.T) {
+	if _, err := LoadRegistry("../../deploy/wake.toml"); err != nil {
+		t.Error(err)
+	}
+	if _, err := LoadRegistry("../../deploy/none.toml"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
