--- a/internal/wake/gate/gate_test.go
+++ b/internal/wake/gate/gate_test.go
@@ -196,6 +196,7 @@
 	p.startGates()
 	time.Sleep(300 * time.Millisecond) // the gates register
 	var clients sync.WaitGroup
+	defer clients.Wait() // also where the test ends early
 	var mu sync.Mutex
 	served := 0
 	for i := range requests {
