--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -51,11 +51,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: l, handle: h, traffic: t, conns: map[net.Conn]bool{}}
+	s := newServer(l, t, h)
 	go s.accept()
 	return s, nil
 }
 
+func newServer(l net.Listener, t *Traffic, h Handler) *Server {
+	return &Server{listener: l, handle: h, traffic: t, conns: map[net.Conn]bool{}}
+}
+
 // Addr is the address that is served.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -93,13 +97,20 @@
 func (s *Server) accept() {
 	for {
 		c, err := s.listener.Accept()
-		if err != nil {
-			return // closed
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			time.Sleep(acceptRetry) // no file descriptor is free just now
+		default:
+			go s.serve(c)
 		}
-		go s.serve(c)
 	}
 }
 
+// acceptRetry is how long after a connection that could not be taken the next one is.
+const acceptRetry = 20 * time.Millisecond
+
 // maxHold is longer than any request waits for its answer: a watch takes the
 // longest.
 const maxHold = 70 * time.Second
--- a/internal/wake/gate/gate.go
+++ b/internal/wake/gate/gate.go
@@ -85,6 +85,11 @@
 		g.stopped = true
 		close(g.stop)
 		g.server.CloseAll()
+		g.state.CloseIdle()
+		g.watches.CloseIdle()
+		for _, c := range g.servers {
+			c.CloseIdle()
+		}
 	}
 }
 
