--- a/internal/wake/controller.go
+++ b/internal/wake/controller.go
@@ -71,7 +71,7 @@
 	return c
 }
 
-// lease is how long a driver passes for alive.
+// leaseTime is how long a driver passes for alive.
 func (c *Controller) leaseTime() time.Duration { return seconds(c.reg.LeaseS) }
 
 // pace is the time between two looks at a copy, and between tries at what failed.
