core: teams' limits, reservations and guarantees in a package of their own

Need: limit arithmetic stood on the leader and the settings' teams, so no other source of a limit could take its place. Change: package teamlimit (Limit, Reservations, ChooseStops, Usage, Claims) knows no jobs, machines or clock; the leader asks one function for a team's limit. Behaviour is unchanged; the row test of reservations moved with them.

--- a/internal/core/guests.go
+++ b/internal/core/guests.go
@@ -18,19 +18,15 @@
 // than what comes of tasks that fit badly, which is up to about twice.
 const dearRatio = 4
 
-// noGuarantee tells whether a team is guaranteed nothing: its work gets what the
-// other teams leave.
-func noGuarantee(t *config.Team) bool { return t.CPUs <= 0 && t.GPUs <= 0 }
-
 // guestTeams names the teams that are guests.
 func (c *Core) guestTeams() map[string]bool {
 	guests := map[string]bool{}
 	teams := c.cfg.Deployment.Teams
-	if !slices.ContainsFunc(teams, func(t config.Team) bool { return !noGuarantee(&t) }) {
+	if !slices.ContainsFunc(teams, func(t config.Team) bool { return !guaranteeOf(&t).None() }) {
 		return guests
 	}
 	for i := range teams {
-		if noGuarantee(&teams[i]) {
+		if guaranteeOf(&teams[i]).None() {
 			guests[teams[i].Name] = true
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/teamlimit"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -24,7 +25,7 @@
 	l     *leader
 	tree  *topology.Tree
 	usage map[string]topology.Resources // by team
-	kept  map[string][]limitShare       // of the teams' limits
+	kept  teamlimit.Reservations        // of the teams' limits
 	// What is found not to fit in a pass is not tried again: room only shrinks.
 	full      map[shape]bool // no room for tasks of this shape
 	noVictims map[shape]bool // nobody to stop for tasks of this shape
@@ -40,7 +41,7 @@
 	before := l.passes.evaluations
 	tree, nodes := l.placementTree()
 	return &placementPass{
-		l: l, tree: tree, nodes: nodes, usage: l.usage(), kept: l.limitShares(),
+		l: l, tree: tree, nodes: nodes, usage: l.usage(), kept: l.limitReservations(),
 		full: map[shape]bool{}, noVictims: map[shape]bool{}, noMachine: map[needs]bool{},
 		budgetEnd: before + l.passBudget(),
 	}
@@ -159,13 +160,13 @@
 	if j.Shape == wire.ShapeGang {
 		n = len(c.pending)
 	}
-	team, task := p.l.c.team(j.Team), size(&j.Job)
-	kept := keptFrom(p.kept[j.Team], j.rank)
+	limit, task := p.l.limit(j.Team), size(&j.Job)
+	kept := p.kept.Above(j.Team, j.rank)
 	if n == 1 && j.placedAlike() {
 		p.fillEach(c, quick, kept)
 		return
 	}
-	for len(c.pending) >= n+c.reserved && len(c.pending) > 0 && underLimit(team, p.usage[j.Team].Add(kept), task, n) {
+	for len(c.pending) >= n+c.reserved && len(c.pending) > 0 && limit.Allows(p.usage[j.Team].Add(kept), task, n) {
 		if !p.l.placeTasks(p.tree, c, c.pending[:n], quick) {
 			return
 		}
@@ -186,9 +187,9 @@
 // fillEach places what of a job of single tasks fits, all in one go.
 func (p *placementPass) fillEach(c *candidate, quick bool, kept topology.Resources) {
 	l, j := p.l, c.job
-	team, task := l.c.team(j.Team), size(&j.Job)
+	limit, task := l.limit(j.Team), size(&j.Job)
 	used := p.usage[j.Team].Add(kept)
-	n := sort.Search(len(c.pending)-c.reserved, func(k int) bool { return !underLimit(team, used, task, k+1) })
+	n := sort.Search(len(c.pending)-c.reserved, func(k int) bool { return !limit.Allows(used, task, k+1) })
 	if n < 1 {
 		return
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -76,7 +76,7 @@
 // within its team's limit.
 func (l *leader) preemptionsWanted(c *candidate, usage map[string]topology.Resources) int {
 	j := c.job
-	fits := func(n int) bool { return underLimit(l.c.team(j.Team), usage[j.Team], size(&j.Job), n) }
+	fits := func(n int) bool { return l.limit(j.Team).Allows(usage[j.Team], size(&j.Job), n) }
 	if j.Shape == wire.ShapeGang {
 		if !fits(len(c.pending)) {
 			return 0
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -149,17 +149,17 @@
 	need, purpose := l.needOfCandidate(c), purposeOf(j, false)
 	zoneAllowed := p.allowedZones(c, &need, packed)
 	var last *rental.Bin
-	team := l.c.team(j.Team)
+	limit := l.limit(j.Team)
 	used := usage[j.Team]
 	defer func() { usage[j.Team] = used }()
 	var stoppable topology.Resources
-	if c.preemptionRank > 0 && !underLimit(team, used, need.Task, len(c.pending)) {
+	if c.preemptionRank > 0 && !limit.Allows(used, need.Task, len(c.pending)) {
 		// What its team runs of lower priorities makes way within the limit, but
 		// only where there is a machine to start on.
 		stoppable = p.stoppableUse(j.Team, c.preemptionRank)
 	}
 	for range l.plannedTasks(c) - c.reserved {
-		if !underLimit(team, used.Sub(stoppable), need.Task, 1) {
+		if !limit.Allows(used.Sub(stoppable), need.Task, 1) {
 			l.noteWait(j, waitLimit)
 			return
 		}
--- a/internal/core/shape.go
+++ b/internal/core/shape.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/brookwalk/brookwalk/internal/core/topology"
@@ -44,3 +45,18 @@
 	f := float64(n)
 	return topology.Resources{CPUs: r.CPUs * f, GPUs: r.GPUs * f, MemGB: r.MemGB * f}
 }
+
+// capacity is what a machine of a type offers.
+func capacity(t *wire.MachineType) topology.Resources {
+	return topology.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}
+}
+
+// size is what a task of a job uses.
+func size(j *wire.Job) topology.Resources {
+	return topology.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}
+}
+
+// allowed tells whether a list names something; an empty list names all.
+func allowed(list []string, name string) bool {
+	return len(list) == 0 || slices.Contains(list, name)
+}
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -7,8 +7,8 @@
 	"strings"
 	"unicode/utf8"
 
-	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/records"
+	"github.com/brookwalk/brookwalk/internal/core/teamlimit"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
@@ -309,8 +309,7 @@
 
 // checkPossible tells why a job can never run; nil if it may.
 func (c *Core) checkPossible(j *wire.Job) error {
-	team := c.team(j.Team)
-	if team == nil {
+	if c.team(j.Team) == nil {
 		return errUnknownTeam
 	}
 	if j.Types != nil && len(j.Types) == 0 {
@@ -320,7 +319,7 @@
 	if zones == 0 {
 		return errFitsNoType
 	}
-	if exceedsQuota(j, team) {
+	if exceedsLimit(j, c.limitOf(j.Team)) {
 		return errBeyondLimit
 	}
 	// A gang's tasks, two or more, need a second zone if at most half of them
@@ -358,13 +357,12 @@
 	return len(zones)
 }
 
-// exceedsQuota tells whether a job needs more than its team may ever use. The
+// exceedsLimit tells whether a job needs more than its team may ever use. The
 // tasks of an array may run one after the other.
-func exceedsQuota(j *wire.Job, team *config.Team) bool {
-	tasks := 1.0
+func exceedsLimit(j *wire.Job, limit teamlimit.Limit) bool {
+	tasks := 1
 	if j.Shape != wire.ShapeArray {
-		tasks = float64(j.Tasks)
+		tasks = j.Tasks
 	}
-	return team.CPUsMax > 0 && j.CPUs*tasks > team.CPUsMax+quotaTolerance ||
-		team.GPUsMax > 0 && j.GPUs*tasks > team.GPUsMax+quotaTolerance
+	return !limit.Allows(topology.Resources{}, size(j), tasks)
 }
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/core/teamlimit"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -15,16 +15,10 @@
 // is kept for it, since the team's other work would take it in the next pass:
 // what is within the team's guarantee goes first there.
 
-// limitShare is a part of its team's limit that is kept for a job.
-type limitShare struct {
-	rank   int
-	amount topology.Resources
-}
-
-// limitShares lists, by team, what is kept of its limit for jobs that room is
+// limitReservations lists what is kept of the teams' limits for jobs that room is
 // being made for.
-func (l *leader) limitShares() map[string][]limitShare {
-	shares := map[string][]limitShare{}
+func (l *leader) limitReservations() teamlimit.Reservations {
+	kept := teamlimit.Reservations{}
 	for _, j := range l.order {
 		if !j.madeRoomInLimit {
 			continue
@@ -34,20 +28,9 @@
 			j.madeRoomInLimit = false
 			continue
 		}
-		shares[j.Team] = append(shares[j.Team], limitShare{j.rank, times(size(&j.Job), n)})
-	}
-	return shares
-}
-
-// keptFrom adds up what is kept from work of a rank, for work of higher ones.
-func keptFrom(shares []limitShare, rank int) topology.Resources {
-	var sum topology.Resources
-	for _, s := range shares {
-		if s.rank > rank {
-			sum = sum.Add(s.amount)
-		}
+		kept[j.Team] = append(kept[j.Team], teamlimit.Reservation{Rank: j.rank, Amount: times(size(&j.Job), n)})
 	}
-	return sum
+	return kept
 }
 
 // preemptWithinLimit makes room for a candidate whose team is at its limit: it
@@ -114,29 +97,22 @@
 // the victims of chosen so that the limit allows a task on each of chosen; not ok
 // if all together are not enough.
 func (l *leader) stopsForLimit(c *candidate, chosen, own []room, used topology.Resources) (extra []room, ok bool) {
-	team := l.c.team(c.job.Team)
-	task := size(&c.job.Job)
-	stopped := map[taskKey]bool{}
-	for _, s := range chosen {
-		for _, v := range s.Victims {
-			if !stopped[v.Task.stopKey()] {
-				stopped[v.Task.stopKey()] = true
-				used = used.Sub(stoppedWith(v.Task))
-			}
-		}
+	indices, ok := teamlimit.ChooseStops(l.limit(c.job.Team), used, size(&c.job.Job), len(chosen), limitStops(chosen), limitStops(own))
+	for _, i := range indices {
+		extra = append(extra, own[i])
 	}
-	for _, s := range own {
-		if underLimit(team, used, task, len(chosen)) {
-			return extra, true
-		}
-		v := s.Victims[0].Task
-		if stopped[v.stopKey()] || !relieves(team, used.Add(times(task, len(chosen))), size(&v.job.Job)) {
-			continue
+	return extra, ok
+}
+
+// limitStops lists what the victims of rooms free in their team's limit.
+func limitStops(rooms []room) []teamlimit.Stop[taskKey] {
+	var out []teamlimit.Stop[taskKey]
+	for _, r := range rooms {
+		for _, v := range r.Victims {
+			out = append(out, teamlimit.Stop[taskKey]{Key: v.Task.stopKey(), Task: v.Task.Size(), Frees: stoppedWith(v.Task)})
 		}
-		used = used.Sub(stoppedWith(v))
-		extra = append(extra, s)
 	}
-	return extra, underLimit(team, used, task, len(chosen))
+	return out
 }
 
 // stoppableUse adds up what a team's work of a rank below uses.
@@ -174,14 +150,6 @@
 	return size(&p.job.Job)
 }
 
-// relieves tells whether the end of a task of some size brings a team closer to
-// its limit from above.
-func relieves(t *config.Team, used, task topology.Resources) bool {
-	cpus := t.CPUsMax > 0 && used.CPUs > t.CPUsMax+quotaTolerance && task.CPUs > 0
-	gpus := t.GPUsMax > 0 && used.GPUs > t.GPUsMax+quotaTolerance && task.GPUs > 0
-	return cpus || gpus
-}
-
 // stoppingOf adds up what a team's tasks use that are on their way out.
 func (l *leader) stoppingOf(team string) topology.Resources {
 	var sum topology.Resources
--- /dev/null
+++ b/internal/core/teamlimit/limit_test.go
@@ -0,0 +1,20 @@
+package teamlimit
+
+import (
+	"testing"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+)
+
+// What was freed within a limit went to the team's other work in the next pass.
+func TestLimitIsKeptForTheJob(t *testing.T) {
+	kept := Reservations{"vision": {
+		{Rank: 3, Amount: topology.Resources{GPUs: 4}},
+		{Rank: 1, Amount: topology.Resources{GPUs: 2}},
+	}}
+	for rank, want := range []float64{6, 4, 4, 0} {
+		if got := kept.Above("vision", rank); got.GPUs != want {
+			t.Errorf("%v GPUs are kept from rank %d, want %v", got.GPUs, rank, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/teamlimit/usage.go
@@ -0,0 +1,28 @@
+package teamlimit
+
+import (
+	"maps"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+)
+
+// Usage is what the tasks of each team use. Until Restart it counts nothing.
+type Usage struct{ byTeam map[string]topology.Resources }
+
+// Started tells whether it counts.
+func (u *Usage) Started() bool { return u.byTeam != nil }
+
+// Restart begins to count anew, so that the rounding of sums does not gather.
+func (u *Usage) Restart() { u.byTeam = map[string]topology.Resources{} }
+
+// Count adds n tasks of a size to what a team uses; n may be negative.
+func (u *Usage) Count(team string, task topology.Resources, n int) {
+	if u.byTeam == nil {
+		return
+	}
+	f := float64(n)
+	u.byTeam[team] = u.byTeam[team].Add(topology.Resources{CPUs: task.CPUs * f, GPUs: task.GPUs * f, MemGB: task.MemGB * f})
+}
+
+// Snapshot is a copy, by team.
+func (u *Usage) Snapshot() map[string]topology.Resources { return maps.Clone(u.byTeam) }
--- a/internal/core/teamlimit_test.go
+++ b/internal/core/teamlimit_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -149,16 +148,3 @@
 		t.Run(tc.name, tc.run)
 	}
 }
-
-// What was freed within a limit went to the team's other work in the next pass.
-func TestLimitIsKeptForTheJob(t *testing.T) {
-	shares := []limitShare{
-		{rank: 3, amount: topology.Resources{GPUs: 4}},
-		{rank: 1, amount: topology.Resources{GPUs: 2}},
-	}
-	for rank, want := range []float64{6, 4, 4, 0} {
-		if got := keptFrom(shares, rank); got.GPUs != want {
-			t.Errorf("%v GPUs are kept from rank %d, want %v", got.GPUs, rank, want)
-		}
-	}
-}
