Limits over regions: design note; package quota, a ledger of shares that move by transfers

Need: between regions nothing holds a team's ceiling but fixed parts, and what a region does not need lies idle. Change: docs/design-quota.md weighs five ways and chooses escrow without leases on shares; internal/quota is the state machine (ledger: records and their transactions; balance: who asks and gives; plan: the regions file; amount). It is not wired to anything yet.

--- /dev/null
+++ b/internal/quota/amount/amount.go
@@ -0,0 +1,78 @@
+// Package amount holds sums of CPUs and GPUs as whole thousandths, so that what regions
+// hand to each other adds up exactly.
+package amount
+
+import (
+	"math"
+	"strconv"
+
+	"github.com/brookwalk/brookwalk/internal/core/topology"
+)
+
+// perUnit is how many parts a CPU or GPU has.
+const perUnit = 1000
+
+// Unlimited stands for a resource that a team's ceiling does not bound. It never moves.
+const Unlimited = math.MaxInt64 / 8
+
+// Amount is a number of CPUs and GPUs, each in thousandths.
+type Amount struct {
+	CPUs int64 `json:"c"`
+	GPUs int64 `json:"g"`
+}
+
+// Of is the amount of so many CPUs and GPUs, rounded to thousandths.
+func Of(cpus, gpus float64) Amount { return Amount{round(cpus), round(gpus)} }
+
+// OfResources is what resources take, rounded up: a use is never counted for less than it is.
+func OfResources(r topology.Resources) Amount { return Amount{roundUp(r.CPUs), roundUp(r.GPUs)} }
+
+func round(v float64) int64 { return int64(math.Round(v * perUnit)) }
+
+// roundingError is what sums of floating-point numbers may be off by, in thousandths.
+const roundingError = 1e-3
+
+func roundUp(v float64) int64 { return int64(math.Ceil(v*perUnit - roundingError)) }
+
+// Add returns a+b.
+func (a Amount) Add(b Amount) Amount { return Amount{a.CPUs + b.CPUs, a.GPUs + b.GPUs} }
+
+// Sub returns a-b.
+func (a Amount) Sub(b Amount) Amount { return Amount{a.CPUs - b.CPUs, a.GPUs - b.GPUs} }
+
+// Min is the smaller amount of each resource.
+func (a Amount) Min(b Amount) Amount { return Amount{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs)} }
+
+// Max is the larger amount of each resource.
+func (a Amount) Max(b Amount) Amount { return Amount{max(a.CPUs, b.CPUs), max(a.GPUs, b.GPUs)} }
+
+// Positive is the amount with 0 in place of what is below.
+func (a Amount) Positive() Amount { return a.Max(Amount{}) }
+
+// Part is one nth of the amount.
+func (a Amount) Part(n int64) Amount { return Amount{a.CPUs / n, a.GPUs / n} }
+
+// Covers tells whether a is at least b in each resource.
+func (a Amount) Covers(b Amount) bool { return a.CPUs >= b.CPUs && a.GPUs >= b.GPUs }
+
+// IsZero tells whether it is nothing.
+func (a Amount) IsZero() bool { return a == Amount{} }
+
+// Negative tells whether it is below 0 in any resource.
+func (a Amount) Negative() bool { return a.CPUs < 0 || a.GPUs < 0 }
+
+// Units is the amount as numbers of CPUs and GPUs, +Inf where it is unlimited.
+func (a Amount) Units() (cpus, gpus float64) { return units(a.CPUs), units(a.GPUs) }
+
+func units(v int64) float64 {
+	if v >= Unlimited/2 {
+		return math.Inf(1)
+	}
+	return float64(v) / perUnit
+}
+
+// String writes it for operators.
+func (a Amount) String() string {
+	cpus, gpus := a.Units()
+	return strconv.FormatFloat(cpus, 'g', -1, 64) + " CPUs, " + strconv.FormatFloat(gpus, 'g', -1, 64) + " GPUs"
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -14,6 +14,9 @@
 	Reply   *Reply
 	Digest  *Digest
 	Ends    *Ends
+	// Region is another region's message, for the leader. It is sent only where regions are
+	// turned on: versions before it would drop it.
+	Region *RegionMessage
 }
 
 // PeerVersion is what this program understands of the others' messages and
