--- a/cmd/brookwalk/main.go
+++ b/cmd/brookwalk/main.go
@@ -7,12 +7,15 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/node"
+	"github.com/brookwalk/brookwalk/internal/quota/plan"
+	"github.com/brookwalk/brookwalk/internal/quota/report"
 	"github.com/brookwalk/brookwalk/internal/wake"
 	"github.com/brookwalk/brookwalk/internal/wake/gate"
 )
@@ -25,9 +28,10 @@
 	Operator string           `help:"Operators' own settings (TOML)." type:"path" placeholder:"FILE" env:"BROOKWALK_OPERATOR"`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 
-	Serve struct{}  `cmd:"" default:"1" help:"Run the controller (default)."`
-	Check struct{}  `cmd:"" help:"Check the settings and exit."`
-	Wake  wakeFlags `cmd:"" help:"Serve requests to models that may sleep."`
+	Serve struct{}   `cmd:"" default:"1" help:"Run the controller (default)."`
+	Check struct{}   `cmd:"" help:"Check the settings and exit."`
+	Wake  wakeFlags  `cmd:"" help:"Serve requests to models that may sleep."`
+	Quota quotaFlags `cmd:"" help:"Limits that are shared with other regions."`
 }
 
 // wakeFlags are those of the command wake.
@@ -37,6 +41,19 @@
 	Patience time.Duration `help:"How long a request waits at the most." default:"60s"`
 }
 
+// quotaFlags are those of the command quota.
+type quotaFlags struct {
+	Show struct {
+		JSON bool `help:"Print JSON." name:"json"`
+	} `cmd:"" help:"Show what this region owns of the teams' ceilings, from its state service."`
+	Check struct {
+		File string `arg:"" help:"Regions file (TOML)." type:"existingfile"`
+	} `cmd:"" help:"Check a regions file and exit."`
+}
+
+// quotaTimeout bounds a request of quota show to the state service.
+const quotaTimeout = 5 * time.Second
+
 func main() {
 	k := kong.Parse(&cli, kong.Name("brookwalk"),
 		kong.Description("A scheduler for fleets that serve language models."),
@@ -60,6 +77,16 @@
 	if err != nil {
 		return err
 	}
+	regions, err := loadRegions(op)
+	if err != nil {
+		return err
+	}
+	switch command {
+	case "quota show":
+		return showQuota(cfg)
+	case "quota check <file>":
+		return checkRegions()
+	}
 	if command == "check" {
 		for _, field := range cfg.Ignored {
 			fmt.Printf("%s: unknown field, ignored\n", field)
@@ -74,7 +101,52 @@
 	if command == "wake" {
 		return serveModels(cfg, log)
 	}
-	return node.New(cfg, op, log).Run()
+	n := node.New(cfg, op, log)
+	if regions != nil {
+		n.JoinRegions(regions, op)
+	}
+	return n.Run()
+}
+
+// showQuota prints what the region owns.
+func showQuota(cfg *config.Settings) error {
+	r, err := report.Read(cfg.External.State, quotaTimeout)
+	if err != nil {
+		return err
+	}
+	if cli.Quota.Show.JSON {
+		return r.WriteJSON(os.Stdout)
+	}
+	return r.WriteTable(os.Stdout)
+}
+
+// checkRegions checks a regions file.
+func checkRegions() error {
+	p, err := plan.Load(cli.Quota.Check.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d regions, %d teams; the file is good\n", len(p.Regions), len(p.Teams))
+	return nil
+}
+
+// loadRegions reads the regions file that the operators' settings name; nil if they name none.
+func loadRegions(op *config.Operator) (*plan.Plan, error) {
+	if op.RegionsFile == "" {
+		return nil, nil
+	}
+	p, err := plan.Load(op.RegionsFile)
+	if err != nil {
+		return nil, err
+	}
+	at := p.Index(op.Region)
+	if at < 0 {
+		return nil, fmt.Errorf("region: %s names no region %q", op.RegionsFile, op.Region)
+	}
+	if !slices.Contains(p.Regions[at].Controllers, op.RegionListen) {
+		return nil, fmt.Errorf("region_listen: %q is none of %s's controllers in %s", op.RegionListen, op.Region, op.RegionsFile)
+	}
+	return p, nil
 }
 
 // serveModels serves requests to models until the process is told to end.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -371,6 +371,11 @@
 	WarmMachines *int `toml:"warm_machines"`
 	// IdleReturnS is how long a machine stays idle before it is returned.
 	IdleReturnS *float64 `toml:"idle_return_s"`
+	// RegionsFile names the file of the regions that share limits, Region is this one and
+	// RegionListen where this controller takes the others' messages. All three or none.
+	RegionsFile  string `toml:"regions_file"`
+	Region       string `toml:"region"`
+	RegionListen string `toml:"region_listen"`
 }
 
 // LoadOperator reads the operators' file; an unknown key is an error. An
@@ -393,8 +398,26 @@
 	if o.IdleReturnS != nil && *o.IdleReturnS < 0 {
 		return nil, fmt.Errorf("operators' settings %s: idle_return_s: below 0", path)
 	}
+	if err := o.checkRegions(); err != nil {
+		return nil, fmt.Errorf("operators' settings %s: %w", path, err)
+	}
 	return &o, nil
 }
 
+// checkRegions asks for all of the fields of regions or none.
+func (o *Operator) checkRegions() error {
+	if o.RegionsFile == "" && o.Region == "" && o.RegionListen == "" {
+		return nil
+	}
+	var f faults
+	for _, field := range []struct{ name, value string }{{"regions_file", o.RegionsFile}, {"region", o.Region}} {
+		if field.value == "" {
+			f.add("%s: missing, it goes with region_listen, region and regions_file", field.name)
+		}
+	}
+	f.addr("region_listen", o.RegionListen)
+	return f.err()
+}
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,7 @@
 	digestAt    time.Duration
 	countsAt    time.Duration
 	counts      map[string]wire.JobCount // last digest of the leader
+	regions     regions
 	// fetchesQueue is what the leader last told of how machines fetch images.
 	fetchesQueue bool
 }
--- a/internal/core/input.go
+++ b/internal/core/input.go
@@ -2,7 +2,7 @@
 
 import "github.com/brookwalk/brookwalk/wire"
 
-// Input is what a step takes: a Request, a Result, a PeerInput or a Tick.
+// Input is what a step takes: a Request, a Result, a PeerInput, a RegionInput or a Tick.
 type Input interface {
 	// handle has the core act on the input.
 	handle(c *Core)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -8,6 +8,8 @@
 	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/internal/core/faults"
 	"github.com/brookwalk/brookwalk/internal/core/forecast"
+	"github.com/brookwalk/brookwalk/internal/quota"
+	"github.com/brookwalk/brookwalk/internal/quota/balance"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -39,6 +41,11 @@
 	ending    []*job          // of them, those that may be without dependents
 	deps      *depgraph.Graph
 
+	quota         *quota.Manager            // shares limits with other regions; nil if that is off
+	regionDemands map[string]balance.Demand // what the last plan found, by team
+	quotaRetry    func()                    // reads records again that could not be read
+	quotaRetryAt  time.Duration
+
 	fleet    fleet
 	outgrown bool                          // the fleet is larger than the controllers carry, see checkFleetSize
 	guests   map[string]bool               // teams without a guarantee beside others with one
@@ -96,6 +103,7 @@
 	l.tickGone()
 	l.tickAwaited()
 	l.tickLists()
+	l.tickQuota()
 	if l.c.now >= l.passes.notBefore+l.c.report()/3 {
 		l.passes.requested = true
 	}
--- a/internal/core/output.go
+++ b/internal/core/output.go
@@ -47,9 +47,17 @@
 	Msg *wire.PeerMessage
 }
 
+// RegionSend hands a message to any controller of another region.
+type RegionSend struct {
+	To      string
+	Message *wire.RegionMessage
+}
+
 // Output is all that a step asks for.
 type Output struct {
 	Answers []Answer
 	Calls   []Call
 	Sends   []Send
+
+	RegionSends []RegionSend
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -180,6 +180,8 @@
 		c.onEnds(m.Ends)
 	case m.Digest != nil:
 		c.onDigest(m.From, p, m.Digest)
+	case m.Region != nil && c.lead != nil:
+		c.lead.onRegionMessage(m.Region)
 	}
 }
 
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -29,7 +29,12 @@
 }
 
 // limit is what a team's tasks may use now.
-func (l *leader) limit(team string) teamlimit.Limit { return l.c.limitOf(team) }
+func (l *leader) limit(team string) teamlimit.Limit {
+	if l.shares(team) {
+		return l.shareLimit(team)
+	}
+	return l.c.limitOf(team)
+}
 
 // teamUsage is what the tasks of each team use that are not certainly gone. It
 // follows every placement; now and then it is added up anew.
--- a/internal/core/records_load.go
+++ b/internal/core/records_load.go
@@ -83,6 +83,7 @@
 		}
 	}
 	l.c.log.Info("records loaded", "term", l.mandate.Term, "jobs", len(l.jobs), "waiting", waiting, "machines", len(l.machines))
+	l.startQuota()
 	l.passes.requested = true
 	l.watch()
 }
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -53,6 +53,7 @@
 	l *leader
 	*rental.Plan
 	stoppable map[teamRank]topology.Resources // see stoppableUse
+	demand    *regionDemand                   // nil if limits are not shared with other regions
 }
 
 // teamRank names the work of a team below a rank.
@@ -95,6 +96,7 @@
 	p := newRentalPlan(l)
 	planned := maps.Clone(usage)
 	p.packPending(cands, planned)
+	p.demand.finish(maps.Clone(planned))
 	p.packNextStages(planned)
 	p.packExpected()
 	l.passes.evaluations += p.Evaluations()
@@ -107,7 +109,7 @@
 // newRentalPlan starts a plan with the machines that are, or are about to be,
 // of use, and with those that have been asked for.
 func newRentalPlan(l *leader) *rentalPlan {
-	p := &rentalPlan{l: l, Plan: rental.New(l.terms()), stoppable: map[teamRank]topology.Resources{}}
+	p := &rentalPlan{l: l, Plan: rental.New(l.terms()), stoppable: map[teamRank]topology.Resources{}, demand: l.newRegionDemand()}
 	late := l.boots.CountLate(l.c.now)
 	for _, m := range l.byName {
 		total, ok := l.total(m)
@@ -158,9 +160,17 @@
 		// only where there is a machine to start on.
 		stoppable = p.stoppableUse(j.Team, c.preemptionRank)
 	}
-	for range l.plannedTasks(c) - c.reserved {
+	wanted := l.plannedTasks(c) - c.reserved
+	if p.demand != nil && j.Shape == wire.ShapeGang && !limit.Allows(used.Sub(stoppable), need.Task, wanted) {
+		// A part of it would keep shares from others without any use.
+		p.demand.noteShort(c, wanted)
+		l.noteWait(j, l.limitReason(j))
+		return
+	}
+	for k := range wanted {
 		if !limit.Allows(used.Sub(stoppable), need.Task, 1) {
-			l.noteWait(j, waitLimit)
+			p.demand.noteShort(c, wanted-k)
+			l.noteWait(j, l.limitReason(j))
 			return
 		}
 		if last = p.Pack(&need, zoneAllowed, last, purpose); last == nil {
--- a/internal/core/teamlimit/usage.go
+++ b/internal/core/teamlimit/usage.go
@@ -26,3 +26,6 @@
 
 // Snapshot is a copy, by team.
 func (u *Usage) Snapshot() map[string]topology.Resources { return maps.Clone(u.byTeam) }
+
+// Of is what a team uses.
+func (u *Usage) Of(team string) topology.Resources { return u.byTeam[team] }
--- a/internal/core/waitreason.go
+++ b/internal/core/waitreason.go
@@ -7,6 +7,7 @@
 
 const (
 	waitLimit    waitReason = "its team is at its limit"
+	waitShare    waitReason = "its team's share of the limit in this region is used, other regions hold the rest"
 	waitNoOffer  waitReason = "no machine can be rented for it now"
 	waitMachines waitReason = "machines for it boot, are asked for or come free"
 	waitFaulty   waitReason = "it fails on every machine"
@@ -45,3 +46,12 @@
 	w.noted = why
 	log("job waits for room", "job", j.ID, "class", j.Class, "tasks", len(j.tasks)-j.placed-j.done, "why", why, "waited_s", waited.Seconds())
 }
+
+// limitReason tells by which limit a job waits: its team's, or this region's share of it.
+func (l *leader) limitReason(j *job) waitReason {
+	ceiling := l.c.limitOf(j.Team)
+	if limit := l.limit(j.Team); limit.CPUs < ceiling.CPUs || limit.GPUs < ceiling.GPUs {
+		return waitShare
+	}
+	return waitLimit
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/brookwalk/brookwalk/internal/peer"
 	"github.com/brookwalk/brookwalk/internal/store"
 	"github.com/brookwalk/brookwalk/internal/worker"
+	"github.com/brookwalk/brookwalk/wire"
 	"github.com/tidwall/evio"
 )
 
@@ -29,10 +30,11 @@
 	log   *slog.Logger
 	start time.Time
 
-	store  *store.Client
-	cloud  *cloud.Client
-	worker *worker.Client
-	links  map[string]*peer.Link
+	store   *store.Client
+	cloud   *cloud.Client
+	worker  *worker.Client
+	links   map[string]*peer.Link[wire.PeerMessage]
+	regions *regionLinks // nil if limits are not shared with other regions
 
 	// queue holds the requests of users: they come after reports, which are
 	// handled as they arrive, and decisions, which go by the ticker.
@@ -53,7 +55,8 @@
 // conn is one incoming connection. All fields are guarded by Node.mu.
 type conn struct {
 	ev     evio.Conn
-	peer   *peer.Decoder
+	peer   *peer.Decoder[wire.PeerMessage]
+	region *peer.Decoder[wire.RegionMessage]
 	worker bool // it has brought a report
 	last   time.Time
 	in     []byte
@@ -70,12 +73,18 @@
 	return &Node{
 		cfg: cfg, log: log, start: time.Now(),
 		store: store.New(cfg), cloud: cloud.New(cfg), worker: worker.New(cfg),
-		links: map[string]*peer.Link{},
+		links: map[string]*peer.Link[wire.PeerMessage]{},
 		queue: make(chan userRequest, max(1, cfg.Deployment.Limits.MaxConnections/userQueue)),
 		core:  core.New(cfg, op, rand.Uint64(), log), requests: map[uint64]*conn{}, conns: map[*conn]bool{},
 	}
 }
 
+// The order of the addresses that a node listens on.
+const (
+	peerAddress   = 1
+	regionAddress = 2
+)
+
 // Run serves until the process ends or a listener fails.
 func (n *Node) Run() error {
 	// The runtime collects harder as its limit comes near; the rest of the
@@ -87,7 +96,7 @@
 	// the runtime does not see, and one for everything else.
 	runtime.GOMAXPROCS(2)
 	for _, p := range n.cfg.Peers {
-		n.links[p.Name] = peer.NewLink(p.Addr, config.Seconds(n.cfg.Deployment.Workers.ReportS), n.cfg.Deployment.Limits.MaxConnections, n.log)
+		n.links[p.Name] = peer.NewLink[wire.PeerMessage](p.Addr, config.Seconds(n.cfg.Deployment.Workers.ReportS), n.cfg.Deployment.Limits.MaxConnections, n.log)
 	}
 	ev := evio.Events{NumLoops: 1}
 	ev.Serving = func(evio.Server) evio.Action {
@@ -100,7 +109,11 @@
 	ev.Opened = n.opened
 	ev.Closed = n.closed
 	ev.Data = n.data
-	if err := evio.Serve(ev, "tcp://"+n.cfg.Listen, "tcp://"+n.cfg.PeerListen); err != nil {
+	addresses := []string{"tcp://" + n.cfg.Listen, "tcp://" + n.cfg.PeerListen}
+	if n.regions != nil {
+		addresses = append(addresses, "tcp://"+n.regions.listen)
+	}
+	if err := evio.Serve(ev, addresses...); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
@@ -172,7 +185,7 @@
 func (n *Node) sweep(now time.Time) {
 	limit := config.Seconds(n.cfg.Deployment.Workers.LeaseS)
 	for c := range n.conns {
-		if c.busy || c.peer != nil {
+		if c.busy || c.peer != nil || c.region != nil {
 			continue
 		}
 		if !c.since.IsZero() && now.Sub(c.since) > limit || c.worker && now.Sub(c.last) > limit {
@@ -192,8 +205,13 @@
 	defer n.mu.Unlock()
 	c := &conn{ev: ec, last: time.Now()}
 	ec.SetContext(c)
-	if ec.AddrIndex() == 1 {
-		c.peer = peer.NewDecoder()
+	if ec.AddrIndex() == peerAddress {
+		c.peer = peer.NewDecoder[wire.PeerMessage]()
+	} else if ec.AddrIndex() == regionAddress {
+		if !n.regions.open() {
+			return nil, opts, evio.Close
+		}
+		c.region = peer.NewDecoder[wire.RegionMessage]()
 	} else if len(n.conns) >= n.cfg.Deployment.Limits.Incoming() && !n.makeRoom() {
 		n.log.Debug("connection refused", "open", len(n.conns))
 		return nil, opts, evio.Close
@@ -207,7 +225,7 @@
 func (n *Node) makeRoom() bool {
 	var oldest *conn
 	for c := range n.conns {
-		if c.worker || c.peer != nil || c.busy || c.close {
+		if c.worker || c.peer != nil || c.region != nil || c.busy || c.close {
 			continue
 		}
 		if oldest == nil || c.last.Before(oldest.last) {
@@ -225,6 +243,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if c, ok := ec.Context().(*conn); ok {
+		if c.region != nil && !c.closed {
+			n.regions.connections--
+		}
 		c.closed = true
 		delete(n.conns, c)
 	}
@@ -242,6 +263,9 @@
 	if c.peer != nil {
 		return nil, n.peerData(c, in)
 	}
+	if c.region != nil {
+		return nil, n.regionData(c, in)
+	}
 	if len(in) > 0 {
 		c.last = time.Now()
 	}
@@ -338,6 +362,9 @@
 			l.Send(s.Msg)
 		}
 	}
+	for _, s := range out.RegionSends {
+		n.regions.send(s)
+	}
 	for _, k := range out.Calls {
 		go n.carryOut(k)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,5 @@
-// Package peer carries messages between controllers: gob values behind a
-// four-byte length, over one connection for each direction.
+// Package peer carries messages between controllers, of one region or of several: gob
+// values behind a four-byte length, over one connection for each direction.
 package peer
 
 import (
@@ -11,8 +11,6 @@
 	"log/slog"
 	"net"
 	"time"
-
-	"github.com/brookwalk/brookwalk/wire"
 )
 
 // maxFrame bounds a message: a report of at most 64 KiB, or a part of a digest.
@@ -20,9 +18,9 @@
 
 // Link sends messages to one peer. Messages are dropped while the peer cannot
 // be reached: every sender repeats what still matters.
-type Link struct {
+type Link[M any] struct {
 	addr    string
-	queue   chan *wire.PeerMessage
+	queue   chan *M
 	timeout time.Duration
 	log     *slog.Logger
 }
@@ -30,21 +28,21 @@
 // NewLink starts a link. timeout bounds a dial and a write, queue the messages
 // that wait: every connection to a controller may have a report under way, and
 // after an election all of them go to one peer at once.
-func NewLink(addr string, timeout time.Duration, queue int, log *slog.Logger) *Link {
-	l := &Link{addr: addr, queue: make(chan *wire.PeerMessage, queue), timeout: timeout, log: log}
+func NewLink[M any](addr string, timeout time.Duration, queue int, log *slog.Logger) *Link[M] {
+	l := &Link[M]{addr: addr, queue: make(chan *M, queue), timeout: timeout, log: log}
 	go l.run()
 	return l
 }
 
 // Send queues a message and never blocks.
-func (l *Link) Send(m *wire.PeerMessage) {
+func (l *Link[M]) Send(m *M) {
 	select {
 	case l.queue <- m:
 	default:
 	}
 }
 
-func (l *Link) run() {
+func (l *Link[M]) run() {
 	for {
 		m := <-l.queue
 		conn, err := net.DialTimeout("tcp4", l.addr, l.timeout)
@@ -63,7 +61,7 @@
 
 // drain drops what was meant for a peer that is out of reach: stale messages
 // would only delay the fresh ones.
-func (l *Link) drain() {
+func (l *Link[M]) drain() {
 	for {
 		select {
 		case <-l.queue:
@@ -73,11 +71,11 @@
 	}
 }
 
-func (l *Link) pump(conn net.Conn, first *wire.PeerMessage) error {
+func (l *Link[M]) pump(conn net.Conn, first *M) error {
 	var buf bytes.Buffer
 	enc := gob.NewEncoder(&buf)
 	var out []byte
-	add := func(m *wire.PeerMessage) error {
+	add := func(m *M) error {
 		buf.Reset()
 		if err := enc.Encode(m); err != nil {
 			return fmt.Errorf("encode: %w", err)
@@ -110,15 +108,15 @@
 }
 
 // Decoder takes in the bytes of one incoming connection.
-type Decoder struct {
+type Decoder[M any] struct {
 	in  []byte
 	buf bytes.Buffer
 	dec *gob.Decoder
 }
 
 // NewDecoder makes a decoder for a new connection.
-func NewDecoder() *Decoder {
-	d := &Decoder{}
+func NewDecoder[M any]() *Decoder[M] {
+	d := &Decoder[M]{}
 	d.dec = gob.NewDecoder(&d.buf)
 	return d
 }
@@ -127,9 +125,9 @@
 var ErrFrame = errors.New("peer: bad frame")
 
 // Feed adds bytes and returns the messages that are complete.
-func (d *Decoder) Feed(b []byte) ([]*wire.PeerMessage, error) {
+func (d *Decoder[M]) Feed(b []byte) ([]*M, error) {
 	d.in = append(d.in, b...)
-	var out []*wire.PeerMessage
+	var out []*M
 	for len(d.in) >= 4 {
 		n := int(binary.BigEndian.Uint32(d.in))
 		if n == 0 || n > maxFrame {
@@ -140,7 +138,7 @@
 		}
 		d.buf.Write(d.in[4 : 4+n])
 		d.in = d.in[4+n:]
-		m := &wire.PeerMessage{}
+		m := new(M)
 		if err := d.dec.Decode(m); err != nil {
 			return out, fmt.Errorf("%w: %w", ErrFrame, err)
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	l := NewLink(ln.Addr().String(), 5*time.Second, 64, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := NewLink[wire.PeerMessage](ln.Addr().String(), 5*time.Second, 64, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	body := bytes.Repeat([]byte("x"), 5000)
 	for i := uint64(1); i <= 20; i++ {
 		l.Send(&wire.PeerMessage{From: "a", Forward: &wire.Forward{ID: i, Body: body}})
@@ -29,7 +29,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	d := NewDecoder()
+	d := NewDecoder[wire.PeerMessage]()
 	var got []*wire.PeerMessage
 	buf := make([]byte, 777)
 	for len(got) < 40 {
@@ -59,7 +59,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, in []byte) {
-		d := NewDecoder()
+		d := NewDecoder[wire.PeerMessage]()
 		for len(in) > 0 {
 			n := min(len(in), 3)
 			if _, err := d.Feed(in[:n]); err != nil {
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -129,11 +129,6 @@
 	c.then(func(revision uint64) { l.links[region] = versioned[Link]{link, revision} })
 }
 
-// whileUnfenced has the transaction fail once the region is fenced.
-func (l *Ledger) whileUnfenced(c *Change) {
-	c.Txn.If = append(c.Txn.If, wire.Cond{Key: headKey, Version: l.head.version})
-}
-
 // AddShares puts the first shares of teams on record that have none.
 func (l *Ledger) AddShares(term wire.Cond, teams []string, share func(team string) Share) *Change {
 	c := l.change(term)
@@ -173,7 +168,6 @@
 // caller sees to it that no task uses them. It fails if that would leave less than the floor.
 func (l *Ledger) Give(term wire.Cond, region string, received uint64, parts []Part) (*Change, error) {
 	c := l.change(term)
-	l.whileUnfenced(c)
 	link := l.links[region].value
 	link.Out = slices.Clone(link.Out)
 	link.acknowledge(received)
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -81,6 +81,9 @@
 	if c.beyondLimit(team, gpus, cpus) {
 		c.broken("quota", "%s uses %v GPUs and %v CPUs", team, gpus, cpus)
 	}
+	if c.w.onUse != nil {
+		c.w.onUse(team)
+	}
 }
 
 // amountTolerance makes up for the rounding of sums.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -88,6 +88,11 @@
 	// core in the checker's own test.
 	mutate func(n *node, out *core.Output)
 
+	// regionSend, if set, carries a message to another region; onUse is told of a team whose
+	// use has grown. Both are nil in a world without other regions.
+	regionSend func(n *node, s core.RegionSend)
+	onUse      func(team string)
+
 	// newCore, if set, makes the core of a node that boots, in place of that of
 	// this version.
 	newCore func(n *node, boot uint64) stepper
@@ -307,6 +312,11 @@
 			}
 		})
 	}
+	for _, s := range out.RegionSends {
+		if n.w.regionSend != nil {
+			n.w.regionSend(n, s)
+		}
+	}
 	for _, k := range out.Calls {
 		n.call(k)
 	}
