--- a/cmd/brookwalk-hollow/main.go
+++ b/cmd/brookwalk-hollow/main.go
@@ -25,6 +25,8 @@
 	Run struct {
 		File     string  `arg:"" help:"Experiment file (TOML)." type:"existingfile"`
 		Report   string  `help:"Write the report there, as JSON." type:"path" placeholder:"FILE"`
+		HTML     string  `help:"Write a page with plots there." name:"html" type:"path" placeholder:"FILE"`
+		Parquet  string  `help:"Write the course of the run there, as columns (Apache Parquet)." type:"path" placeholder:"FILE"`
 		Scale    float64 `help:"Multiply machines, teams' limits and jobs." default:"1"`
 		Seconds  float64 `help:"Run for so long, in place of the file's time."`
 		Deploy   string  `help:"The deploy file, which says how the program is built and started." default:"deploy/service.toml" type:"path"`
@@ -94,6 +96,9 @@
 			return err
 		}
 	}
+	if err := writeHistory(rep); err != nil {
+		return err
+	}
 	if err := rep.WriteTable(os.Stdout); err != nil {
 		return err
 	}
@@ -103,6 +108,19 @@
 	return nil
 }
 
+// writeHistory writes the course of the run to the files that the command line names.
+func writeHistory(rep *hollow.Report) error {
+	if cli.Run.Parquet != "" {
+		if err := rep.History.WriteParquet(cli.Run.Parquet); err != nil {
+			return err
+		}
+	}
+	if cli.Run.HTML == "" {
+		return nil
+	}
+	return rep.WritePage(cli.Run.HTML)
+}
+
 // build builds the program as the deploy file says, in the present directory, and
 // returns the command that starts it.
 func build(ctx context.Context, path string) ([]string, error) {
--- a/internal/hollow/experiment.go
+++ b/internal/hollow/experiment.go
@@ -35,6 +35,8 @@
 	Objectives  []ClassObjective `toml:"objectives"`
 	Jobs        []JobClass       `toml:"jobs"`
 	Failures    []Failure        `toml:"failures"`
+	// Regions, if there are any, are that many deployments of this kind which share the limits.
+	Regions []Region `toml:"regions"`
 }
 
 // Operator is what the operators' own settings say in the experiment.
@@ -67,6 +69,12 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+// teamLimit is what each team is guaranteed and limited to.
+func (e *Experiment) teamLimit() config.Team {
+	t, n := e.Teams, float64(e.Teams.Count)
+	return config.Team{CPUs: t.CPUs / n, CPUsMax: t.CPUsMax / n, GPUs: t.GPUs / n, GPUsMax: t.GPUsMax / n}
+}
+
 // ClassObjective is what is expected of a class.
 type ClassObjective struct {
 	Kind    string  `toml:"kind"`
@@ -106,9 +114,10 @@
 	FailWorkers = "workers_gone"
 	FailZone    = "zone_gone"
 	FailState   = "state_down"
+	FailCut     = "cut_regions"
 )
 
-var failureKinds = []string{FailLeader, FailAll, FailWorkers, FailZone, FailState}
+var failureKinds = []string{FailLeader, FailAll, FailWorkers, FailZone, FailState, FailCut}
 
 // Failure is something that fails at a time.
 type Failure struct {
@@ -117,6 +126,11 @@
 	Share float64 `toml:"share"` // of the workers
 	Zone  string  `toml:"zone"`
 	ForS  float64 `toml:"for_s"`
+	// Region is where it happens; empty for all. A cut is from it to the region To, or to all
+	// others, and if Both also back.
+	Region string `toml:"region"`
+	To     string `toml:"to"`
+	Both   bool   `toml:"both"`
 }
 
 // Load reads and checks an experiment file. An error names the file, the field and
@@ -212,6 +226,29 @@
 	e.checkTypes(f)
 	e.checkJobs(f)
 	e.checkFailures(f)
+	e.checkRegions(f)
+}
+
+func (e *Experiment) hasRegion(name string) bool {
+	return slices.ContainsFunc(e.Regions, func(r Region) bool { return r.Name == name })
+}
+
+func (e *Experiment) checkRegions(f *faults) {
+	owned := 0.0
+	for i, r := range e.Regions {
+		at := fmt.Sprintf("regions[%d].", i)
+		if r.Name == "" {
+			f.add(at+"name", "missing")
+		}
+		if r.Load < 0 {
+			f.add(at+"load", "must not be below 0, is %v", r.Load)
+		}
+		f.share(at+"owned", r.Owned)
+		owned += r.Owned
+	}
+	if len(e.Regions) == 1 || len(e.Regions) > 1 && math.Abs(owned-1) > 1e-9 {
+		f.add("regions", "must be two or more that own 1 together, are %d that own %v", len(e.Regions), owned)
+	}
 }
 
 func (e *Experiment) checkTypes(f *faults) {
@@ -278,6 +315,12 @@
 		if x.AtS < 0 || x.AtS >= e.Seconds {
 			f.add(at+"at_s", "must be within the %v s of the run, is %v", e.Seconds, x.AtS)
 		}
+		if x.Region != "" && !e.hasRegion(x.Region) || x.Kind == FailCut && x.Region == "" {
+			f.add(at+"region", "%q is none of the regions", x.Region)
+		}
+		if x.To != "" && !e.hasRegion(x.To) {
+			f.add(at+"to", "%q is none of the regions", x.To)
+		}
 		if x.Kind == FailZone && !slices.Contains(e.Zones, x.Zone) {
 			f.add(at+"zone", "%q is none of the zones", x.Zone)
 		}
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -8,10 +8,12 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/brookwalk/brookwalk/internal/history"
 	"github.com/brookwalk/brookwalk/internal/sim"
 )
 
@@ -43,6 +45,12 @@
 	NextStartS       []float64       `json:"next_start_after_leader_s"`
 	NoStartAfterKill int             `json:"leaders_without_a_next_start"`
 	Broken           []string        `json:"rules_broken"`
+
+	// Of a run of several regions: each region's report, and the teams' use over all of them.
+	Regions []*Report `json:"regions,omitempty"`
+	Teams   []TeamUse `json:"teams,omitempty"`
+	// History is the course of the run.
+	History *history.Log `json:"-"`
 }
 
 // Role is what one process has used.
@@ -96,7 +104,7 @@
 	rep := &Report{Experiment: r.e.Name, Seconds: ran.Seconds(), Workers: c.Workers, Tasks: c.Tasks, Jobs: c.Jobs, Accepted: c.Accepted,
 		StartsSent: c.Starts, LeaseLosses: c.LeaseLosses, NextStartS: []float64{}, StateKeys: c.Keys, StateChanges: perSecond(float64(c.Changes), ran.Seconds()), StateRefused: c.StateRefused,
 		StartsPeak: o.peakStarts(), StartsMean: perSecond(float64(o.starts), ran.Seconds()), Urgent: waitOf(o.urgent),
-		Waits: map[string]Wait{}, NoStartAfterKill: o.interrupted, Broken: append([]string{}, c.Broken...)}
+		History: r.history, Waits: map[string]Wait{}, NoStartAfterKill: o.interrupted, Broken: append([]string{}, c.Broken...)}
 	if o.killedTerm != 0 {
 		rep.NoStartAfterKill++
 	}
@@ -161,6 +169,17 @@
 // WriteTable writes a short table.
 func (rep *Report) WriteTable(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(rep.Regions) > 0 {
+		for _, r := range rep.Regions {
+			if err := r.WriteTable(out); err != nil {
+				return err
+			}
+			fmt.Fprintln(out)
+		}
+		rep.writeTeams(w)
+		rep.writeBroken(w)
+		return w.Flush()
+	}
 	fmt.Fprintf(w, "%s: %.0f s, %d workers, %d tasks on machines, %d jobs (%d accepted)\n", rep.Experiment, rep.Seconds, rep.Workers, rep.Tasks, rep.Jobs, rep.Accepted)
 	fmt.Fprintln(w, "process\trole\tcores\tsteady\tpeak\tmemory MB\tread KB/s\twritten KB/s\tsockets")
 	for _, r := range rep.Roles {
@@ -179,11 +198,25 @@
 	rep.Urgent.row(w, "urgent and critical")
 	fmt.Fprintf(w, "state service: %d keys, %.0f changes a second, %d requests refused for its rates\n", rep.StateKeys, rep.StateChanges, rep.StateRefused)
 	fmt.Fprintf(w, "starts a second: %.0f on average, %.0f at the peak; next start after a leader's end: %.2f s\n", rep.StartsMean, rep.StartsPeak, rep.NextStartS)
+	rep.writeBroken(w)
+	return w.Flush()
+}
+
+// writeBroken writes which rules were broken.
+func (rep *Report) writeBroken(w io.Writer) {
 	fmt.Fprintf(w, "rules broken: %d\n", len(rep.Broken))
 	for _, b := range rep.Broken[:min(len(rep.Broken), 10)] {
 		fmt.Fprintln(w, " ", b)
 	}
-	return w.Flush()
+}
+
+// WritePage writes the report and the course of the run as one HTML page.
+func (rep *Report) WritePage(path string) error {
+	var table strings.Builder
+	if err := rep.WriteTable(&table); err != nil {
+		return err
+	}
+	return rep.History.WritePage(path, "Run of "+rep.Experiment, table.String())
 }
 
 func (v Wait) row(w io.Writer, name string) {
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -18,6 +18,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/brookwalk/brookwalk/httpwire"
 	"github.com/brookwalk/brookwalk/internal/config"
+	"github.com/brookwalk/brookwalk/internal/history"
 	"github.com/brookwalk/brookwalk/internal/httpserve"
 	"github.com/brookwalk/brookwalk/internal/sim"
 	"github.com/brookwalk/brookwalk/wire"
@@ -47,9 +48,10 @@
 	live *sim.Live
 
 	controllers []*controller
-	operator    string // path of the operators' own settings; empty if there are none
 	observer    *observer
-	own         meter // this process: all stand-ins
+	history     *history.Log
+	region      *regionPart // nil if there is one region only
+	own         meter       // this process: all stand-ins
 
 	workers, commands, users, state, cloud httpserve.Traffic
 
@@ -60,12 +62,25 @@
 // Run runs an experiment to its end, or until the context ends, and reports. It
 // ends every process that it started.
 func Run(ctx context.Context, e *Experiment, opts Options) (*Report, error) {
-	r := &runner{e: e, opts: opts, observer: newObserver(), servers: map[string]io.Closer{}}
+	if len(e.Regions) > 0 {
+		return runRegions(ctx, e, opts)
+	}
+	r := newRunner(e, opts)
 	defer r.stop()
 	if err := r.prepare(); err != nil {
 		return nil, err
 	}
-	newLoad(e, r.live).begin()
+	return r.play(ctx), nil
+}
+
+// newRunner makes a runner of an experiment of one region.
+func newRunner(e *Experiment, opts Options) *runner {
+	return &runner{e: e, opts: opts, observer: newObserver(), history: &history.Log{}, servers: map[string]io.Closer{}}
+}
+
+// play plays the experiment to its end and reports.
+func (r *runner) play(ctx context.Context) *Report {
+	newLoad(r.e, r.live).begin()
 	r.planFailures()
 	done := make(chan struct{})
 	var sampler sync.WaitGroup
@@ -73,10 +88,10 @@
 	began := time.Now()
 	inner, end := context.WithCancel(ctx)
 	defer end()
-	if opts.enough != nil {
+	if r.opts.enough != nil {
 		r.endOnceEnough(end)
 	}
-	r.live.Run(inner, seconds(e.Seconds))
+	r.live.Run(inner, seconds(r.e.Seconds))
 	ran := time.Since(began)
 	close(done)
 	sampler.Wait()
@@ -84,7 +99,7 @@
 	if ctx.Err() != nil {
 		rep.Interrupted = true
 	}
-	return rep, nil
+	return rep
 }
 
 // endOnceEnough looks now and then whether what was seen is enough.
@@ -110,7 +125,7 @@
 func (r *runner) prepare() error {
 	cfg := r.settings()
 	r.live = sim.NewLive(sim.LiveConfig{Settings: cfg, Types: r.types(), Stock: r.stock(), Seed: r.e.Seed,
-		Observer: r.observer, Log: r.opts.Log, WorkerAddr: r.workerAddr, MachineGone: r.closeServer})
+		Observer: r.observer, Log: r.opts.Log, WorkerAddr: r.workerAddr, MachineGone: r.closeServer, UseChanged: r.useChanged()})
 	state, err := r.serve("state service", &r.state, r.live.ServeState)
 	if err != nil {
 		return err
@@ -124,9 +139,6 @@
 	if err != nil {
 		return err
 	}
-	if err := r.writeOperator(); err != nil {
-		return err
-	}
 	for i := range r.e.Controllers {
 		if err := r.addController(i, *cfg, ports); err != nil {
 			return err
@@ -135,13 +147,29 @@
 	return nil
 }
 
-// writeOperator writes the operators' own settings, if the experiment has any.
-func (r *runner) writeOperator() error {
-	if r.e.Operator.IdleReturnS == 0 {
+// useChanged is what is told of changes in what teams use; nil for nobody.
+func (r *runner) useChanged() func(team string, cpus, gpus float64) {
+	if r.region == nil {
 		return nil
 	}
-	r.operator = filepath.Join(r.opts.Dir, "operator.toml")
-	return os.WriteFile(r.operator, fmt.Appendf(nil, "idle_return_s = %g\n", r.e.Operator.IdleReturnS), 0o644)
+	return func(team string, cpus, gpus float64) { r.region.run.tally.add(r.region.name, team, cpus, gpus) }
+}
+
+// writeOperator writes the operators' own settings for a controller, if there are any, and
+// returns their path.
+func (r *runner) writeOperator(i int) (string, error) {
+	var text []byte
+	if r.e.Operator.IdleReturnS != 0 {
+		text = fmt.Appendf(text, "idle_return_s = %g\n", r.e.Operator.IdleReturnS)
+	}
+	if r.region != nil {
+		text = fmt.Appendf(text, "regions_file = %q\nregion = %q\nregion_listen = %q\n", r.region.planned, r.region.name, r.region.listen[i])
+	}
+	if text == nil {
+		return "", nil
+	}
+	path := filepath.Join(r.opts.Dir, fmt.Sprintf("operator-%d.toml", i))
+	return path, os.WriteFile(path, text, 0o644)
 }
 
 // serve serves one of the services at a port of its own.
@@ -233,12 +261,16 @@
 	if err := errors.Join(toml.NewEncoder(f).Encode(cfg), f.Close()); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	operator, err := r.writeOperator(i)
+	if err != nil {
+		return err
+	}
 	output, err := os.Create(filepath.Join(r.opts.Dir, cfg.Name+".log"))
 	if err != nil {
 		return err
 	}
 	c := &controller{name: cfg.Name, listen: cfg.Listen, command: append(append([]string{}, r.opts.Command...), path),
-		output: output, operator: r.operator, log: r.opts.Log, do: r.live.Do, users: &r.users, workers: &r.workers}
+		output: output, operator: operator, log: r.opts.Log, do: r.live.Do, users: &r.users, workers: &r.workers}
 	r.controllers = append(r.controllers, c)
 	r.live.Attach(i, c)
 	return nil
@@ -247,9 +279,10 @@
 // settings are those of the deployment.
 func (r *runner) settings() *config.Settings {
 	d := config.Deployment{Size: r.e.Controllers, Zones: r.e.Zones, SkewMs: skewMs, Workers: r.e.Workers, State: r.e.State, Cloud: r.e.Cloud, Limits: r.e.Limits}
-	t, n := r.e.Teams, float64(r.e.Teams.Count)
-	for i := range t.Count {
-		d.Teams = append(d.Teams, config.Team{Name: teamName(i), CPUs: t.CPUs / n, CPUsMax: t.CPUsMax / n, GPUs: t.GPUs / n, GPUsMax: t.GPUsMax / n})
+	for i := range r.e.Teams.Count {
+		team := r.e.teamLimit()
+		team.Name = teamName(i)
+		d.Teams = append(d.Teams, team)
 	}
 	for _, o := range r.e.Objectives {
 		d.Objectives = append(d.Objectives, config.Objective(o))
@@ -291,8 +324,18 @@
 	}
 }
 
+// mark notes a failure in the history.
+func (r *runner) mark(f Failure) {
+	if r.region != nil {
+		r.region.run.tally.history.Mark(r.live.Now(), f.Kind+" in "+r.region.name)
+		return
+	}
+	r.history.Mark(r.live.Now(), f.Kind)
+}
+
 // fail brings about one failure.
 func (r *runner) fail(f Failure) {
+	r.mark(f)
 	log := r.opts.Log.With("kind", f.Kind, "at_s", f.AtS)
 	back := seconds(r.e.RestartS)
 	switch f.Kind {
@@ -351,7 +394,7 @@
 		if u, err := readUsage(os.Getpid()); err == nil {
 			r.own.add(os.Getpid(), u, time.Now())
 		}
-		r.live.Do(r.observer.second)
+		r.live.Do(r.second)
 		if r.opts.Progress != nil && time.Since(told) >= r.opts.ProgressEvery {
 			told = time.Now()
 			r.progress()
@@ -359,6 +402,17 @@
 	}
 }
 
+// second notes how the run goes. It is called with the world locked, once a second.
+func (r *runner) second() {
+	r.observer.second()
+	now, c := r.live.Now(), r.live.Counts()
+	r.history.Add("Tasks and jobs", "tasks on machines", now, float64(c.Tasks))
+	r.history.Add("Tasks and jobs", "jobs not over", now, float64(c.Jobs))
+	r.history.Add("Starts", "starts in the last second", now, float64(r.observer.perSecond[len(r.observer.perSecond)-1]))
+	r.history.Add("Wait of urgent work", "p50 so far, s", now, waitOf(r.observer.urgent).P50)
+	r.history.Add("Wait of urgent work", "p99 so far, s", now, waitOf(r.observer.urgent).P99)
+}
+
 // progress tells how far the run is.
 func (r *runner) progress() {
 	var c sim.Counts
