core: the order of jobs, what is found not to fit, and a cancellation's progress leave the leader

Need: placement and cancellation stood in internal/core, spread over the leader and its jobs. Change: package placement has the order in which jobs are tried and a pass's memo of what does not fit; package cancellation has the leader's part, a job's progress from the request to the last task. Both know no machines and no leader. Behaviour unchanged; tests follow renamed fields.

--- a/internal/core/cancel_leader.go
+++ b/internal/core/cancel_leader.go
@@ -14,32 +14,30 @@
 	ago := func(at int64, skew float64) time.Duration {
 		return l.c.now - time.Duration(max(0, l.c.wall-at+int64(skew)))*time.Millisecond
 	}
-	if rec.Cancelled && !j.cancelled {
+	if rec.Cancelled && !j.cancellation.Requested() {
 		l.c.log.Info("job cancelled", "job", j.ID, "told", rec.Acknowledged())
 		l.markCancelled(j)
 		if rec.AskedAt != 0 {
-			j.askedAt = ago(rec.AskedAt, 0)
+			j.cancellation.Request(ago(rec.AskedAt, 0))
 		}
 		var before []string
 		l.deps.EachAwaited(j.ID, func(a string) { before = append(before, a) })
 		l.recomputeInherited(before)
 		l.cancelAfter(j.ID)
 	}
-	if rec.Acknowledged() && !j.acknowledged {
-		j.acknowledged = true
-		// Not from when this leader learns of it: each of several leaders in
-		// a row would take its time anew, and the task run on beyond it.
-		j.acknowledgedAt = l.c.now
+	if rec.Acknowledged() {
+		// Not from when this leader learns of it, if that is on record.
+		at := l.c.now
 		if rec.CancelledAt != 0 {
-			j.acknowledgedAt = ago(rec.CancelledAt, l.c.cfg.Deployment.SkewMs)
+			at = ago(rec.CancelledAt, l.c.cfg.Deployment.SkewMs)
 		}
+		j.cancellation.Acknowledge(at)
 	}
 }
 
 // markCancelled has a job end without being done.
 func (l *leader) markCancelled(j *job) {
-	j.cancelled = true
-	j.askedAt = l.c.now
+	j.cancellation.Request(l.c.now)
 	l.cancelled[j.ID] = j
 	l.ending = append(l.ending, j)
 	for i := range j.tasks {
@@ -56,7 +54,7 @@
 	e := wire.Ends{TermVersion: l.mandate.TermVersion}
 	for _, x := range list {
 		j := l.jobs[x.ID]
-		if j != nil && !j.cancelled {
+		if j != nil && !j.cancellation.Requested() {
 			rec := j.rec
 			rec.Cancelled, rec.AskedAt = true, l.c.wall
 			l.noteOpen(x.ID, max(x.Version, j.version), rec)
@@ -83,7 +81,7 @@
 // goneLong tells whether a cancelled job has been without a task for longer
 // than it takes to record its end, or cannot have it recorded.
 func (l *leader) goneLong(j *job) bool {
-	return j.goneAt != 0 && (l.c.now-j.goneAt > l.c.report()/5 || !l.c.storeOK())
+	return j.cancellation.GoneFor(l.c.report()/5, l.c.now) || j.cancellation.Gone() && !l.c.storeOK()
 }
 
 // heldUp tells whether tasks of a job are on machines out of reach, so that
@@ -107,14 +105,8 @@
 	var e wire.Ends
 	for _, id := range sortedKeys(l.cancelled) {
 		j := l.cancelled[id]
-		switch {
-		case !j.loaded || j.placed > 0 || l.hasLiveDependents(id):
-			j.goneAt = 0
-		case j.goneAt == 0:
-			j.goneAt = l.c.now
-		}
-		if l.goneLong(j) && !j.goneAnnounced {
-			j.goneAnnounced = true
+		j.cancellation.NoteTasks(!j.loaded || j.placed > 0 || l.hasLiveDependents(id), l.c.now)
+		if l.goneLong(j) && j.cancellation.Announce() {
 			e.Gone = append(e.Gone, id)
 		}
 	}
@@ -131,13 +123,8 @@
 	}
 }
 
-// cancelLate tells whether a task of a cancelled job that is not confirmed gone
-// has to go with its machine. Where the user was told already, as controllers
-// of earlier versions do, what is left of cancel_s has to suffice for a change
-// of leaders and for the cloud's answer. Else nothing was promised, and a machine
-// that runs other work is given the time to come back while the user still asks,
-// but for what the cloud's answer takes.
+// cancelLate tells whether a task of a cancelled job that is not confirmed gone has to go
+// with its machine.
 func (l *leader) cancelLate(j *job) bool {
-	return j.acknowledged && l.c.now-j.acknowledgedAt > l.c.cancelTime()*3/5 ||
-		j.cancelled && l.c.now-j.askedAt > userPatience*4/5
+	return j.cancellation.Late(l.c.now, l.c.cancelTime(), userPatience)
 }
--- /dev/null
+++ b/internal/core/cancellation/progress.go
@@ -0,0 +1,65 @@
+package cancellation
+
+import "time"
+
+// Progress is how far the cancellation of one job has come, as the leader sees it. Times are of
+// the leader's steady clock.
+type Progress struct {
+	requested      bool
+	requestedAt    time.Duration
+	acknowledged   bool // the user may have been told
+	acknowledgedAt time.Duration
+	goneAt         time.Duration // no task is left since then; 0 while there are some
+	announced      bool          // the other controllers were told that none is left
+}
+
+// Request notes that the job's user asked to cancel it.
+func (p *Progress) Request(at time.Duration) { p.requested, p.requestedAt = true, at }
+
+// Requested tells whether the job is to be cancelled.
+func (p *Progress) Requested() bool { return p.requested }
+
+// Acknowledge notes that the user may have been told at a time. A later word changes nothing:
+// each of several leaders in a row would take its time anew, and the task run on beyond it.
+func (p *Progress) Acknowledge(at time.Duration) {
+	if !p.acknowledged {
+		p.acknowledged, p.acknowledgedAt = true, at
+	}
+}
+
+// Acknowledged tells whether the user may have been told.
+func (p *Progress) Acknowledged() bool { return p.acknowledged }
+
+// NoteTasks takes in whether tasks are left.
+func (p *Progress) NoteTasks(left bool, now time.Duration) {
+	switch {
+	case left:
+		p.goneAt = 0
+	case p.goneAt == 0:
+		p.goneAt = now
+	}
+}
+
+// GoneFor tells whether no task has been left for longer than a time.
+func (p *Progress) GoneFor(d, now time.Duration) bool { return p.goneAt != 0 && now-p.goneAt > d }
+
+// Gone tells whether no task is left.
+func (p *Progress) Gone() bool { return p.goneAt != 0 }
+
+// Announce tells whether the other controllers have yet to be told that no task is left, and
+// notes that they are.
+func (p *Progress) Announce() bool {
+	first := !p.announced
+	p.announced = true
+	return first
+}
+
+// Late tells whether a task that is not confirmed gone has to go with its machine. Where the
+// user was told already, as controllers of earlier versions do, what is left of the promised
+// time has to suffice for a change of leaders and for the cloud's answer. Else nothing was
+// promised, and a machine that runs other work is given the time to come back while the user
+// still asks, but for what the cloud's answer takes.
+func (p *Progress) Late(now, promised, patience time.Duration) bool {
+	return p.acknowledged && now-p.acknowledgedAt > promised*3/5 ||
+		p.requested && now-p.requestedAt > patience*4/5
+}
--- a/internal/core/candidates.go
+++ b/internal/core/candidates.go
@@ -2,9 +2,9 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/placement"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -33,7 +33,7 @@
 // pendingTasks lists the tasks that may be placed now. A gang is placed as a
 // whole, once nothing of its last attempt is left.
 func (j *job) pendingTasks() []int {
-	if !j.loaded || j.waits || j.cancelled || j.endPending || j.ended || j.stale || j.done == len(j.tasks) {
+	if !j.loaded || j.waits || j.cancellation.Requested() || j.endPending || j.ended || j.stale || j.done == len(j.tasks) {
 		return nil
 	}
 	if j.placed == len(j.tasks) || j.Shape == wire.ShapeGang && j.placed > 0 {
@@ -81,31 +81,15 @@
 		}
 		out = append(out, c)
 	}
-	sort.SliceStable(out, func(a, b int) bool {
-		x, y := out[a], out[b]
-		if x.faulty != y.faulty {
-			return y.faulty
-		}
-		if x.guaranteed != y.guaranteed {
-			return x.guaranteed
-		}
-		if x.job.rank != y.job.rank {
-			return x.job.rank > y.job.rank
-		}
-		if x.guest != y.guest {
-			return y.guest
-		}
-		if x.slack != y.slack {
-			return x.slack < y.slack
-		}
-		if x.work != y.work {
-			return x.work < y.work
-		}
-		return x.job.order < y.job.order
-	})
+	placement.Sort(out, (*candidate).urgency)
 	return out
 }
 
+// urgency orders a candidate among the others.
+func (c *candidate) urgency() placement.Urgency {
+	return placement.Urgency{Faulty: c.faulty, Guaranteed: c.guaranteed, Rank: c.job.rank, Guest: c.guest, Slack: c.slack, Work: c.work, Submitted: c.job.order}
+}
+
 // preemptionRank is the rank by which a job may stop other work. That of a dependent
 // counts once the chain would be late without it.
 func (l *leader) preemptionRank(j *job) int {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/cancellation"
 	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/internal/core/rental"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
@@ -25,7 +26,7 @@
 
 	jobRank
 	jobDependencies
-	jobCancellation
+	cancellation cancellation.Progress
 	jobRecords
 	jobRetries
 
@@ -53,16 +54,6 @@
 	listRead    int     // records of it that have been read
 }
 
-// jobCancellation is how far the cancellation of a job has come, see cancel.go.
-type jobCancellation struct {
-	cancelled      bool
-	askedAt        time.Duration // its user asked to cancel it
-	goneAt         time.Duration // cancelled and without a task since then
-	goneAnnounced  bool          // the other controllers were told so
-	acknowledged   bool          // the user may have been told so
-	acknowledgedAt time.Duration
-}
-
 // jobRecords is the state of a job's records in the state service.
 type jobRecords struct {
 	loaded bool
@@ -218,12 +209,14 @@
 
 // over tells whether nothing of the job is left to do.
 func (j *job) over() bool {
-	return j.loaded && j.placed == 0 && (j.cancelled || j.done == len(j.tasks))
+	return j.loaded && j.placed == 0 && (j.cancellation.Requested() || j.done == len(j.tasks))
 }
 
 // finished tells whether the job may be recorded as done: every task is done
 // for certain, though copies may still count on machines.
-func (j *job) finished() bool { return j.loaded && !j.cancelled && j.done == len(j.tasks) }
+func (j *job) finished() bool {
+	return j.loaded && !j.cancellation.Requested() && j.done == len(j.tasks)
+}
 
 // staleChunk tells whether the version of a placement record is unknown or about
 // to change.
@@ -247,12 +240,12 @@
 	l.deps.EachAwaited(j.ID, func(a string) { before = append(before, a) })
 	l.deps.Drop(j.ID)
 	for _, a := range before {
-		if x := l.jobs[a]; x != nil && x.cancelled && !l.deps.Needed(a) {
+		if x := l.jobs[a]; x != nil && x.cancellation.Requested() && !l.deps.Needed(a) {
 			l.ending = append(l.ending, x)
 			l.records.dirty = true
 		}
 	}
-	if !j.cancelled { // else they were told when it was cancelled
+	if !j.cancellation.Requested() { // else they were told when it was cancelled
 		l.recomputeInherited(before)
 	}
 	at := sort.Search(len(l.order), func(k int) bool { return l.order[k].order >= j.order })
--- a/internal/core/nextstages.go
+++ b/internal/core/nextstages.go
@@ -28,7 +28,7 @@
 // goesOnSoon tells whether a job that waits for others is expected to go on
 // before a machine rented for it now would be up.
 func (l *leader) goesOnSoon(j *job) bool {
-	if !j.waits || !j.loaded || j.cancelled {
+	if !j.waits || !j.loaded || j.cancellation.Requested() {
 		return false
 	}
 	lead, _, ok := l.leadTime(j)
--- a/internal/core/nextstages_test.go
+++ b/internal/core/nextstages_test.go
@@ -57,7 +57,7 @@
 		},
 		{
 			name:   "the job is cancelled",
-			change: func(l *leader, awaited, waiting *job) { waiting.cancelled = true },
+			change: func(l *leader, awaited, waiting *job) { waiting.cancellation.Request(0) },
 		},
 		{
 			name:   "the team's limit",
--- a/internal/core/pipeline_times_test.go
+++ b/internal/core/pipeline_times_test.go
@@ -61,7 +61,7 @@
 		t.Fatalf("answered %d %s", a.Status, a.Body)
 	}
 	b.run(2 * time.Second)
-	if j := l.jobs[jobID(2)]; j == nil || j.cancelled || j.waits {
+	if j := l.jobs[jobID(2)]; j == nil || j.cancellation.Requested() || j.waits {
 		t.Error("its dependent does not go on")
 	}
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/core/placement"
 	"github.com/brookwalk/brookwalk/internal/core/teamlimit"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
@@ -22,18 +23,15 @@
 
 // placementPass is one walk over the jobs that wait for room.
 type placementPass struct {
-	l     *leader
-	tree  *topology.Tree
-	usage map[string]topology.Resources // by team
-	kept  teamlimit.Reservations        // of the teams' limits
-	// What is found not to fit in a pass is not tried again: room only shrinks.
-	full      map[shape]bool // no room for tasks of this shape
-	noVictims map[shape]bool // nobody to stop for tasks of this shape
-	noMachine map[needs]bool // no machine at all has room for a task
-	budgetEnd int            // of the leader's count
-	cutShort  bool           // a job's tasks did not all get their turn within the limit
-	nodes     []*topology.Machine
-	byImage   map[string][]*topology.Machine // with room, see relocation.go
+	l               *leader
+	tree            *topology.Tree
+	usage           map[string]topology.Resources // by team
+	kept            teamlimit.Reservations        // of the teams' limits
+	*placement.Memo                               // what was found not to fit
+	budgetEnd       int                           // of the leader's count
+	cutShort        bool                          // a job's tasks did not all get their turn within the limit
+	nodes           []*topology.Machine
+	byImage         map[string][]*topology.Machine // with room, see relocation.go
 }
 
 // newPlacementPass begins a pass over the machines as they are.
@@ -42,7 +40,7 @@
 	tree, nodes := l.placementTree()
 	return &placementPass{
 		l: l, tree: tree, nodes: nodes, usage: l.usage(), kept: l.limitReservations(),
-		full: map[shape]bool{}, noVictims: map[shape]bool{}, noMachine: map[needs]bool{},
+		Memo:      placement.NewMemo(),
 		budgetEnd: before + l.passBudget(),
 	}
 }
@@ -92,14 +90,14 @@
 
 // placeAtImage starts a candidate's tasks where its image comes in time, if there
 // is room or room can be made there.
-func (p *placementPass) placeAtImage(c *candidate, key shape) {
-	if !p.noMachine[key.needs] {
+func (p *placementPass) placeAtImage(c *candidate, key placement.Shape) {
+	if p.MachineMayFit(key.Needs) {
 		p.fill(c, true)
 		if p.cutShort {
 			return
 		}
 	}
-	if len(c.pending) > 0 && !p.noVictims[key] {
+	if len(c.pending) > 0 && p.MayPreempt(key) {
 		p.preempt(c, true)
 	}
 	if len(c.pending) > c.reserved {
@@ -125,22 +123,22 @@
 			return
 		}
 	}
-	if len(c.pending) > c.reserved && !p.full[key] && !p.noMachine[key.needs] {
+	if len(c.pending) > c.reserved && p.MayFit(key) {
 		p.fill(c, false)
 		if p.cutShort {
 			return
 		}
 		if len(c.pending) > c.reserved && l.reservedFor(j) == 0 {
-			p.full[key] = plain
+			p.NoteFull(key, plain)
 			// Whether a spread job finds room depends on where its other
 			// tasks are; that none has room, on the machines alone.
-			p.noMachine[key.needs] = !l.anyRoom(p.tree, j)
+			p.NoteMachine(key.Needs, l.anyRoom(p.tree, j))
 		}
 	}
-	if len(c.pending) > c.reserved && !p.noVictims[key] {
+	if len(c.pending) > c.reserved && p.MayPreempt(key) {
 		nobody := p.preempt(c, false)
 		p.compactFor(c)
-		p.noVictims[key] = c.reserved == 0 && (plain || nobody)
+		p.NoteVictims(key, c.reserved == 0 && (plain || nobody))
 	}
 }
 
--- a/internal/core/placements.go
+++ b/internal/core/placements.go
@@ -146,7 +146,7 @@
 	}
 	switch {
 	case !dirty:
-	case j.placementSent && !j.cancelled:
+	case j.placementSent && !j.cancellation.Requested():
 		j.fence = true
 		return false
 	default:
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -116,7 +116,7 @@
 func (l *leader) guarantee() {
 	claims := teamlimit.NewClaims(l.c.teamGuarantees())
 	for _, j := range l.order {
-		if j.cancelled || j.waits {
+		if j.cancellation.Requested() || j.waits {
 			j.within = false
 			continue
 		}
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -23,7 +23,7 @@
 		l.markCancelled(j)
 		keep, last := userPatience*3/4, userPatience-2*l.c.report()
 		if told {
-			j.acknowledged, j.acknowledgedAt = true, b.now
+			j.cancellation.Acknowledge(b.now)
 			keep, last = l.c.cancelTime()/2, l.c.cancelTime()*3/4
 		}
 		began := b.now
@@ -52,7 +52,10 @@
 		m := l.machine("n-000001")
 		l.bind(j, 0, m)
 		l.markCancelled(j)
-		j.askedAt, j.acknowledged, j.acknowledgedAt = b.c.now-userPatience, told, b.c.now-l.c.cancelTime()
+		j.cancellation.Request(b.c.now - userPatience)
+		if told {
+			j.cancellation.Acknowledge(b.c.now - l.c.cancelTime())
+		}
 		returned := func() bool {
 			l.repeatStop(m, taskRef{j, 0, taskName(j.ID, 0)})
 			return l.fleet.returns[m.name]
--- a/internal/core/record_batch.go
+++ b/internal/core/record_batch.go
@@ -110,7 +110,7 @@
 // addFinishedEnds adds the ends of jobs that were not cancelled.
 func (b *recordBatch) addFinishedEnds() {
 	for _, j := range b.leader.order {
-		if !j.cancelled && b.leader.mayEnd(j) && !b.addEnd(j) {
+		if !j.cancellation.Requested() && b.leader.mayEnd(j) && !b.addEnd(j) {
 			return
 		}
 	}
@@ -124,7 +124,7 @@
 		return false
 	}
 	final := records.Final{Status: wire.StatusDone, Tasks: len(j.tasks)}
-	if j.cancelled {
+	if j.cancellation.Requested() {
 		final.Status = wire.StatusCancelled
 	}
 	b.addWriter(j)
@@ -146,7 +146,7 @@
 	l := b.leader
 	j.endPending = false
 	if !answer.committed {
-		if j.cancelled {
+		if j.cancellation.Requested() {
 			l.ending = append(l.ending, j)
 		}
 		return
@@ -166,7 +166,7 @@
 // awaited is done, and of those that are to be written before others.
 func (b *recordBatch) addOpenRecords() {
 	for _, j := range b.leader.order {
-		if !j.writable() || j.cancelled || !j.awaitedDone && !j.fence || !b.leader.mayWriteOpen(j) {
+		if !j.writable() || j.cancellation.Requested() || !j.awaitedDone && !j.fence || !b.leader.mayWriteOpen(j) {
 			continue
 		}
 		if !b.reserve(1) {
--- a/internal/core/record_batch_test.go
+++ b/internal/core/record_batch_test.go
@@ -69,7 +69,7 @@
 			record(b, l, wire.Job{ID: jobID(2)}, nil)
 			l.jobs[jobID(2)].awaitedDone = true
 			record(b, l, wire.Job{ID: jobID(3)}, nil)
-			l.jobs[jobID(3)].cancelled = true
+			l.jobs[jobID(3)].cancellation.Request(0)
 			l.ending = []*job{l.jobs[jobID(3)]}
 			doneJob(b, l, jobID(4))
 		}, append(slices.Concat(end, end), "open", "place", "remove place"), false},
--- a/internal/core/records_write.go
+++ b/internal/core/records_write.go
@@ -81,7 +81,7 @@
 	for at := []*job{j}; len(at) > 0; at = at[1:] {
 		l.deps.EachAwaited(at[0].ID, func(a string) {
 			x := l.jobs[a]
-			if x != nil && x.cancelled && l.mayEnd(x) && !l.hasLiveDependents(a) && end(x) {
+			if x != nil && x.cancellation.Requested() && l.mayEnd(x) && !l.hasLiveDependents(a) && end(x) {
 				at = append(at, x)
 			}
 		})
--- a/internal/core/shape.go
+++ b/internal/core/shape.go
@@ -4,38 +4,20 @@
 	"slices"
 	"strings"
 
+	"github.com/brookwalk/brookwalk/internal/core/placement"
 	"github.com/brookwalk/brookwalk/internal/core/topology"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// shape is what decides whether a job's tasks find room, apart from spread and
-// failures: many jobs of a class share it.
-type shape struct {
-	needs
-	oneZone    bool
-	gang       int // tasks that start together
-	rank       int
-	guaranteed bool
-	team       string
-}
-
-// needs is what a task of a job asks of a machine.
-type needs struct {
-	size  topology.Resources
-	types string
-	zone  string
-	spot  bool
-}
-
 // shapeOf is the shape of a candidate's tasks.
-func shapeOf(c *candidate) shape {
+func shapeOf(c *candidate) placement.Shape {
 	j := c.job
-	s := shape{needs: needs{size: size(&j.Job), types: strings.Join(j.Types, ","), zone: j.Zone, spot: j.Spot},
-		rank: c.preemptionRank, guaranteed: c.guaranteed, team: j.Team}
+	s := placement.Shape{Needs: placement.Needs{Size: size(&j.Job), Types: strings.Join(j.Types, ","), Zone: j.Zone, Spot: j.Spot},
+		Rank: c.preemptionRank, Guaranteed: c.guaranteed, Team: j.Team}
 	if j.Shape == wire.ShapeGang {
-		s.gang, s.oneZone = len(c.pending), j.OneZone
+		s.Gang, s.OneZone = len(c.pending), j.OneZone
 	} else if j.OneZone {
-		s.zone = j.ID // bound to the zone of its other tasks
+		s.Zone = j.ID // bound to the zone of its other tasks
 	}
 	return s
 }
--- a/internal/core/stops.go
+++ b/internal/core/stops.go
@@ -74,7 +74,7 @@
 
 // stopIfOver stops a task of a job that is cancelled or over.
 func (l *leader) stopIfOver(p taskRef) {
-	if p.job.cancelled {
+	if p.job.cancellation.Requested() {
 		l.stopTask(p.job, p.index, 0, stopCancelled)
 	} else if p.job.ended || p.task().done {
 		l.stopTask(p.job, p.index, 0, stopJobOver)
@@ -114,5 +114,5 @@
 // confirms it. Returned at once, a machine that was cut off lost all that it ran.
 // Where the user was told already there is no time for that.
 func (l *leader) justBack(m *machine, j *job) bool {
-	return !j.acknowledged && m.heard != 0 && l.c.now-m.reportsSince < 2*l.c.report()
+	return !j.cancellation.Acknowledged() && m.heard != 0 && l.c.now-m.reportsSince < 2*l.c.report()
 }
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -57,14 +57,14 @@
 
 // resolve finds out what has become of the jobs that a new job awaits.
 func (l *leader) resolve(j *job) {
-	if !j.waits || j.cancelled {
+	if !j.waits || j.cancellation.Requested() {
 		return
 	}
 	for _, a := range j.Awaits {
 		switch x := l.jobs[a]; {
 		case x == nil:
 			l.lookAwaited(a)
-		case x.cancelled && !j.cancelled:
+		case x.cancellation.Requested() && !j.cancellation.Requested():
 			// Not all that needs the cancelled one: each of them comes here.
 			l.cancelWaiting([]string{j.ID}, a)
 			l.cancelAfter(j.ID)
@@ -127,7 +127,7 @@
 		return
 	}
 	for _, y := range l.deps.Done(id) {
-		if j := l.jobs[y]; j != nil && j.waits && !j.cancelled {
+		if j := l.jobs[y]; j != nil && j.waits && !j.cancellation.Requested() {
 			j.awaitedDone = true
 			l.records.dirty = true
 		}
@@ -152,7 +152,7 @@
 func (l *leader) cancelAfter(id string) {
 	l.cancelWaiting(l.deps.After(id, func(y string) bool {
 		j := l.jobs[y]
-		return j != nil && !j.cancelled
+		return j != nil && !j.cancellation.Requested()
 	}), id)
 }
 
@@ -203,13 +203,13 @@
 	}
 	for id, ok := changed.Next(); ok; id, ok = changed.Next() {
 		j := l.jobs[id]
-		if j == nil || j.cancelled || !j.waits {
+		if j == nil || j.cancellation.Requested() || !j.waits {
 			continue
 		}
 		due := j.due - l.runEstimate(j)
 		l.deps.EachAwaited(id, func(a string) {
 			x := l.jobs[a]
-			if x == nil || x.cancelled || x.rank >= j.rank && x.due <= due {
+			if x == nil || x.cancellation.Requested() || x.rank >= j.rank && x.due <= due {
 				return
 			}
 			l.setInherited(x, max(x.rank, j.rank), min(x.due, due))
@@ -227,7 +227,7 @@
 	}
 	for id, ok := changed.Next(); ok; id, ok = changed.Next() {
 		j := l.jobs[id]
-		if j == nil || j.cancelled || j.rank == priorityRank[j.Priority] && j.due == ownDue(&j.rec) {
+		if j == nil || j.cancellation.Requested() || j.rank == priorityRank[j.Priority] && j.due == ownDue(&j.rec) {
 			continue
 		}
 		rank, due := l.inherited(j)
@@ -251,7 +251,7 @@
 func (l *leader) inherited(j *job) (rank int, due float64) {
 	rank, due = priorityRank[j.Priority], ownDue(&j.rec)
 	l.deps.EachDependent(j.ID, func(y string) {
-		if o := l.jobs[y]; o != nil && !o.cancelled {
+		if o := l.jobs[y]; o != nil && !o.cancellation.Requested() {
 			rank, due = max(rank, o.rank), min(due, o.due-l.runEstimate(o))
 		}
 	})
