--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,69 @@
+package history
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func sampleLog() *Log {
+	l := &Log{}
+	l.Limit("GPUs", 8)
+	for i := range 5 {
+		at := time.Duration(i) * time.Second
+		l.Add("GPUs", "used", at, float64(i))
+		l.Add("Starts", "a second", at, 2)
+	}
+	l.Mark(2*time.Second, "leader killed <north>")
+	return l
+}
+
+// TestParquet writes a history as columns and reads it back.
+func TestParquet(t *testing.T) {
+	l := sampleLog()
+	path := filepath.Join(t.TempDir(), "run.parquet")
+	if err := l.WriteParquet(path); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadParquet(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := append(l.Points(), Point{Chart: "failures", Series: "leader killed <north>", Seconds: 2})
+	if !slices.Equal(got, want) {
+		t.Errorf("read %v, want %v", got, want)
+	}
+	if _, err := ReadParquet(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a file that does not exist was read")
+	}
+}
+
+// TestPage writes a page: a drawing for each chart, text of the run escaped, nothing loaded from
+// elsewhere.
+func TestPage(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "run.html")
+	if err := sampleLog().WritePage(path, "A <run>", "rules broken: 0"); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	if n := strings.Count(page, "<svg"); n != 2 {
+		t.Errorf("%d drawings, want 2", n)
+	}
+	for _, want := range []string{"A &lt;run&gt;", "rules broken: 0", "<h2>GPUs</h2>", "2.0 s: leader killed &lt;north&gt;"} {
+		if !strings.Contains(page, want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	for _, other := range []string{"<script", "src=", "<?xml"} {
+		if strings.Contains(page, other) {
+			t.Errorf("the page has %q", other)
+		}
+	}
+}
--- a/internal/quota/amount/amount.go
+++ b/internal/quota/amount/amount.go
@@ -52,6 +52,9 @@
 // Part is one nth of the amount.
 func (a Amount) Part(n int64) Amount { return Amount{a.CPUs / n, a.GPUs / n} }
 
+// Whole is the amount without parts of a CPU or GPU.
+func (a Amount) Whole() Amount { return Amount{a.CPUs - a.CPUs%perUnit, a.GPUs - a.GPUs%perUnit} }
+
 // Covers tells whether a is at least b in each resource.
 func (a Amount) Covers(b Amount) bool { return a.CPUs >= b.CPUs && a.GPUs >= b.GPUs }
 
--- a/internal/quota/balance/balance.go
+++ b/internal/quota/balance/balance.go
@@ -11,7 +11,8 @@
 )
 
 // reservePart is the part of what a region uses that it would like to own beyond it, so that
-// the next task need not wait for a transfer.
+// the next task need not wait for a transfer. It moves in whole CPUs and GPUs: parts of them
+// went to and fro in hundreds of transfers a second.
 const reservePart = 8
 
 // Demand is what a region does with a team's share.
@@ -136,7 +137,7 @@
 		left := offers[i].usable(rank, self, gang)
 		c := Claim{Rank: rank, Gang: gang, Region: self}
 		c.Need = need.Min(left)
-		c.Reserve = reserve.Min(left.Sub(c.Need))
+		c.Reserve = reserve.Min(left.Sub(c.Need)).Whole()
 		need, reserve = need.Sub(c.Need), reserve.Sub(c.Reserve)
 		claims[i] = c
 	}
@@ -153,5 +154,5 @@
 	free := h.free()
 	given := c.Need.Min(free)
 	beyond := free.Sub(given).Sub(h.reserve()).Positive()
-	return given.Add(c.Reserve.Min(beyond))
+	return given.Add(c.Reserve.Min(beyond).Whole())
 }
--- a/internal/quota/changes.go
+++ b/internal/quota/changes.go
@@ -208,7 +208,7 @@
 		m.fresh[part.Team] = append(m.fresh[part.Team], freshShare{part.Amount, until})
 		m.Log.Debug("share received", "team", part.Team, "amount", part.Amount, "from", p.name, "transfer", t.Number)
 	}
-	p.urgent = true
+	p.urgent, p.wroteAt = true, m.host.Now()
 	m.host.SharesChanged()
 }
 
@@ -219,7 +219,7 @@
 	}
 	for _, p := range m.peers {
 		link := m.ledger.Link(p.name)
-		if len(p.claims) == 0 || len(link.Out) >= maxOut || !m.inReach(p) {
+		if len(p.claims) == 0 || len(link.Out) >= maxOut || !m.inReach(p) || p.gaveAt != 0 && m.host.Now()-p.gaveAt < m.Every/givePart {
 			continue
 		}
 		parts := m.partsFor(p, &link)
@@ -237,6 +237,7 @@
 				m.Log.Debug("share given", "team", part.Team, "amount", part.Amount, "to", p.name, "transfer", link.Sent+1)
 			}
 			p.urgent = true
+			p.gaveAt, p.wroteAt = m.host.Now(), m.host.Now()
 		})}
 	}
 	return nil
@@ -282,12 +283,16 @@
 	return sum
 }
 
-// acknowledge forgets transfers that have arrived.
+// acknowledge forgets transfers that have arrived. The next transfer of the link does so as
+// well, so that this is seldom worth a write of its own.
 func (m *Manager) acknowledge() *running {
 	if !m.trusted() {
 		return nil
 	}
 	for _, p := range m.peers {
+		if len(m.ledger.Link(p.name).Out) < maxOut && m.host.Now()-p.wroteAt < ackTimes*m.Every {
+			continue
+		}
 		if c := m.ledger.Acknowledge(m.host.Term(), p.name, p.received); c != nil {
 			return &running{change: c}
 		}
--- /dev/null
+++ b/internal/quota/interleaving_test.go
@@ -0,0 +1,409 @@
+package quota
+
+import (
+	"encoding/json"
+	"flag"
+	"log/slog"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/quota/amount"
+	"github.com/brookwalk/brookwalk/internal/quota/balance"
+	"github.com/brookwalk/brookwalk/internal/quota/ledger"
+	"github.com/brookwalk/brookwalk/internal/quota/plan"
+	"github.com/brookwalk/brookwalk/wire"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.steps", "150")
+	os.Exit(m.Run())
+}
+
+// interleaving plays the transfer protocol step by step, in any order that rapid draws: each
+// message may come at any later time, again or never, each transaction may be carried out at
+// any later time with its answer or without, and a leader that was replaced goes on.
+type interleaving struct {
+	now      time.Duration
+	plan     *plan.Plan
+	regions  []*stepRegion
+	messages []stepMessage
+	late     []stepTxn // transactions that nobody waits for any more
+	runs     uint64
+	restored bool // a ledger was replaced: the shares need not add up
+	away     int  // region that settle leaves out, -1 for none
+}
+
+type stepMessage struct {
+	to  int
+	msg *wire.RegionMessage
+}
+
+type stepTxn struct {
+	region int
+	txn    *wire.Txn
+}
+
+// stepRegion is a region: its records, what runs, and the leaders that think they lead.
+type stepRegion struct {
+	w       *interleaving
+	index   int
+	keys    map[string]wire.Item
+	rev     uint64
+	used    int
+	want    balance.Demand
+	leaders []*stepLeader // the last one leads
+	old     map[string]wire.Item
+}
+
+// stepLeader is a leader's process and the calls that it waits for.
+type stepLeader struct {
+	r     *stepRegion
+	m     *Manager
+	term  wire.Cond
+	used  int
+	calls []stepCall
+	over  bool
+}
+
+// stepCall is a call to the state service: a transaction, or a reading if txn is nil.
+type stepCall struct {
+	txn  *wire.Txn
+	done func(status int, body []byte)
+	load func([]wire.Item)
+}
+
+const stepTeam = "team-0"
+
+func newInterleaving(regions int) *interleaving {
+	w := &interleaving{plan: testPlan(regions, 1, 12), away: -1}
+	for i := range regions {
+		r := &stepRegion{w: w, index: i, keys: map[string]wire.Item{}, rev: 10}
+		w.regions = append(w.regions, r)
+		r.elect()
+	}
+	w.settle()
+	return w
+}
+
+// settle has everything arrive in order until all regions trust their ledgers.
+func (w *interleaving) settle() {
+	for range 60 {
+		w.now += testEvery / urgentPart
+		for _, r := range w.regions {
+			if r.index == w.away {
+				continue
+			}
+			l := r.leader()
+			l.m.Tick()
+			for len(l.calls) > 0 {
+				l.answer(0)
+			}
+		}
+		messages := w.messages
+		w.messages = nil
+		for _, x := range messages {
+			if away := w.plan.Regions[max(0, w.away)].Name; w.away < 0 || x.to != w.away && x.msg.From != away {
+				w.regions[x.to].leader().m.Receive(x.msg)
+			}
+		}
+	}
+}
+
+func (r *stepRegion) leader() *stepLeader { return r.leaders[len(r.leaders)-1] }
+
+// elect begins a term; the leader before goes on, unaware of it.
+func (r *stepRegion) elect() {
+	r.rev++
+	r.keys["term"] = wire.Item{Key: "term", Version: r.rev}
+	l := &stepLeader{r: r, term: wire.Cond{Key: "term", Version: r.rev}, used: r.used}
+	r.leaders = append(r.leaders, l)
+	if len(r.leaders) > 3 {
+		r.leaders = r.leaders[1:]
+	}
+	l.m = New(Config{Region: r.w.plan.Regions[r.index].Name, Plan: r.w.plan, Every: testEvery, MaxWrites: maxOps, MaxValue: 4096, Log: slog.New(slog.DiscardHandler)}, l, l)
+}
+
+func (r *stepRegion) records() []wire.Item {
+	var items []wire.Item
+	for k, it := range r.keys {
+		if strings.HasPrefix(k, ledger.Prefix) {
+			items = append(items, it)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	return items
+}
+
+func (r *stepRegion) commit(txn *wire.Txn) (int, wire.TxnResult) {
+	for _, c := range txn.If {
+		if r.keys[c.Key].Version != c.Version {
+			return 409, wire.TxnResult{Failed: []string{c.Key}, Revision: r.rev}
+		}
+	}
+	if len(txn.Writes) > 0 {
+		r.rev++
+	}
+	for _, x := range txn.Writes {
+		r.keys[x.Put] = wire.Item{Key: x.Put, Value: x.Value, Version: r.rev}
+	}
+	return 200, wire.TxnResult{Revision: r.rev}
+}
+
+// take removes a call and returns it.
+func (l *stepLeader) take(i int) stepCall {
+	c := l.calls[i]
+	l.calls = append(append([]stepCall{}, l.calls[:i]...), l.calls[i+1:]...)
+	return c
+}
+
+// answer carries a call out and answers it.
+func (l *stepLeader) answer(i int) {
+	c := l.take(i)
+	if c.load != nil {
+		c.load(l.r.records())
+		return
+	}
+	status, result := l.r.commit(c.txn)
+	body, _ := json.Marshal(result)
+	c.done(status, body)
+}
+
+// The ports of the manager.
+
+func (l *stepLeader) Load(_ string, done func([]wire.Item)) {
+	l.calls = append(l.calls, stepCall{load: done})
+}
+
+func (l *stepLeader) Commit(txn *wire.Txn, done func(int, []byte)) {
+	copied := *txn
+	l.calls = append(l.calls, stepCall{txn: &copied, done: done})
+}
+
+func (l *stepLeader) Now() time.Duration { return l.r.w.now }
+func (l *stepLeader) NewRun() uint64     { l.r.w.runs++; return l.r.w.runs }
+func (l *stepLeader) Term() wire.Cond    { return l.term }
+func (l *stepLeader) SharesChanged()     {}
+func (l *stepLeader) TermChanged()       { l.over = true }
+
+func (l *stepLeader) Demand(string) balance.Demand {
+	d := l.r.want
+	d.Planned = amount.Of(0, float64(l.used))
+	return d
+}
+
+func (l *stepLeader) Send(region string, m *wire.RegionMessage) {
+	to := l.r.w.plan.Index(region)
+	l.r.w.messages = append(l.r.w.messages, stepMessage{to, m})
+	if len(l.r.w.messages) > 60 {
+		l.r.w.messages = l.r.w.messages[1:]
+	}
+}
+
+// anyRegion and anyLeader draw who acts: mostly the one that leads.
+func (w *interleaving) anyRegion(t *rapid.T) *stepRegion {
+	return w.regions[rapid.IntRange(0, len(w.regions)-1).Draw(t, "region")]
+}
+
+func (w *interleaving) anyLeader(t *rapid.T) *stepLeader {
+	r := w.anyRegion(t)
+	if back := rapid.IntRange(0, 5).Draw(t, "leader"); back > 0 && back < len(r.leaders) {
+		return r.leaders[len(r.leaders)-1-back]
+	}
+	return r.leader()
+}
+
+// actions are the steps that rapid draws from.
+func (w *interleaving) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"tick": func(t *rapid.T) {
+			w.now += time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond
+			if l := w.anyLeader(t); !l.over {
+				l.m.Tick()
+			}
+		},
+		"deliver": func(t *rapid.T) {
+			if len(w.messages) == 0 {
+				t.Skip()
+			}
+			i := rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
+			x := w.messages[i]
+			if rapid.IntRange(0, 3).Draw(t, "keep") > 0 {
+				w.messages = append(append([]stepMessage{}, w.messages[:i]...), w.messages[i+1:]...)
+			}
+			l := w.regions[x.to].leader()
+			if rapid.IntRange(0, 9).Draw(t, "to a leader before") == 0 {
+				l = w.regions[x.to].leaders[0]
+			}
+			if !l.over {
+				l.m.Receive(x.msg)
+			}
+		},
+		"answer": func(t *rapid.T) {
+			if l := w.anyLeader(t); len(l.calls) > 0 && !l.over {
+				l.answer(0)
+			}
+		},
+		"answer is lost": func(t *rapid.T) {
+			l := w.anyLeader(t)
+			if len(l.calls) == 0 || l.calls[0].txn == nil || l.over {
+				t.Skip()
+			}
+			c := l.take(0)
+			if rapid.Bool().Draw(t, "late") {
+				w.late = append(w.late, stepTxn{l.r.index, c.txn})
+			} else {
+				l.r.commit(c.txn)
+			}
+			c.done(0, nil)
+		},
+		"late transaction": func(t *rapid.T) {
+			if len(w.late) == 0 {
+				t.Skip()
+			}
+			i := rapid.IntRange(0, len(w.late)-1).Draw(t, "transaction")
+			x := w.late[i]
+			w.late = append(append([]stepTxn{}, w.late[:i]...), w.late[i+1:]...)
+			w.regions[x.region].commit(x.txn)
+		},
+		"want": func(t *rapid.T) {
+			r := w.anyRegion(t)
+			r.want = balance.Demand{Short: amount.Of(0, float64(rapid.IntRange(0, 12).Draw(t, "short"))), Rank: rapid.IntRange(0, 1).Draw(t, "rank")}
+			r.leader().m.DemandChanged()
+		},
+		"start": func(t *rapid.T) {
+			l := w.anyLeader(t)
+			if n := rapid.IntRange(1, 4).Draw(t, "tasks"); !l.over && l.m.Limit(stepTeam).Covers(amount.Of(0, float64(l.used+n))) {
+				// Its placement is recorded under its term before anything starts.
+				l.used += n
+				if status, _ := l.r.commit(&wire.Txn{If: []wire.Cond{l.term}}); status == 200 {
+					l.r.used += n
+				}
+			}
+		},
+		"end": func(t *rapid.T) {
+			r := w.anyRegion(t)
+			n := rapid.IntRange(0, r.used).Draw(t, "tasks")
+			r.used -= n
+			r.leader().used -= n
+		},
+		"elect": func(t *rapid.T) { w.anyRegion(t).elect() },
+		"keep a copy": func(t *rapid.T) {
+			r := w.anyRegion(t)
+			if r.old != nil {
+				t.Skip()
+			}
+			r.keepCopy()
+		},
+		"": w.check,
+	}
+}
+
+// restore puts the copy that was kept of a region's ledger, or an empty one, in its place,
+// after all its controllers have ended.
+func (w *interleaving) restore(t *rapid.T) {
+	r := w.anyRegion(t)
+	if r.old == nil || rapid.IntRange(0, 2).Draw(t, "restore") > 0 {
+		t.Skip()
+	}
+	r.restoreCopy()
+	var late []stepTxn
+	for _, x := range w.late {
+		if x.region != r.index { // the service that would have carried it out is gone
+			late = append(late, x)
+		}
+	}
+	w.late = late
+}
+
+// keepCopy takes a copy of the ledger's records.
+func (r *stepRegion) keepCopy() {
+	r.old = map[string]wire.Item{}
+	for k, it := range r.keys {
+		if strings.HasPrefix(k, ledger.Prefix) {
+			r.old[k] = it
+		}
+	}
+}
+
+// replaceRecords puts the copy in place of the ledger, under the leader that there is.
+func (r *stepRegion) replaceRecords() {
+	r.w.restored = true
+	for k := range r.keys {
+		if strings.HasPrefix(k, ledger.Prefix) {
+			delete(r.keys, k)
+		}
+	}
+	for k, it := range r.old {
+		r.keys[k] = it
+	}
+}
+
+// restoreCopy puts the copy in place of the ledger after all controllers have ended.
+func (r *stepRegion) restoreCopy() {
+	r.replaceRecords()
+	r.leaders, r.old = nil, nil
+	r.elect()
+}
+
+// check holds what runs, and the shares on record, against the ceiling.
+func (w *interleaving) check(t *rapid.T) {
+	used := 0
+	for _, r := range w.regions {
+		used += r.used
+	}
+	if used > 12 {
+		t.Fatalf("%d of 12 GPUs in use", used)
+	}
+	if w.restored {
+		return
+	}
+	var sum amount.Amount
+	ledgers := make([]*ledger.Ledger, len(w.regions))
+	for i, r := range w.regions {
+		l, err := ledger.Load(r.records())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Invariant(); err != nil {
+			t.Fatal(err)
+		}
+		ledgers[i] = l
+		s, _ := l.Share(stepTeam)
+		sum = sum.Add(s.Owned)
+	}
+	for i, from := range ledgers {
+		for k, to := range ledgers {
+			received := to.Link(w.plan.Regions[i].Name).Received
+			for _, x := range from.Link(w.plan.Regions[k].Name).Out {
+				if x.Number > received {
+					sum = sum.Add(x.Parts[0].Amount)
+				}
+			}
+		}
+	}
+	if sum.GPUs != amount.Of(0, 12).GPUs {
+		t.Fatalf("shares add up to %v of 12 GPUs", sum)
+	}
+}
+
+// TestInterleavings draws interleavings of the protocol.
+func TestInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newInterleaving(rapid.IntRange(2, 3).Draw(t, "regions"))
+		t.Repeat(w.actions())
+	})
+}
+
+// TestInterleavingsWithRestore draws interleavings in which ledgers are replaced by older copies.
+func TestInterleavingsWithRestore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newInterleaving(rapid.IntRange(2, 3).Draw(t, "regions"))
+		actions := w.actions()
+		actions["restore"] = w.restore
+		t.Repeat(actions)
+	})
+}
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -21,7 +21,6 @@
 
 	run, sequence uint64
 	ledger        *ledger.Ledger // nil while it is read
-	before        *ledger.Ledger // what was known before it was read anew; nil for nothing
 	fence         string         // why the region has to be fenced, which is not on record yet
 	running       *running       // the transaction under way; nil for none
 	fresh         map[string][]freshShare
@@ -53,6 +52,8 @@
 	transfers  []wire.RegionTransfer
 	replaced   bool // it was logged that its ledger is another one
 
+	gaveAt   time.Duration // the last transfer to it; 0 for none in this run
+	wroteAt  time.Duration // the last change of the link's record
 	sentAt   time.Duration
 	fullAt   time.Duration // when the next complete message is due
 	interval time.Duration
@@ -78,7 +79,7 @@
 
 // load reads the ledger. What other regions have confirmed before does not count for it.
 func (m *Manager) load() {
-	m.before, m.ledger = m.ledger, nil
+	m.ledger = nil
 	m.run, m.sequence = m.host.NewRun(), 0
 	for _, p := range m.peers {
 		*p = peer{name: p.name, index: p.index, echoRun: p.echoRun, echoSequence: p.echoSequence, interval: m.Every, replaced: p.replaced}
@@ -103,28 +104,11 @@
 	if err := l.Invariant(); err != nil {
 		m.fence = err.Error()
 	}
-	if m.before != nil {
-		m.compare(m.before)
-	}
 	m.compareFile()
 	m.Log.Info("quota ledger loaded", "region", m.Region, "epoch", l.Epoch(), "teams", len(l.Teams()), "fenced", l.Fenced())
 	m.advance()
 }
 
-// compare holds the ledger against what this leader knew of it before: numbers that went
-// back show that the records were replaced by an older copy.
-func (m *Manager) compare(before *ledger.Ledger) {
-	if before.Epoch() != 0 && m.ledger.Epoch() != before.Epoch() {
-		m.fence = "the ledger was replaced by another one"
-	}
-	for _, region := range before.Regions() {
-		was, now := before.Link(region), m.ledger.Link(region)
-		if now.Sent < was.Sent || now.Received < was.Received {
-			m.fence = "the ledger went back to an older copy"
-		}
-	}
-}
-
 // compareFile tells of teams of which file and ledger say something else. The ledger holds.
 func (m *Manager) compareFile() {
 	for i := range m.Plan.Teams {
--- /dev/null
+++ b/internal/quota/measure_test.go
@@ -0,0 +1,263 @@
+package quota
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/brookwalk/brookwalk/internal/quota/amount"
+)
+
+// load is work that comes steadily: tasks of one GPU for teams and regions drawn at random.
+type load struct {
+	w         *world
+	perSecond float64
+	shares    []float64 // of each region in the load
+	mean      time.Duration
+	queues    map[string]map[string][]time.Duration // arrivals, by region and team
+	way       string
+	central   map[string]amount.Amount // granted by the one region that grants for all
+	from      time.Duration            // from when on is counted
+	waits     []time.Duration
+	idle      []float64 // parts of a ceiling that were idle while somebody waited for them
+	idleAbove []float64 // the same of what lies above guaranteed parts
+	guarded   []float64 // guaranteed parts that their region did not use meanwhile
+}
+
+// The ways that are compared.
+const (
+	wayEscrow     = "escrow"
+	wayFixed      = "fixed parts"
+	wayCentral    = "one region grants"
+	wayOptimistic = "optimistic counters"
+)
+
+func newLoad(w *world, way string, perSecond float64, mean time.Duration, shares []float64) *load {
+	l := &load{w: w, way: way, perSecond: perSecond, mean: mean, shares: shares, queues: map[string]map[string][]time.Duration{}, central: map[string]amount.Amount{}}
+	for _, r := range w.regions {
+		l.queues[r.name] = map[string][]time.Duration{}
+	}
+	w.load, w.optimistic = l, way == wayOptimistic
+	w.learnLag = 300 * time.Millisecond
+	return l
+}
+
+// begin has work come from now on, and samples what is idle.
+func (l *load) begin() {
+	l.arrive()
+	l.sample()
+}
+
+func (l *load) arrive() {
+	x, at := l.w.rng.Float64(), 0
+	for x > l.shares[at] && at < len(l.shares)-1 {
+		x -= l.shares[at]
+		at++
+	}
+	team := l.w.plan.Teams[l.w.rng.IntN(len(l.w.plan.Teams))].Name
+	q := l.queues[l.w.regions[at].name]
+	q[team] = append(q[team], l.w.now)
+	gap := l.w.rng.ExpFloat64() / l.perSecond
+	l.w.after(time.Duration(gap*float64(time.Second)), l.arrive)
+}
+
+func (l *load) runs(w *world) time.Duration {
+	return l.mean/2 + w.upTo(l.mean)
+}
+
+// grantAll starts what waits and fits in a leader's region.
+func (l *load) grantAll(p *process) {
+	waits := false
+	for _, t := range l.w.plan.Teams {
+		q := l.queues[p.r.name]
+		for len(q[t.Name]) > 0 && l.allows(p, t.Name) {
+			arrived := q[t.Name][0]
+			q[t.Name] = q[t.Name][1:]
+			l.grant(p, t.Name, arrived)
+		}
+		waits = waits || len(q[t.Name]) > 0
+	}
+	if l.way == wayEscrow && waits {
+		p.m.DemandChanged()
+	}
+}
+
+func (l *load) allows(p *process, team string) bool {
+	if l.way != wayCentral {
+		return p.allows(team, taskSize)
+	}
+	return amount.Of(0, l.w.plan.Teams[0].GPUsMax).Covers(l.central[team].Add(taskSize))
+}
+
+// grant starts a task; where one region grants for all, after a round trip to it.
+func (l *load) grant(p *process, team string, arrived time.Duration) {
+	var trip time.Duration
+	if l.way == wayCentral {
+		l.central[team] = l.central[team].Add(taskSize)
+		if p.r != l.w.regions[0] {
+			trip = 2*time.Millisecond + l.w.upTo(60*time.Millisecond) + l.w.upTo(60*time.Millisecond)
+		}
+	}
+	start := func() {
+		if l.w.now >= l.from {
+			l.waits = append(l.waits, l.w.now-arrived)
+		}
+		p.grant(team, taskSize)
+	}
+	if trip == 0 {
+		start()
+	} else {
+		l.w.after(trip, start)
+	}
+	if l.way == wayOptimistic {
+		for _, other := range l.w.regions {
+			if other != p.r {
+				p.r.gossip(other)
+			}
+		}
+	}
+}
+
+// sample notes what is idle of each team for which somebody waits.
+func (l *load) sample() {
+	if l.w.now >= l.from {
+		for _, t := range l.w.plan.Teams {
+			l.sampleTeam(t.Name, t.GPUsMax)
+		}
+	}
+	if l.way == wayCentral { // it learns of ends as the leaders do
+		for _, t := range l.w.plan.Teams {
+			var sum amount.Amount
+			for _, r := range l.w.regions {
+				sum = sum.Add(r.leader.used[t.Name])
+			}
+			l.central[t.Name] = sum
+		}
+	}
+	l.w.after(testTick, l.sample)
+}
+
+func (l *load) sampleTeam(team string, ceiling float64) {
+	waiting, used, guarded, guaranteed := 0, 0.0, 0.0, 0.0
+	for _, r := range l.w.regions {
+		n := len(l.queues[r.name][team])
+		waiting += n
+		_, here := r.used[team].Units()
+		used += here
+		for _, t := range l.w.plan.Teams {
+			for _, s := range t.Shares {
+				if t.Name == team && s.Region == r.name {
+					guaranteed += s.GPUs
+					guarded += max(0, s.GPUs-here)
+				}
+			}
+		}
+	}
+	if waiting == 0 {
+		return
+	}
+	idle := max(0, min(float64(waiting), ceiling-used))
+	l.idle = append(l.idle, idle/ceiling)
+	l.guarded = append(l.guarded, guarded/ceiling)
+	l.idleAbove = append(l.idleAbove, max(0, min(float64(waiting), ceiling-used-guarded))/(ceiling-guaranteed))
+}
+
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(max(1, len(v)))
+}
+
+func quantile(v []time.Duration, q float64) time.Duration {
+	if len(v) == 0 {
+		return 0
+	}
+	v = slices.Clone(v)
+	slices.Sort(v)
+	return v[int(q*float64(len(v)-1))]
+}
+
+var (
+	evenLoad     = []float64{0.2, 0.2, 0.2, 0.2, 0.2}
+	lopsidedLoad = []float64{0.6, 0.2, 0.1, 0.05, 0.05}
+)
+
+// measured is a run of a load.
+type measured struct {
+	l                *load
+	messages, writes float64 // a second
+	grants           int
+	overshoot        int
+}
+
+// measure runs a load for 100 s, of which the last 80 count.
+func measure(way string, teams int, perSecond, gpus float64, shares []float64) measured {
+	w := newWorld(5, testPlan(5, teams, gpus))
+	l := newLoad(w, way, perSecond, 10*time.Second, shares)
+	w.run(8 * time.Second)
+	if way == wayFixed {
+		for _, a := range w.regions {
+			for _, b := range w.regions {
+				w.cuts[a.name+">"+b.name] = time.Hour
+			}
+		}
+	}
+	l.from = w.now + 20*time.Second
+	l.begin()
+	w.run(l.from)
+	messages, writes, grants := w.messages, w.writes, w.grants
+	w.run(l.from + 80*time.Second)
+	return measured{l, float64(w.messages-messages) / 80, float64(w.writes-writes) / 80, w.grants - grants, len(w.faults)}
+}
+
+// TestMeasure prints what docs/quota.md and docs/CAPACITY.md tell. It takes minutes and is run by
+// hand: BROOKWALK_MEASURE=1 go test ./internal/quota -run TestMeasure -v
+func TestMeasure(t *testing.T) {
+	if os.Getenv("BROOKWALK_MEASURE") == "" {
+		t.Skip("set BROOKWALK_MEASURE to measure")
+	}
+	const teams, starts = 82, 250.0
+	for _, c := range []struct {
+		name   string
+		gpus   float64 // of each team's ceiling; the load asks for starts*10/82 = 30.5
+		shares []float64
+	}{
+		{"even, 0.76 of the ceilings", 40, evenLoad}, {"lopsided, 0.76 of the ceilings", 40, lopsidedLoad},
+		{"even, 1.27 of the ceilings", 24, evenLoad}, {"lopsided, 1.27 of the ceilings", 24, lopsidedLoad},
+	} {
+		for _, way := range []string{wayEscrow, wayFixed, wayCentral, wayOptimistic} {
+			m := measure(way, teams, starts, c.gpus, c.shares)
+			t.Logf("%s | %s | wait p50 %d ms, p99 %d ms | idle while somebody waits %.3f, guaranteed parts %.3f, above them %.3f | %.0f messages/s, %.0f writes/s | %d grants, %d above a ceiling",
+				c.name, way, quantile(m.l.waits, 0.5).Milliseconds(), quantile(m.l.waits, 0.99).Milliseconds(),
+				mean(m.l.idle), mean(m.l.guarded), mean(m.l.idleAbove), m.messages, m.writes, m.grants, m.overshoot)
+		}
+	}
+	for _, rate := range []float64{50, 250, 1000} {
+		m := measure(wayEscrow, teams, rate, 40*rate/250, evenLoad)
+		t.Logf("%v starts/s: %.0f messages/s, %.1f writes/s without placements", rate, m.messages, m.writes)
+	}
+	for _, n := range []int{10, 41, 82} {
+		m := measure(wayEscrow, n, starts*float64(n)/82, 40, evenLoad)
+		t.Logf("%d teams: %.0f messages/s, %.1f writes/s without placements", n, m.messages, m.writes)
+	}
+	t.Log(memoryOf(82, 5))
+}
+
+// memoryOf tells what managers of that many teams and regions hold.
+func memoryOf(teams, regions int) string {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	w := newWorld(1, testPlan(regions, teams, 40))
+	w.run(10 * time.Second)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bytes := float64(after.HeapAlloc - before.HeapAlloc)
+	runtime.KeepAlive(w)
+	return fmt.Sprintf("%d regions of %d teams: %.0f bytes a team and region, stand-ins included", regions, teams, bytes/float64(teams*regions))
+}
--- /dev/null
+++ b/internal/quota/plan/plan_test.go
@@ -0,0 +1,100 @@
+package plan
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/brookwalk/brookwalk/internal/quota/amount"
+)
+
+const good = `
+[[regions]]
+name = "north"
+controllers = ["127.0.0.1:9301"]
+[[regions]]
+name = "south"
+controllers = ["127.0.0.1:9311"]
+[[teams]]
+name = "vision"
+gpus_max = 12
+[[teams.shares]]
+region = "north"
+cpus = 4
+gpus = 2.5
+gpus_owned = 8
+[[teams.shares]]
+region = "south"
+gpus_owned = 4
+`
+
+// TestParseNamesFields changes a good file in one place: the error names the field.
+func TestParseNamesFields(t *testing.T) {
+	if _, err := Parse(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ old, with, want string }{
+		{`name = "south"`, `name = "north"`, `regions[1].name: "north" stands twice`},
+		{`name = "south"`, `name = ""`, `regions[1].name`},
+		{`["127.0.0.1:9311"]`, `["127.0.0.1:9301"]`, `regions[1].controllers: "127.0.0.1:9301" stands twice`},
+		{`["127.0.0.1:9311"]`, `["south:9311"]`, `regions[1].controllers`},
+		{`["127.0.0.1:9311"]`, `[]`, `regions[1].controllers: missing`},
+		{`gpus_max = 12`, `gpus_max = 13`, `teams[0].shares: gpus_owned add up to 12, gpus_max is 13`},
+		{`gpus_max = 12`, `gpus_max = -1`, `teams[0].gpus_max`},
+		{`gpus_max = 12`, `gpus_max = nan`, `teams[0].gpus_max`},
+		{`gpus = 2.5`, `gpus = 9`, `teams[0].shares[0].gpus: 9 guaranteed is more than the 8 owned`},
+		{`cpus = 4`, `cpus_owned = 4`, `teams[0].shares[0].cpus_owned: the team has no cpus_max`},
+		{`region = "south"`, `region = "west"`, `teams[0].shares[1].region: no region "west"`},
+		{`region = "south"`, `region = "north"`, `teams[0].shares[1].region: "north" stands twice`},
+		{`gpus = 2.5`, `gups = 2.5`, `teams.shares.gups: unknown field`},
+	} {
+		text := strings.Replace(good, tc.old, tc.with, 1)
+		if _, err := Parse(text); err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s in place of %s: error %v, want one with %s", tc.with, tc.old, err, tc.want)
+		}
+	}
+}
+
+// TestParts reads what each region has, and a resource without a limit.
+func TestParts(t *testing.T) {
+	p, err := Parse(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	north, south, other := p.Teams[0].Part("north"), p.Teams[0].Part("south"), p.Teams[0].Part("west")
+	if north.Floor.GPUs != amount.Of(0, 2.5).GPUs || north.Owned.GPUs != amount.Of(0, 8).GPUs || north.Owned.CPUs != amount.Unlimited {
+		t.Errorf("north has %+v", north)
+	}
+	if sum := north.Owned.Add(south.Owned).Add(other.Owned); sum.GPUs != north.Ceiling.GPUs {
+		t.Errorf("owned parts add up to %v of %v", sum, north.Ceiling)
+	}
+}
+
+// TestFingerprint tells files apart that divide ceilings in different ways, and no others.
+func TestFingerprint(t *testing.T) {
+	of := func(old, with string) uint64 {
+		p, err := Parse(strings.Replace(good, old, with, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p.Fingerprint()
+	}
+	same := of("", "")
+	if of("127.0.0.1:9311", "127.0.0.1:9312") != same || of(`controllers = ["127.0.0.1:9311"]`, "lost = true") != same {
+		t.Error("addresses or lost regions count")
+	}
+	if of("gpus = 2.5", "gpus = 2") == same || of(`name = "vision"`, `name = "audio"`) == same {
+		t.Error("another guarantee or team does not count")
+	}
+}
+
+// TestExample checks the file that comes with the project.
+func TestExample(t *testing.T) {
+	files, _ := filepath.Glob("../../../deploy/regions.toml")
+	if len(files) != 1 {
+		t.Fatal("no example")
+	}
+	if _, err := Load(files[0]); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/quota/ports.go
+++ b/internal/quota/ports.go
@@ -62,11 +62,13 @@
 
 // Ratios of a manager's times to Config.Every.
 const (
-	urgentPart  = 16 // the least time between two messages to a region
-	retryPart   = 8  // until a transaction without an answer is sent again
-	freshTimes  = 2  // how long shares that came are not given away
-	silentTimes = 4  // from when on a region that is not heard counts as out of reach
-	maxBackoff  = 8  // the longest time between messages to one that is out of reach
+	urgentPart  = 6 // the least time between two messages to a region
+	givePart    = 2 // the least time between two transfers to a region
+	ackTimes    = 4 // until transfers that have arrived are forgotten, if nothing else is written
+	retryPart   = 8 // until a transaction without an answer is sent again
+	freshTimes  = 2 // how long shares that came are not given away
+	silentTimes = 4 // from when on a region that is not heard counts as out of reach
+	maxBackoff  = 4 // the longest time between messages to one that is out of reach
 )
 
 // Bounds of a link's record.
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -71,6 +71,8 @@
 	writes          int
 	most            map[string]amount.Amount // used at a time, by team
 	noNewWork       bool
+	learnLag        time.Duration // until a leader knows for certain that a task has ended
+	load            *load         // work that comes steadily; nil for none
 }
 
 // region is a place with a state service and workers.
@@ -101,7 +103,7 @@
 }
 
 func newWorld(seed uint64, p *plan.Plan) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), plan: p, cuts: map[string]time.Duration{}, most: map[string]amount.Amount{}}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), plan: p, learnLag: 2 * time.Second, cuts: map[string]time.Duration{}, most: map[string]amount.Amount{}}
 	for _, r := range p.Regions {
 		w.regions = append(w.regions, &region{w: w, name: r.Name, keys: map[string]wire.Item{}, rev: 10,
 			used: map[string]amount.Amount{}, want: map[string]balance.Demand{}, heard: map[string]map[string]amount.Amount{}})
@@ -304,6 +306,10 @@
 	if p.r.w.noNewWork {
 		return
 	}
+	if p.r.w.load != nil {
+		p.r.w.load.grantAll(p)
+		return
+	}
 	for _, t := range p.r.w.plan.Teams {
 		for d := p.r.want[t.Name]; d.Short.Covers(taskSize) && p.allows(t.Name, taskSize); d = p.r.want[t.Name] {
 			d.Short = d.Short.Sub(taskSize)
@@ -346,7 +352,11 @@
 		w.grants++
 		r.used[team] = r.used[team].Add(size)
 		w.checkUse(team)
-		w.after(time.Second+w.upTo(20*time.Second), func() { r.end(team, size) })
+		runs := time.Second + w.upTo(20*time.Second)
+		if w.load != nil {
+			runs = w.load.runs(w)
+		}
+		w.after(runs, func() { r.end(team, size) })
 	})
 }
 
@@ -359,7 +369,7 @@
 		}
 	}
 	term := r.term
-	r.w.after(r.w.upTo(2*time.Second), func() {
+	r.w.after(r.w.upTo(r.w.learnLag), func() {
 		// A leader elected meanwhile has never counted it.
 		if r.term == term && r.leader != nil {
 			r.leader.used[team] = r.leader.used[team].Sub(size)
@@ -454,6 +464,9 @@
 
 func (p *process) Demand(team string) balance.Demand {
 	d := p.r.want[team]
+	if p.r.w.load != nil {
+		d.Short = amount.Of(0, float64(len(p.r.w.load.queues[p.r.name][team])))
+	}
 	d.Planned = p.used[team]
 	return d
 }
