--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -105,8 +105,7 @@
 func newWorld(seed uint64, p *plan.Plan) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), plan: p, learnLag: 2 * time.Second, cuts: map[string]time.Duration{}, most: map[string]amount.Amount{}}
 	for _, r := range p.Regions {
-		w.regions = append(w.regions, &region{w: w, name: r.Name, keys: map[string]wire.Item{}, rev: 10,
-			used: map[string]amount.Amount{}, want: map[string]balance.Demand{}, heard: map[string]map[string]amount.Amount{}})
+		w.regions = append(w.regions, newRegion(w, r.Name))
 	}
 	for _, r := range w.regions {
 		w.after(w.upTo(time.Second), r.elect)
@@ -114,6 +113,11 @@
 	return w
 }
 
+func newRegion(w *world, name string) *region {
+	return &region{w: w, name: name, keys: map[string]wire.Item{}, rev: 10,
+		used: map[string]amount.Amount{}, want: map[string]balance.Demand{}, heard: map[string]map[string]amount.Amount{}}
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.seq++
 	heap.Push(&w.queue, worldEvent{w.now + d, w.seq, f})
--- a/internal/sim/regions_test.go
+++ b/internal/sim/regions_test.go
@@ -295,3 +295,40 @@
 		t.Errorf("%d of 20 tasks of the gang run", running)
 	}
 }
+
+// TestGuaranteeWhileCutOff has guaranteed work come to a region whose machines another team's
+// long tasks fill, while the region is cut off from the others and its leader ends. The
+// guaranteed part of its share is at hand there: the work runs within twice a worker's lease.
+func TestGuaranteeWhileCutOff(t *testing.T) {
+	t.Parallel()
+	p := regionPlan(3, 2, 36, 2)
+	p.Teams[1].Shares[0].GPUs = 8 // of team-1 in region-0
+	for seed := range uint64(soakDays(3)) {
+		g := newRegionWorlds(t, seed, p, slog.New(slog.DiscardHandler))
+		w := g.world("region-0")
+		for _, z := range w.cfg.Deployment.Zones {
+			w.cloud.capacity[offer("gpu", z, false)] = 1 // 24 GPUs in all
+		}
+		g.at(10*time.Second, func() {
+			g.submit("region-0", wire.Job{Team: "team-0", Shape: wire.ShapeArray, Priority: wire.PriorityIdle, Tasks: 24, GPUs: 1}, 600)
+		})
+		g.at(30*time.Second, func() {
+			for _, other := range g.names {
+				g.cuts["region-0>"+other], g.cuts[other+">region-0"] = time.Hour, time.Hour
+			}
+			if gpus, _ := w.teamUse("team-0"); gpus != 24 {
+				t.Errorf("seed %d: team-0 uses %v of 24 GPUs", seed, gpus)
+			}
+		})
+		var id string
+		g.at(32*time.Second, func() {
+			g.world("region-0").nodesOf("leader")[0].crash(5 * time.Second)
+			id = g.submit("region-0", wire.Job{Team: "team-1", Shape: wire.ShapeService, Priority: wire.PriorityNormal, Tasks: 8, GPUs: 1}, 0)
+		})
+		g.run(32*time.Second + 2*seconds(w.cfg.Deployment.Workers.LeaseS))
+		if running := w.running(id); running != 8 {
+			t.Errorf("seed %d: %d of 8 guaranteed tasks run", seed, running)
+		}
+		g.report(t, seed)
+	}
+}
