--- a/internal/quota/changes.go
+++ b/internal/quota/changes.go
@@ -7,6 +7,7 @@
 	"github.com/brookwalk/brookwalk/internal/quota/amount"
 	"github.com/brookwalk/brookwalk/internal/quota/balance"
 	"github.com/brookwalk/brookwalk/internal/quota/ledger"
+	"github.com/brookwalk/brookwalk/internal/quota/plan"
 	"github.com/brookwalk/brookwalk/wire"
 	"github.com/segmentio/encoding/json"
 )
@@ -142,7 +143,7 @@
 
 // firstShare is what the file gives the region of a team.
 func (m *Manager) firstShare(team string) ledger.Share {
-	i := slices.IndexFunc(m.Plan.Teams, func(t plannedTeam) bool { return t.Name == team })
+	i := slices.IndexFunc(m.Plan.Teams, func(t plan.Team) bool { return t.Name == team })
 	part := m.Plan.Teams[i].Part(m.Region)
 	return ledger.Share{Ceiling: part.Ceiling, Floor: part.Floor, Owned: part.Owned, Plan: m.plan}
 }
--- a/internal/quota/send.go
+++ b/internal/quota/send.go
@@ -3,13 +3,9 @@
 import (
 	"time"
 
-	"github.com/brookwalk/brookwalk/internal/quota/plan"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// plannedTeam is a team of the regions file.
-type plannedTeam = plan.Team
-
 // sendDue sends the messages that are due: complete ones from time to time, others as soon as
 // there is something to tell, at a bounded rate.
 func (m *Manager) sendDue() {
