--- a/internal/history/page.go
+++ b/internal/history/page.go
@@ -19,6 +19,9 @@
 	plotHeight = 3 * vg.Inch
 )
 
+// legendRoom is how much wider than its values a plot is, so that the legend covers none.
+const legendRoom = 1.3
+
 // pageTemplate is the page; the plots are drawn into it.
 var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
@@ -93,6 +96,7 @@
 		end = max(end, x.Seconds)
 	}
 	slices.Sort(names)
+	p.X.Max = end * legendRoom
 	top := l.limits[chart]
 	for i, name := range names {
 		line, err := plotter.NewLine(series[name])
--- a/internal/quota/guards_test.go
+++ b/internal/quota/guards_test.go
@@ -202,11 +202,15 @@
 	w.away = 2
 	owned := []float64{w.regions[0].owned(), w.regions[1].owned()}
 	w.settle()
-	w.regions[1].want = balance.Demand{Short: amount.Of(0, 9), Rank: 1}
 	a, b := w.regions[0].leader(), w.regions[1].leader()
 	a.m.peer("region-1").claims = []wire.RegionClaim{{Team: stepTeam, NeedGPUs: 1000, Rank: 1}}
 	b.m.peer("region-0").transfers = held[0].msg.Transfers
-	w.settle()
+	for _, l := range []*stepLeader{a, b} {
+		l.m.advance()
+		for len(l.calls) > 0 {
+			l.answer(0)
+		}
+	}
 	if a.m.trusted() || b.m.trusted() {
 		t.Fatal("a ledger is trusted that region-2 has not confirmed")
 	}
