Limits over regions: smaller transactions where limits fall, costs of a pass; tests of links, file, report

Cause: read once more: a transaction that the state service finds too large was sent again and again for ever; every message asked for every team's reservations anew, a walk over all jobs; the plan cloned a map also where limits are not shared; a deposed leader logged that its region was fenced. Change: each mended, the first with a test.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -145,6 +145,10 @@
 		{"warm_machine = 3", "unknown key"},
 		{"warm_machines = -1", "below 0"},
 		{"idle_return_s = -1.0", "below 0"},
+		{"regions_file = \"r.toml\"\nregion = \"north\"\nregion_listen = \"127.0.0.1:9301\"", ""},
+		{"regions_file = \"r.toml\"\nregion_listen = \"127.0.0.1:9301\"", "region: missing"},
+		{"region = \"north\"\nregion_listen = \"127.0.0.1:9301\"", "regions_file: missing"},
+		{"regions_file = \"r.toml\"\nregion = \"north\"\nregion_listen = \"here\"", "region_listen"},
 	} {
 		if err := os.WriteFile(path, []byte(tc.text), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -45,6 +45,7 @@
 	regionDemands map[string]balance.Demand // what the last plan found, by team
 	quotaRetry    func()                    // reads records again that could not be read
 	quotaRetryAt  time.Duration
+	reservedOf    reservationCache
 
 	fleet    fleet
 	outgrown bool                          // the fleet is larger than the controllers carry, see checkFleetSize
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -65,6 +65,7 @@
 			break
 		}
 	}
+	l.reservedOf.reserved = nil
 	l.plan(cands, p.usage)
 	l.passes.notBefore = max(l.passes.notBefore, l.c.now+2*l.timeFor(l.passes.evaluations-before))
 }
--- a/internal/core/regions.go
+++ b/internal/core/regions.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
@@ -141,6 +142,7 @@
 	if d == nil {
 		return
 	}
+	planned = maps.Clone(planned)
 	for _, j := range d.l.order {
 		if n := d.l.reservedFor(j); n > 0 {
 			planned[j.Team] = planned[j.Team].Add(times(size(&j.Job), n))
@@ -229,11 +231,26 @@
 	if !h.l.used.Started() {
 		h.l.addUpUsage()
 	}
-	now := h.l.used.Of(team).Add(h.l.limitReservations().Total(team))
+	now := h.l.used.Of(team).Add(h.l.reservedNow().Total(team))
 	d.Planned = d.Planned.Max(amount.OfResources(now))
 	return d
 }
 
+// reservationCache is what was reserved of the teams' limits at a time: one message asks for
+// every team.
+type reservationCache struct {
+	at       time.Duration
+	reserved teamlimit.Reservations // nil after a placement pass
+}
+
+// reservedNow is limitReservations, found once for each time.
+func (l *leader) reservedNow() teamlimit.Reservations {
+	if c := &l.reservedOf; c.reserved == nil || c.at != l.c.now {
+		*c = reservationCache{at: l.c.now, reserved: l.limitReservations()}
+	}
+	return l.reservedOf.reserved
+}
+
 // SharesChanged has waiting work tried again.
 func (h quotaHost) SharesChanged() { h.l.passes.requested = true }
 
--- a/internal/core/rentalplan.go
+++ b/internal/core/rentalplan.go
@@ -96,7 +96,7 @@
 	p := newRentalPlan(l)
 	planned := maps.Clone(usage)
 	p.packPending(cands, planned)
-	p.demand.finish(maps.Clone(planned))
+	p.demand.finish(planned)
 	p.packNextStages(planned)
 	p.packExpected()
 	l.passes.evaluations += p.Evaluations()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,11 +22,9 @@
 	return ln.Addr().String()
 }
 
-// TestServe runs a controller on loopback with no services to reach: it must
-// answer what it can, refuse at once what it cannot, and cut off what is not
-// HTTP.
-func TestServe(t *testing.T) {
-	cfg := &config.Settings{Name: "node-0", Listen: freeAddr(t), PeerListen: freeAddr(t),
+// testSettings are those of a controller on loopback with no services to reach.
+func testSettings(t *testing.T) *config.Settings {
+	return &config.Settings{Name: "node-0", Listen: freeAddr(t), PeerListen: freeAddr(t),
 		External: config.External{Cloud: freeAddr(t), State: freeAddr(t)},
 		Deployment: config.Deployment{
 			Workers: config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 30, GangPeerS: 5, CancelS: 30},
@@ -34,6 +32,13 @@
 			Cloud:   config.Cloud{RPS: 8, ListLagS: 5},
 			Limits:  config.Limits{CPU: 1, RAMMB: 200, MaxConnections: 100},
 		}}
+}
+
+// TestServe runs a controller on loopback with no services to reach: it must
+// answer what it can, refuse at once what it cannot, and cut off what is not
+// HTTP.
+func TestServe(t *testing.T) {
+	cfg := testSettings(t)
 	n := New(cfg, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	failed := make(chan error, 1)
 	go func() { failed <- n.Run() }()
--- a/internal/quota/changes.go
+++ b/internal/quota/changes.go
@@ -67,15 +67,33 @@
 		m.sendDue()
 	case status == storeConflict && readable && slices.Contains(result.Failed, m.host.Term().Key):
 		m.host.TermChanged()
-	case status == storeConflict, status == storeMalformed:
+	case status == storeConflict:
 		// An earlier copy of it took effect, or the records are not those that were read.
 		m.running = nil
 		m.load()
+	case status == storeMalformed:
+		m.shrink(len(r.change.Txn.Writes))
+		m.running = nil
+		m.load()
 	default:
 		r.retryAt = m.host.Now() + m.Every/retryPart
 	}
 }
 
+// Bounds below which transactions are not made smaller.
+const (
+	leastWrites = 2 // a link and a share
+	leastValue  = 2 * partSize * maxOut
+)
+
+// shrink makes later transactions smaller: the service's limits are lower than they were said
+// to be, or have fallen.
+func (m *Manager) shrink(writes int) {
+	m.MaxWrites = max(leastWrites, writes/2)
+	m.MaxValue = max(leastValue, m.MaxValue/2)
+	m.Log.Info("the state service takes smaller quota transactions", "writes", m.MaxWrites, "value_bytes", m.MaxValue)
+}
+
 // retry sends the transaction under way again, once it has had no answer.
 func (m *Manager) retry() {
 	if m.running != nil && m.running.retryAt != 0 && m.host.Now() >= m.running.retryAt {
@@ -109,8 +127,9 @@
 	if m.fence == "" || !m.complete() || m.ledger.Fenced() != "" {
 		return nil
 	}
-	m.Log.Error("region is fenced and grants nothing", "region", m.Region, "why", m.fence)
-	return &running{change: m.ledger.Fence(m.host.Term(), m.fence)}
+	return &running{change: then(m.ledger.Fence(m.host.Term(), m.fence), func() {
+		m.Log.Error("region is fenced and grants nothing", "region", m.Region, "why", m.fence)
+	})}
 }
 
 // create puts first shares on record: those of a region that no other one knows, and those of
--- a/internal/quota/guards_test.go
+++ b/internal/quota/guards_test.go
@@ -203,7 +203,7 @@
 	owned := []float64{w.regions[0].owned(), w.regions[1].owned()}
 	w.settle()
 	a, b := w.regions[0].leader(), w.regions[1].leader()
-	a.m.peer("region-1").claims = []wire.RegionClaim{{Team: stepTeam, NeedGPUs: 1000, Rank: 1}}
+	b.m.peer("region-0").claims = []wire.RegionClaim{{Team: stepTeam, NeedGPUs: 1000, Rank: 1}}
 	b.m.peer("region-0").transfers = held[0].msg.Transfers
 	for _, l := range []*stepLeader{a, b} {
 		l.m.advance()
@@ -399,3 +399,25 @@
 		}
 	}
 }
+
+// TestLimitsOfTheServiceFall has the state service take fewer writes at a time than it was said
+// to: transfers become smaller and go on.
+func TestLimitsOfTheServiceFall(t *testing.T) {
+	w := &interleaving{plan: testPlan(2, 8, 12), away: -1}
+	for i := range 2 {
+		w.regions = append(w.regions, &stepRegion{w: w, index: i, testStore: newTestStore()})
+		w.regions[i].elect()
+	}
+	w.settle()
+	w.regions[0].most = 3
+	w.regions[1].want = balance.Demand{Short: amount.Of(0, 9), Rank: 1} // of every team
+	w.regions[1].leader().m.DemandChanged()
+	for range 10 {
+		w.settle()
+	}
+	for _, team := range w.plan.Teams {
+		if _, gpus := w.regions[1].leader().m.Limit(team.Name).Units(); gpus != 9 {
+			t.Errorf("%s: the limit is %v, want 9", team.Name, gpus)
+		}
+	}
+}
--- a/internal/quota/teststore_test.go
+++ b/internal/quota/teststore_test.go
@@ -13,6 +13,7 @@
 type testStore struct {
 	keys map[string]wire.Item
 	rev  uint64
+	most int                  // writes in a transaction that it takes, 0 for any number
 	old  map[string]wire.Item // an older copy of the ledger's records; nil for none
 }
 
@@ -27,6 +28,9 @@
 
 // commit carries a transaction out if its conditions hold.
 func (s *testStore) commit(txn *wire.Txn) (int, wire.TxnResult) {
+	if s.most > 0 && len(txn.Writes) > s.most {
+		return 400, wire.TxnResult{}
+	}
 	for _, c := range txn.If {
 		if s.keys[c.Key].Version != c.Version {
 			return 409, wire.TxnResult{Failed: []string{c.Key}, Revision: s.rev}
