quota: nothing is said to other regions before the ledger is read

Cause: found reading the change once more: a ledger that is read anew had messages go out without an epoch, which the other regions take for the word that the ledger is gone; they logged an error. No share is affected. Change: no message before the reading has ended; a test that fails without it. Measured: go test ./internal/quota.

--- a/internal/quota/guards_test.go
+++ b/internal/quota/guards_test.go
@@ -421,3 +421,22 @@
 		}
 	}
 }
+
+// TestNothingIsSaidBeforeTheLedgerIsRead has a leader begin while its state service is slow: the
+// other region would take a message without an epoch for the word that the ledger is gone.
+func TestNothingIsSaidBeforeTheLedgerIsRead(t *testing.T) {
+	w := newInterleaving(2)
+	w.regions[0].elect()
+	w.messages = nil
+	for range 10 {
+		w.now += testEvery
+		w.regions[0].leader().m.Tick()
+	}
+	if len(w.messages) > 0 {
+		t.Errorf("%d messages before the ledger was read", len(w.messages))
+	}
+	w.settle()
+	if w.regions[1].leader().m.peer("region-0").replaced {
+		t.Error("the ledger counts as lost")
+	}
+}
--- a/internal/quota/send.go
+++ b/internal/quota/send.go
@@ -9,6 +9,9 @@
 // sendDue sends the messages that are due: complete ones from time to time, others as soon as
 // there is something to tell, at a bounded rate.
 func (m *Manager) sendDue() {
+	if m.ledger == nil {
+		return // nothing can be said before it is read
+	}
 	now := m.host.Now()
 	for _, p := range m.peers {
 		full := now >= p.fullAt
@@ -41,10 +44,6 @@
 		Version: wire.RegionVersion, From: m.Region, To: p.name, Run: m.run, Sequence: m.sequence,
 		EchoRun: p.echoRun, EchoSequence: p.echoSequence, ConfirmedRun: p.confirmed, Plan: m.plan,
 	}
-	if m.ledger == nil {
-		msg.ConfirmedRun = 0 // nothing can be said of the link
-		return msg
-	}
 	link := m.ledger.Link(p.name)
 	msg.Epoch, msg.KnownEpoch = m.ledger.Epoch(), link.PeerEpoch
 	msg.Sent, msg.Acknowledged, msg.Received = link.Sent, link.Acknowledged(), link.Received
