quota: what stood twice is one piece; claims are found once for all messages of a moment

Need: read once more, the change had Change.then beside a twin in the manager, two sums of what is on its way (one for a test only), two walks over a team's shares, and every message worked out what each team asks of all regions to use one region's part. Change: Change.Then, Link.OnTheWay and Team.Share serve both; sendDue finds the teams' positions once.

--- a/internal/core/regions.go
+++ b/internal/core/regions.go
@@ -29,22 +29,18 @@
 	c.regions = regions{plan: p, self: self, team: map[string]bool{}}
 	settings := *c.cfg
 	settings.Deployment.Teams = append([]config.Team(nil), settings.Deployment.Teams...)
+	c.cfg = &settings
 	for i := range p.Teams {
-		c.regions.team[p.Teams[i].Name] = true
-		planned := config.Team{Name: p.Teams[i].Name, CPUsMax: p.Teams[i].CPUsMax, GPUsMax: p.Teams[i].GPUsMax}
-		for _, s := range p.Teams[i].Shares {
-			if s.Region == self {
-				planned.CPUs, planned.GPUs = s.CPUs, s.GPUs
-			}
-		}
-		c.cfg = &settings
+		team := &p.Teams[i]
+		share := team.Share(self)
+		c.regions.team[team.Name] = true
+		planned := config.Team{Name: team.Name, CPUs: share.CPUs, CPUsMax: team.CPUsMax, GPUs: share.GPUs, GPUsMax: team.GPUsMax}
 		if t := c.team(planned.Name); t != nil {
 			*t = planned
 		} else {
 			settings.Deployment.Teams = append(settings.Deployment.Teams, planned)
 		}
 	}
-	c.cfg = &settings
 }
 
 // RegionInput is a message of another region.
--- a/internal/quota/changes.go
+++ b/internal/quota/changes.go
@@ -127,7 +127,7 @@
 	if m.fence == "" || !m.complete() || m.ledger.Fenced() != "" {
 		return nil
 	}
-	return &running{change: then(m.ledger.Fence(m.host.Term(), m.fence), func() {
+	return &running{change: m.ledger.Fence(m.host.Term(), m.fence).Then(func(uint64) {
 		m.Log.Error("region is fenced and grants nothing", "region", m.Region, "why", m.fence)
 	})}
 }
@@ -185,22 +185,12 @@
 	for _, p := range m.peers {
 		if p.confirmed != 0 && p.epoch != 0 && m.ledger.Link(p.name).PeerEpoch == 0 {
 			change := m.ledger.Meet(m.host.Term(), p.name, p.epoch)
-			return &running{change: then(change, func() { p.urgent = true })}
+			return &running{change: change.Then(func(uint64) { p.urgent = true })}
 		}
 	}
 	return nil
 }
 
-// then adds what is done once a change has taken effect.
-func then(c *ledger.Change, f func()) *ledger.Change {
-	done := c.Done
-	c.Done = func(revision uint64) {
-		done(revision)
-		f()
-	}
-	return c
-}
-
 // take adds the next transfer from another region.
 func (m *Manager) take() *running {
 	if !m.trusted() {
@@ -216,7 +206,7 @@
 			transfer.Parts = append(transfer.Parts, ledger.Part{Team: s.Team, Amount: amount.Amount{CPUs: s.CPUs, GPUs: s.GPUs}})
 		}
 		change := m.ledger.Take(m.host.Term(), p.name, p.received, transfer)
-		return &running{change: then(change, func() { m.taken(p, transfer) })}
+		return &running{change: change.Then(func(uint64) { m.taken(p, transfer) })}
 	}
 	return nil
 }
@@ -252,7 +242,7 @@
 			m.Log.Error("share not given", "err", err)
 			continue
 		}
-		return &running{giving: parts, change: then(change, func() {
+		return &running{giving: parts, change: change.Then(func(uint64) {
 			for _, part := range parts {
 				m.Log.Debug("share given", "team", part.Team, "amount", part.Amount, "to", p.name, "transfer", link.Sent+1)
 			}
@@ -276,7 +266,7 @@
 		claim := balance.Claim{Need: amount.Amount{CPUs: c.NeedCPUs, GPUs: c.NeedGPUs}.Positive(),
 			Reserve: amount.Amount{CPUs: c.ReserveCPUs, GPUs: c.ReserveGPUs}.Positive(), Rank: c.Rank, Gang: c.Gang, Region: p.index}
 		// What is on its way already was claimed before it could arrive.
-		under := onTheWay(link, c.Team, p.claimsAt)
+		under := link.OnTheWay(c.Team, p.claimsAt)
 		claim.Reserve = claim.Reserve.Sub(under.Sub(claim.Need).Positive()).Positive()
 		claim.Need = claim.Need.Sub(under).Positive()
 		h := m.holding(c.Team)
@@ -287,22 +277,6 @@
 	return parts
 }
 
-// onTheWay adds up what transfers after a number carry of a team.
-func onTheWay(link *ledger.Link, team string, after uint64) amount.Amount {
-	var sum amount.Amount
-	for _, t := range link.Out {
-		if t.Number <= after {
-			continue
-		}
-		for _, part := range t.Parts {
-			if part.Team == team {
-				sum = sum.Add(part.Amount)
-			}
-		}
-	}
-	return sum
-}
-
 // acknowledge forgets transfers that have arrived. The next transfer of the link does so as
 // well, so that this is seldom worth a write of its own.
 func (m *Manager) acknowledge() *running {
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sort"
 
-	"github.com/brookwalk/brookwalk/internal/quota/amount"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -108,8 +107,8 @@
 	c.Txn.Writes = append(c.Txn.Writes, wire.Write{Put: key, Value: encode(value)})
 }
 
-// then adds what is done once the transaction has taken effect.
-func (c *Change) then(f func(revision uint64)) {
+// Then adds what is done once the transaction has taken effect, after what there is.
+func (c *Change) Then(f func(revision uint64)) *Change {
 	before := c.Done
 	c.Done = func(revision uint64) {
 		if before != nil {
@@ -117,16 +116,17 @@
 		}
 		f(revision)
 	}
+	return c
 }
 
 func (l *Ledger) putShare(c *Change, team string, s Share) {
 	c.put(shareKey(team), l.shares[team].version, s)
-	c.then(func(revision uint64) { l.shares[team] = versioned[Share]{s, revision} })
+	c.Then(func(revision uint64) { l.shares[team] = versioned[Share]{s, revision} })
 }
 
 func (l *Ledger) putLink(c *Change, region string, link Link) {
 	c.put(linkKey(region), l.links[region].version, link)
-	c.then(func(revision uint64) { l.links[region] = versioned[Link]{link, revision} })
+	c.Then(func(revision uint64) { l.links[region] = versioned[Link]{link, revision} })
 }
 
 // AddShares puts the first shares of teams on record that have none.
@@ -151,7 +151,7 @@
 func (l *Ledger) putHead(term wire.Cond, h head) *Change {
 	c := l.change(term)
 	c.put(headKey, l.head.version, h)
-	c.then(func(revision uint64) { l.head = versioned[head]{h, revision} })
+	c.Then(func(revision uint64) { l.head = versioned[head]{h, revision} })
 	return c
 }
 
@@ -217,18 +217,3 @@
 	l.putLink(c, region, link)
 	return c
 }
-
-// OnTheirWay adds up what left the region for others and is not acknowledged.
-func (l *Ledger) OnTheirWay(team string) amount.Amount {
-	var sum amount.Amount
-	for _, region := range l.Regions() {
-		for _, t := range l.links[region].value.Out {
-			for _, p := range t.Parts {
-				if p.Team == team {
-					sum = sum.Add(p.Amount)
-				}
-			}
-		}
-	}
-	return sum
-}
--- a/internal/quota/ledger/ledger_test.go
+++ b/internal/quota/ledger/ledger_test.go
@@ -113,7 +113,7 @@
 	if len(link.Out) != 1 || link.Out[0].Number != 3 || link.Acknowledged() != 2 {
 		t.Errorf("left %+v", link)
 	}
-	if got := l.OnTheirWay("vision"); got != amount.Of(0, 1) {
+	if got := link.OnTheWay("vision", 0); got != amount.Of(0, 1) {
 		t.Errorf("%v on their way, want 1 GPU", got)
 	}
 	if err := l.Invariant(); err != nil {
--- a/internal/quota/ledger/records.go
+++ b/internal/quota/ledger/records.go
@@ -67,6 +67,22 @@
 // Acknowledged is the number of the last transfer that the other region is known to have added.
 func (l *Link) Acknowledged() uint64 { return l.Sent - uint64(len(l.Out)) }
 
+// OnTheWay adds up what the transfers after a number carry of a team.
+func (l *Link) OnTheWay(team string, after uint64) amount.Amount {
+	var sum amount.Amount
+	for _, t := range l.Out {
+		if t.Number <= after {
+			continue
+		}
+		for _, p := range t.Parts {
+			if p.Team == team {
+				sum = sum.Add(p.Amount)
+			}
+		}
+	}
+	return sum
+}
+
 // acknowledge drops the transfers up to a number.
 func (l *Link) acknowledge(received uint64) {
 	for len(l.Out) > 0 && l.Out[0].Number <= received {
--- a/internal/quota/plan/plan.go
+++ b/internal/quota/plan/plan.go
@@ -204,14 +204,20 @@
 	return out
 }
 
-// Part is what a region has of a team at first.
-func (t *Team) Part(region string) Part {
-	part := Part{Ceiling: amount.Of(t.CPUsMax, t.GPUsMax)}
+// Share is a region's share of the team as the file has it; nothing if it names none.
+func (t *Team) Share(region string) Share {
 	for _, s := range t.Shares {
 		if s.Region == region {
-			part.Floor, part.Owned = amount.Of(s.CPUs, s.GPUs), amount.Of(s.CPUsOwned, s.GPUsOwned)
+			return s
 		}
 	}
+	return Share{Region: region}
+}
+
+// Part is what a region has of a team at first.
+func (t *Team) Part(region string) Part {
+	s := t.Share(region)
+	part := Part{Ceiling: amount.Of(t.CPUsMax, t.GPUsMax), Floor: amount.Of(s.CPUs, s.GPUs), Owned: amount.Of(s.CPUsOwned, s.GPUsOwned)}
 	if t.CPUsMax == 0 {
 		part.Ceiling.CPUs, part.Floor.CPUs, part.Owned.CPUs = amount.Unlimited, amount.Unlimited, amount.Unlimited
 	}
--- a/internal/quota/send.go
+++ b/internal/quota/send.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/brookwalk/brookwalk/internal/quota/balance"
+	"github.com/brookwalk/brookwalk/internal/quota/ledger"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -13,7 +15,8 @@
 		return // nothing can be said before it is read
 	}
 	now := m.host.Now()
-	for _, p := range m.peers {
+	var positions []position // found once for all messages of a moment
+	for i, p := range m.peers {
 		full := now >= p.fullAt
 		if !full && !(p.urgent && now >= p.sentAt+m.Every/urgentPart) {
 			continue
@@ -24,8 +27,11 @@
 			}
 			p.fullAt = now + p.interval + m.jitter(p)
 		}
+		if positions == nil && m.trusted() {
+			positions = m.positions()
+		}
 		p.urgent, p.sentAt = false, now
-		m.host.Send(p.name, m.message(p, full))
+		m.host.Send(p.name, m.message(i, full, positions))
 	}
 }
 
@@ -37,8 +43,32 @@
 	return p.interval / 8 * time.Duration(spread) / 256
 }
 
-// message states all that is to be said to a region.
-func (m *Manager) message(p *peer, full bool) *wire.RegionMessage {
+// position is what the region has of a team, what others offer of it, and what it asks of each
+// of them.
+type position struct {
+	team    string
+	share   ledger.Share
+	holding balance.Holding
+	offers  []balance.Offer // by peer
+	claims  []balance.Claim // by peer
+}
+
+// positions finds that of each team.
+func (m *Manager) positions() []position {
+	teams := m.ledger.Teams()
+	out := make([]position, len(teams))
+	for i, team := range teams {
+		x := &out[i]
+		x.team, x.holding, x.offers = team, m.holding(team), m.offersOf(team)
+		x.share, _ = m.ledger.Share(team)
+		x.claims = x.holding.Claims(m.self, x.offers)
+	}
+	return out
+}
+
+// message states all that is to be said to a region, the one at that place among the peers.
+func (m *Manager) message(at int, full bool, positions []position) *wire.RegionMessage {
+	p := m.peers[at]
 	m.sequence++
 	msg := &wire.RegionMessage{
 		Version: wire.RegionVersion, From: m.Region, To: p.name, Run: m.run, Sequence: m.sequence,
@@ -60,41 +90,33 @@
 		}
 		msg.Transfers = append(msg.Transfers, transfer)
 	}
-	m.addClaims(p, msg)
+	addClaims(msg, positions, at)
 	if full {
-		m.addOffers(msg)
+		m.addOffers(msg, positions)
 	}
 	return msg
 }
 
-// addClaims says what is wanted of a region.
-func (m *Manager) addClaims(p *peer, msg *wire.RegionMessage) {
-	at := 0
-	for i, other := range m.peers {
-		if other == p {
-			at = i
-		}
-	}
-	for _, team := range m.ledger.Teams() {
-		h := m.holding(team)
-		c := h.Claims(m.self, m.offersOf(team))[at]
+// addClaims says what is wanted of the region at a place among the peers.
+func addClaims(msg *wire.RegionMessage, positions []position, at int) {
+	for i := range positions {
+		c := positions[i].claims[at]
 		if c.Need.IsZero() && c.Reserve.IsZero() {
 			continue
 		}
-		msg.Claims = append(msg.Claims, wire.RegionClaim{Team: team, NeedCPUs: c.Need.CPUs, NeedGPUs: c.Need.GPUs,
+		msg.Claims = append(msg.Claims, wire.RegionClaim{Team: positions[i].team, NeedCPUs: c.Need.CPUs, NeedGPUs: c.Need.GPUs,
 			ReserveCPUs: c.Reserve.CPUs, ReserveGPUs: c.Reserve.GPUs, Rank: c.Rank, Gang: c.Gang})
 	}
 }
 
 // addOffers says what could be spared.
-func (m *Manager) addOffers(msg *wire.RegionMessage) {
+func (m *Manager) addOffers(msg *wire.RegionMessage, positions []position) {
 	msg.HasOffers = true
-	for _, team := range m.ledger.Teams() {
-		s, _ := m.ledger.Share(team)
-		h := m.holding(team)
-		spare := h.Spare()
-		msg.Offers = append(msg.Offers, wire.RegionOffer{Team: team, CPUs: spare.CPUs, GPUs: spare.GPUs, Plan: s.Plan,
-			Contested: h.Contested(m.self, m.offersOf(team)), GangRank: h.Demand.GangRank})
+	for i := range positions {
+		x := &positions[i]
+		spare := x.holding.Spare()
+		msg.Offers = append(msg.Offers, wire.RegionOffer{Team: x.team, CPUs: spare.CPUs, GPUs: spare.GPUs, Plan: x.share.Plan,
+			Contested: x.holding.Contested(m.self, x.offers), GangRank: x.holding.Demand.GangRank})
 	}
 }
 
