review: a model is woken twice while its server answers late

Cause: replicaExpired counts a copy's lease from the last answer, although commands whose answers came too late renewed it.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -46,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
 		os.Exit(2)
 	}
-	scenarios := map[string]func() scenario{"ran_twice": ranTwice, "went_back": wentBack}
+	scenarios := map[string]func() scenario{"went_back": wentBack, "ran_twice": ranTwice, "two_copies": twoCopies}
 	makeScenario, ok := scenarios[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "stand: no case", os.Args[1])
