--- a/review/stand/two_copies.go
+++ b/review/stand/two_copies.go
@@ -76,7 +76,9 @@
 		return
 	}
 	answer := m.command(command.Verb, command.Epoch, command.Ticket)
-	if m.held.Load() {
+	held := m.held.Load()
+	m.record.line("%s: command %s epoch %d, answer %v, held up: %v", m.name, command.Verb, command.Epoch, answer["state"], held)
+	if held {
 		time.Sleep(heldAnswer)
 	}
 	writeJSON(w, 200, answer)
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -281,7 +281,7 @@
 func (w *worker) report(body []byte, watch uint64, target int, sent time.Time) {
 	status, answer := w.post(w.fleet.nodes[target].listen, body)
 	if hold := w.holdAnswer(); hold > 0 && status == 200 && len(answer.Orders) > 0 {
-		w.fleet.record.line("%s: an answer with %d commands is held up until %v after the report", w.name, len(answer.Orders), hold)
+		w.fleet.record.line("%s: an answer with commands is held up until %v after the report: %s", w.name, hold, shown(answer.Orders))
 		time.Sleep(time.Until(sent.Add(hold)))
 	}
 	if time.Since(sent) > 4*time.Second {
@@ -305,6 +305,15 @@
 // move makes the worker report to another controller, from a time on. The lock is held.
 func (w *worker) move(target int, from time.Time) { w.target, w.nextAt, w.moving = target, from, true }
 
+// shown lists commands for the record.
+func shown(orders []wireOrder) string {
+	var parts []string
+	for _, order := range orders {
+		parts = append(parts, fmt.Sprintf("%s %s launch %d", order.Verb, order.Task, order.Attempt))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func (w *worker) post(address string, body []byte) (int, wireOrders) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
