sim: late direct commands, late answers to heartbeats and to direct commands

The stand-ins delayed transactions, copies of heartbeats and everything between two sides of a partition, but never one command or one answer alone, so no test could show a start that is held up in the answer to a heartbeat. late_commands executes a share of direct commands 2 to 16 s late and without an answer. late_answers delays a share of the answers to heartbeats that contain commands, as long as the worker still takes them, and of workers' answers to direct commands by up to 2 s.

Nothing is drawn from the random numbers while neither is active: the tests of this package pass unchanged.

--- a/internal/sim/controller.go
+++ b/internal/sim/controller.go
@@ -260,7 +260,16 @@
 	if m == nil {
 		return
 	}
-	world.deliver(p.controller.name, m.name, func() { m.handleDirect(p.Method, p.Path, p.Body, p.replyFrom(m.name)) })
+	if delay := world.directCommandDelay(p.Path); delay > 0 {
+		world.after(delay, func() { m.handleDirect(p.Method, p.Path, p.Body, func(int, []byte) {}) })
+		return
+	}
+	reply := p.replyFrom(m.name)
+	if delay := world.directAnswerDelay(p.Path); delay > 0 {
+		onTime := reply
+		reply = func(status int, body []byte) { world.after(delay, func() { onTime(status, body) }) }
+	}
+	world.deliver(p.controller.name, m.name, func() { m.handleDirect(p.Method, p.Path, p.Body, reply) })
 }
 
 // callStore calls the key-value store as the client of package store does: within the store's
--- a/internal/sim/heartbeat.go
+++ b/internal/sim/heartbeat.go
@@ -53,7 +53,14 @@
 	body := encode(m.heartbeat())
 	world.checker.checkHeartbeatSize(m, len(body))
 	m.duplicateHeartbeat(body)
-	done := func(status int, answer []byte) { m.heartbeatAnswered(sentAt, incarnation, status, answer) }
+	done := func(status int, answer []byte) {
+		handle := func() { m.heartbeatAnswered(sentAt, incarnation, status, answer) }
+		if delay := world.heartbeatAnswerDelay(sentAt, status, answer); delay > 0 {
+			world.after(delay, handle)
+			return
+		}
+		handle()
+	}
 	if world.now < m.outboundBlockedUntil {
 		// The connection is not established. A partition cannot simulate this fault because
 		// controllers can still connect to the worker.
--- a/internal/sim/scenario_actions.go
+++ b/internal/sim/scenario_actions.go
@@ -39,6 +39,10 @@
 	"mute":         machineFault((*machine).blockOutbound),
 	"late_reports": (*World).duplicateSomeHeartbeats,
 	"copies":       (*World).duplicateAllHeartbeats,
+
+	// Delays of commands to workers.
+	"late_commands": (*World).delayDirectCommands,
+	"late_answers":  (*World).delayCommandAnswers,
 }
 
 // perform executes the action of a line.
@@ -68,6 +72,10 @@
 		duration += minCommitDelay + commitDelayRange
 	case "late_reports":
 		duration += minDuplicateDelay + lease + lease/2
+	case "late_commands":
+		duration += minCommandDelay + commandDelayRange
+	case "late_answers":
+		duration += heartbeatTimeout
 	case "copies":
 		duration += l.duplicateDelay()
 	case "cancel_now":
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -48,6 +48,9 @@
 	duplicateHeartbeats randomFault   // heartbeats of which a delayed copy is delivered too
 	cancellationsAtEnd  randomFault   // jobs that are cancelled at the moment they complete
 
+	delayedDirectCommands randomFault // direct commands that are executed late, without an answer
+	delayedCommandAnswers randomFault // answers with commands, and answers to commands, that are late
+
 	// mutate, if set, may change the output of a core. Tests use it to simulate a broken core or
 	// to record outputs.
 	mutate func(c *controller, out *core.Output)
