reconcile: count starts in answers to heartbeats as unconfirmed

Cause: after a worker has forgotten an exited attempt, a copy of its start command begins the task again. MayForget waits for unconfirmed starts, but only those of direct calls were counted. Starts go out in answers to heartbeats too, and a worker takes an answer for up to 4 s: the task was started and stopped by a direct call, its exit taken from the response, the forget command sent with the next direct call, and then the held answer arrived with a valid term, incarnation and time.

Those in an answer are settled by the worker's next heartbeat, because a worker has one heartbeat in flight and drops the answer of one that it has given up; no response to a direct call or a probe settles them. Both kinds end with the incarnation. A new leader needs none of them: no worker forgets before it has seen the new term, and then it refuses commands of earlier ones. This holds whatever end the leader learned of and for answers that a follower passes on, since a worker forgets on this command only.

--- a/internal/core/cluster/machine.go
+++ b/internal/core/cluster/machine.go
@@ -61,11 +61,12 @@
 	UnreachableSince                        time.Duration     // since when its heartbeats arrive but commands do not reach it; 0 if they do
 }
 
-// CommandState is the state of direct commands and probes. Reconciliation sets it.
+// CommandState is the state of commands and probes. Reconciliation sets it.
 type CommandState struct {
 	OpenDirectCalls   int
 	DirectRetryAt     time.Duration
-	UnconfirmedStarts map[AttemptID]int // number of direct starts whose outcome is unknown, by attempt
+	UnconfirmedStarts map[AttemptID]int // number of start commands that may still reach the worker, by attempt
+	AnsweredStarts    []AttemptID       // those of them that were sent in the answer to the newest heartbeat
 	ProbeOpen         bool              // a probe or a term announcement is in progress
 	NextProbeAt       time.Duration     // earliest time of the next probe
 	LastProbeFailure  time.Duration     // when the last probe that failed was sent
@@ -143,13 +144,3 @@
 	}
 	return wire.TaskStatus{}, false
 }
-
-// SettleDirectStarts records that no further copies of the attempts' direct start commands can
-// arrive.
-func (m *Machine) SettleDirectStarts(attempts []AttemptID) {
-	for _, id := range attempts {
-		if m.UnconfirmedStarts[id]--; m.UnconfirmedStarts[id] <= 0 {
-			delete(m.UnconfirmedStarts, id)
-		}
-	}
-}
--- a/internal/core/commands_test.go
+++ b/internal/core/commands_test.go
@@ -1,11 +1,14 @@
 package core
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
 
+	"github.com/brookwalk/brookwalk/httpwire/httpstatus"
 	"github.com/brookwalk/brookwalk/internal/core/cluster"
+	"github.com/brookwalk/brookwalk/internal/kv"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -44,17 +47,84 @@
 			if tc.change != nil {
 				tc.change(job, machine)
 			}
-			var got []string
-			for _, c := range leader.commandsFor(machine) {
-				text := fmt.Sprintf("%s %d", c.Verb, c.Attempt)
-				if c.GracePeriodS != nil {
-					text += fmt.Sprintf(" in %v s", *c.GracePeriodS)
-				}
-				got = append(got, text)
-			}
-			if !slices.Equal(got, tc.want) {
+			if got := commandTexts(leader.commandsFor(machine)); !slices.Equal(got, tc.want) {
 				t.Errorf("commands: got %q, want %q", got, tc.want)
 			}
 		})
 	}
 }
+
+// TestForgetWaitsForHeartbeatAnswer guards against a task that runs twice, or after its user was told
+// that it is cancelled: its start is held up in the answer to a heartbeat, a direct response shows the
+// attempt as stopped, and the worker forgets it before the start arrives. The leader may send the forget
+// command only once the worker's next heartbeat shows that the answer has been executed or dropped.
+func TestForgetWaitsForHeartbeatAnswer(t *testing.T) {
+	const name, attempt = "job-101/0", 2
+	for _, tc := range []struct {
+		name      string
+		cancelled bool
+	}{{"moved", false}, {"cancelled", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			harness, leader := newLeadingHarness(t, withoutAnnouncedLimits)
+			addRecord(harness, leader, wire.Job{ID: "job-101"}, nil)
+			job, machine := leader.Jobs["job-101"], leader.getOrAddMachine("n-1")
+			job.TaskStates[0] = cluster.Task{Attempt: attempt, Incarnation: 1, Persisted: true, PlacedThisTerm: true}
+			leader.place(job, 0, machine)
+			sequence := uint64(0)
+			status := func(rows ...wire.TaskStatus) []byte {
+				sequence++
+				return kv.Encode(wire.Heartbeat{
+					Machine: "n-1", Addr: "10.1.0.1:9000", Type: "small", Zone: "a",
+					Incarnation: 1, Sequence: sequence, FencingToken: leader.leadership.Term, Tasks: rows,
+				})
+			}
+			exited := wire.TaskStatus{Task: name, Attempt: attempt, State: wire.TaskExited, Cause: wire.CauseStopped}
+
+			if got := commandsInAnswer(t, leader, status()); !slices.Contains(got, "run 2") {
+				t.Fatalf("commands in the answer to the heartbeat: got %q, want the start", got)
+			}
+			leader.stopTask(job, 0, 0, stopPreempted)
+			if tc.cancelled {
+				leader.markCancelled(job)
+			}
+			leader.handleDirectStatus(machine, status(exited))
+			if job.TaskStates[0].Machine != nil {
+				t.Fatal("the task still occupies the machine, want it unplaced by the direct response")
+			}
+			job.PlacementRecords[0].Dirty = false // as if the exit had been recorded
+			if tc.cancelled {
+				leader.forgetJob(job)
+			}
+			if got := commandTexts(leader.commandsFor(machine)); len(got) != 0 {
+				t.Errorf("commands while the answer may still arrive: got %q, want none", got)
+			}
+			if got, want := commandsInAnswer(t, leader, status(exited)), []string{"reap 2"}; !slices.Equal(got, want) {
+				t.Errorf("commands in the answer to the next heartbeat: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// commandsInAnswer formats the commands in the leader's answer to a heartbeat.
+func commandsInAnswer(t *testing.T, leader *leader, heartbeat []byte) []string {
+	t.Helper()
+	status, body := leader.handleHeartbeat(heartbeat, "n0")
+	var answer wire.CommandList
+	if err := json.Unmarshal(body, &answer); err != nil || status != httpstatus.OK {
+		t.Fatalf("heartbeat: got %d %s, error %v; want 200 with commands", status, body, err)
+	}
+	return commandTexts(answer.Commands)
+}
+
+// commandTexts formats each command's verb, attempt and grace period.
+func commandTexts(commands []wire.Command) []string {
+	var texts []string
+	for _, c := range commands {
+		text := fmt.Sprintf("%s %d", c.Verb, c.Attempt)
+		if c.GracePeriodS != nil {
+			text += fmt.Sprintf(" in %v s", *c.GracePeriodS)
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
--- a/internal/core/reconcile/commands.go
+++ b/internal/core/reconcile/commands.go
@@ -71,7 +71,8 @@
 }
 
 // MayForget reports whether the worker may forget an exited task and stop listing it: its outcome
-// is recorded, and no duplicate of its start command can still arrive and start it again.
+// is recorded, and no duplicate of its start command, in whatever message, can still arrive and start
+// it again.
 func MayForget(machine *cluster.Machine, jobs map[string]*cluster.Job, exited wire.TaskStatus, term uint64) bool {
 	attempt := cluster.AttemptID{Task: exited.Task, Attempt: exited.Attempt}
 	if machine.UnconfirmedStarts[attempt] > 0 || machine.FencingToken < term {
@@ -89,14 +90,3 @@
 	}
 	return !job.EndWritePending
 }
-
-// startedAttempts lists the attempts that the commands start.
-func startedAttempts(commands []wire.Command) []cluster.AttemptID {
-	var attempts []cluster.AttemptID
-	for _, command := range commands {
-		if command.Verb == wire.VerbStart {
-			attempts = append(attempts, cluster.AttemptID{Task: command.Task, Attempt: command.Attempt})
-		}
-	}
-	return attempts
-}
--- a/internal/core/reconcile/direct_call.go
+++ b/internal/core/reconcile/direct_call.go
@@ -22,23 +22,20 @@
 
 // BeginDirectCall records that commands are sent directly to the worker's current incarnation.
 func BeginDirectCall(machine *cluster.Machine, commands []wire.Command) *DirectCall {
-	starts := startedAttempts(commands)
-	for _, attempt := range starts {
-		machine.UnconfirmedStarts[attempt]++
-	}
 	machine.OpenDirectCalls++
+	starts := addUnconfirmedStarts(machine, commands)
 	return &DirectCall{machine: machine, incarnation: machine.Incarnation, starts: starts}
 }
 
 // End records that the call has returned, whether it succeeded or failed.
 func (c *DirectCall) End() { c.machine.OpenDirectCalls-- }
 
-// SettleStarts records that the outcome of the commands is known: no duplicate of their start
-// commands can arrive any more. Unconfirmed starts of an earlier incarnation have been removed
+// SettleStarts records that the outcome of the commands is known: this call's copies of their start
+// commands can no longer arrive. Unconfirmed starts of an earlier incarnation have been removed
 // already.
 func (c *DirectCall) SettleStarts() {
 	if c.machine.Incarnation == c.incarnation {
-		c.machine.SettleDirectStarts(c.starts)
+		settleStarts(c.machine, c.starts)
 	}
 }
 
--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -13,6 +13,7 @@
 // RecordHeartbeat records a heartbeat that arrived now through a controller. The heartbeat must be
 // newer than the machine's last one: a delayed or duplicate heartbeat must not update any state.
 func RecordHeartbeat(machine *cluster.Machine, heartbeat *wire.Heartbeat, controller string, now time.Duration, timing Timing) {
+	settleAnsweredStarts(machine)
 	machine.HeartbeatIncarnation, machine.HeartbeatSequence = heartbeat.Incarnation, heartbeat.Sequence
 	if machine.FirstHeartbeat == 0 {
 		machine.FirstHeartbeat = now
@@ -23,9 +24,12 @@
 	machine.LastHeartbeat, machine.HeartbeatController = now, controller
 }
 
-// RecordAnswer records that a heartbeat is answered now in this term, which renews the worker's
-// lease.
-func RecordAnswer(machine *cluster.Machine, now time.Duration) { machine.LastAnswered = now }
+// RecordAnswer records that the machine's newest heartbeat is answered now in this term, with the given
+// commands. The answer renews the worker's lease, and may reach the worker seconds later.
+func RecordAnswer(machine *cluster.Machine, commands []wire.Command, now time.Duration) {
+	machine.AnsweredStarts = addUnconfirmedStarts(machine, commands)
+	machine.LastAnswered = now
+}
 
 // RecordLeaseExtension records that another controller extended the worker's lease at the given
 // time. Extensions may be recorded out of order; the latest one is kept.
@@ -58,7 +62,7 @@
 
 // beginIncarnation resets the state of the previous incarnation.
 func beginIncarnation(machine *cluster.Machine, now time.Duration) {
-	machine.UnconfirmedStarts = map[cluster.AttemptID]int{}
+	dropUnconfirmedStarts(machine)
 	// The lease of the new incarnation began no later than now, so it is counted from now and not
 	// from the last response to the previous incarnation. Otherwise the lease of an incarnation
 	// first seen in a direct response could seem to have expired already.
