frontend: write a dependency's record only on the condition that it is unchanged

Cause: the acceptance of a job marks the cached open records of its dependencies. Conditions were added in the order of the list while the transaction had room, the marks whether there was a condition or not. With 50 dependencies and 12 writes a transaction, the last two marks had none, so the record of a job that had ended meanwhile, or had been cancelled, was put back.

Change: a mark is added together with its condition; dependencies that need no mark get the conditions that are left. There are fewer marks than writes, and four conditions for each write, so there is room for any number of dependencies, also after the limits have fallen: the limits are read when the transaction is built, and more marks than writes send it back to be marked in parts, as before. The other writes of open records were looked up and have their conditions.

--- a/internal/core/frontend/batch.go
+++ b/internal/core/frontend/batch.go
@@ -23,6 +23,19 @@
 	t.bytes += len(value) + kv.WriteOverheadBytes
 }
 
+// replace writes a record on the condition that it is unchanged.
+func (t *submissionTxn) replace(unchanged wire.Condition, value []byte) {
+	t.conditions = append(t.conditions, unchanged)
+	t.put(unchanged.Key, value)
+}
+
+// requireUnchanged adds conditions on records that the transaction does not write, as many as it has room
+// for.
+func (t *submissionTxn) requireUnchanged(conditions []wire.Condition, maxConditions int) {
+	room := max(0, maxConditions-len(t.conditions))
+	t.conditions = append(t.conditions, conditions[:min(room, len(conditions))]...)
+}
+
 // submissionBatch is a transaction that records several submissions.
 type submissionBatch struct {
 	submissions        []*pendingSubmission
--- a/internal/core/frontend/dependencies.go
+++ b/internal/core/frontend/dependencies.go
@@ -23,8 +23,10 @@
 //   - A dependency stays unmarked if the store would reject its larger record. Its cancellation
 //     is then recorded as that of a job with dependents, see cancelledRecord.
 //   - Only unfinished dependencies are recorded, since the end of a job is final.
-//   - If there are more dependencies than a transaction may have conditions, the remaining ones
-//     are not part of the condition. They have been read before, and the leader reads them again.
+//   - If there are more dependencies than a transaction may have conditions, some that it does not
+//     mark are not part of the condition. They have been read before, and the leader reads them
+//     again. No open record is written without the condition that it has not changed: the cached one
+//     may be that of a job that has ended, which the write would make unfinished again.
 //   - A list of dependencies that does not fit into the open record is first written to list
 //     records, see package dependencylist.
 
@@ -59,31 +61,36 @@
 	if pending.listWriter != nil {
 		txn.conditions = append(txn.conditions, pending.listWriter.FirstRecordUnchanged())
 	}
-	for _, dependency := range pending.unfinished {
-		if !f.addDependency(&txn, dependency) {
-			return txn, false
-		}
+	notMarked, ok := f.markInTxn(&txn, pending.unfinished)
+	if !ok {
+		return txn, false
 	}
 	txn.put(records.OpenKey(job), kv.Encode(pending.record))
-	return txn, len(txn.writes) <= f.store.MaxWrites()
+	if len(txn.writes) > f.store.MaxWrites() {
+		return txn, false
+	}
+	txn.requireUnchanged(notMarked, f.store.MaxConditions())
+	return txn, true
 }
 
-// addDependency adds to a transaction the condition that a dependency's open record is unchanged,
-// and the write that marks it. It returns false if the dependency has ended, is cancelled or is no
-// longer cached.
-func (f *FrontEnd) addDependency(txn *submissionTxn, dependency string) bool {
-	open := f.cache.Open(dependency)
-	if _, ended := f.cache.Final(dependency); ended || open == nil || open.Record.Cancelled {
-		return false
-	}
-	if len(txn.conditions) < f.store.MaxConditions() {
-		txn.conditions = append(txn.conditions, wire.Condition{Key: records.OpenKey(dependency), Version: open.Version})
-	}
-	if f.canMark(open) {
+// markInTxn adds to a transaction the writes that mark dependencies, each on the condition that the
+// open record is unchanged, and returns the conditions for the dependencies that need no mark or cannot
+// be marked. ok is false if a dependency has ended, is cancelled or is no longer cached.
+func (f *FrontEnd) markInTxn(txn *submissionTxn, dependencies []string) (notMarked []wire.Condition, ok bool) {
+	for _, dependency := range dependencies {
+		open := f.cache.Open(dependency)
+		if _, ended := f.cache.Final(dependency); ended || open == nil || open.Record.Cancelled {
+			return nil, false
+		}
+		unchanged := wire.Condition{Key: records.OpenKey(dependency), Version: open.Version}
+		if !f.canMark(open) {
+			notMarked = append(notMarked, unchanged)
+			continue
+		}
 		txn.markedDependencies[dependency] = withDependents(open.Record)
-		txn.put(records.OpenKey(dependency), kv.Encode(txn.markedDependencies[dependency]))
+		txn.replace(unchanged, kv.Encode(txn.markedDependencies[dependency]))
 	}
-	return true
+	return notMarked, true
 }
 
 // withDependents returns an open record marked as that of a job with dependents.
--- a/internal/core/submission_dependencies_test.go
+++ b/internal/core/submission_dependencies_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -137,15 +138,9 @@
 func TestManyDependencies(t *testing.T) {
 	harness := newHarness(t, testMachineTypes)
 	harness.core.settings.Deployment.Store.TxnOps = 5
-	var names []string
-	for n := range 50 {
-		if a := harness.request("POST", "/submissions", submissionBody("nameId", `"`+jobID(n)+`"`)); a.Status != 201 {
-			t.Fatalf("submission of job %d: got %d %s, want 201", n, a.Status, a.Body)
-		}
-		names = append(names, `"`+jobID(n)+`"`)
-	}
+	names := submitJobs(t, harness, 50)
 	harness.core.jobCache.RemoveAllOpen()
-	if a := harness.request("POST", "/submissions", submissionWithDependencies(99, "["+strings.Join(names, ",")+"]")); a.Status != 201 {
+	if a := harness.request("POST", "/submissions", submissionWithDependencies(99, names)); a.Status != 201 {
 		t.Fatalf("submission: got %d %s, want 201", a.Status, a.Body)
 	}
 	for n := range 50 {
@@ -174,3 +169,47 @@
 		t.Error("the dependent has an open record although its dependency is cancelled")
 	}
 }
+
+// TestEndedDependencyStaysEnded guards against a submission that makes an ended job unfinished again: it
+// awaits more jobs than a transaction takes conditions, and this controller has not heard of the end of
+// one of them. Users who were told "done" or "withdrawn" were then told "pending".
+func TestEndedDependencyStaysEnded(t *testing.T) {
+	const dependencies, submitted = 50, 99
+	for _, maxWrites := range []int{2, 3, 5, 12, 16} {
+		for _, ended := range []int{0, dependencies / 2, dependencies - 2, dependencies - 1} {
+			for _, status := range []string{"done", "withdrawn"} {
+				t.Run(fmt.Sprintf("%d writes, job %d %s", maxWrites, ended, status), func(t *testing.T) {
+					harness := newHarness(t, testMachineTypes)
+					harness.core.settings.Deployment.Store.TxnOps = maxWrites
+					names := submitJobs(t, harness, dependencies)
+					harness.write(records.FinalKey(jobID(ended)), records.OpenKey(jobID(ended)), []byte(`{"s":"`+status+`","n":2}`))
+					if harness.core.jobCache.Open(jobID(ended)) == nil {
+						t.Fatal("the controller has heard of the end, want its cached record unfinished")
+					}
+					if a := harness.request("POST", "/submissions", submissionWithDependencies(submitted, names)); a.Status != 201 {
+						t.Fatalf("submission: got %d %s, want 201", a.Status, a.Body)
+					}
+					if item, exists := harness.store[records.OpenKey(jobID(ended))]; exists {
+						t.Errorf("open record of the ended job: got %s, want none", item.Value)
+					}
+					if a := harness.request("GET", "/submissions/"+jobID(ended), ""); !strings.Contains(string(a.Body), status) {
+						t.Errorf("query of the ended job: got %d %s, want %s", a.Status, a.Body, status)
+					}
+				})
+			}
+		}
+	}
+}
+
+// submitJobs submits jobs 0 to count-1 and returns their IDs as a JSON list.
+func submitJobs(t *testing.T, harness *harness, count int) string {
+	t.Helper()
+	var names []string
+	for n := range count {
+		if a := harness.request("POST", "/submissions", submissionBody("nameId", `"`+jobID(n)+`"`)); a.Status != 201 {
+			t.Fatalf("submission of job %d: got %d %s, want 201", n, a.Status, a.Body)
+		}
+		names = append(names, `"`+jobID(n)+`"`)
+	}
+	return "[" + strings.Join(names, ",") + "]"
+}
