wake: count a replica's lease from the last command that can have renewed it

Cause: each command renews the lease when the server carries it out, but the owner counted the lease from the last answer that it got, went on to send commands, and gave up on an answer after half of its own lease.

Change: the lease counts from the last command that the server can have carried out: the end of a call without an answer counts, one that was not sent does not, one in flight is waited for. A server silent for one replica lease gets no further commands, or one that never answers would never be replaced. Calls wait for one controller lease, which is what a takeover allows for. On a server that has no replica from before and got no start, commands renew nothing, so the next server is tried when it was before.

A server that takes commands and never answers is replaced after two leases in place of one.

--- a/internal/sim/wake_activator_test.go
+++ b/internal/sim/wake_activator_test.go
@@ -85,6 +85,7 @@
 const (
 	activatorTickInterval = 100 * time.Millisecond
 	callTimeout           = 2 * time.Second
+	commandTimeout        = 4 * time.Second
 	watchHold             = 20 * time.Second // how long the store keeps a watch open
 	watchTimeout          = watchHold + callTimeout
 )
@@ -153,14 +154,27 @@
 
 func (a *activator) Command(server string, c wake.Command, done func(wake.ReplicaStatus)) {
 	a.recordAction("command", server, c)
-	a.call(server, callTimeout, func(reply func(func())) {
+	if a.world.now < a.world.serverDownUntil[server] {
+		a.world.after(minMessageDelay, func() { // the connection is refused
+			a.runUnlessPaused(a.incarnation, func() { done(wake.ReplicaStatus{State: wake.ReplicaNotSent}) })
+		})
+		return
+	}
+	a.call(server, commandTimeout, func(reply func(func())) {
 		status := a.world.servers[server].Command(c, a.world.now)
-		reply(func() { done(status) })
+		a.world.lastCommandAt[server] = a.world.now
+		a.world.after(a.world.lateAnswers[server].delay(a.world), func() { reply(func() { done(status) }) })
 	}, func() { done(wake.ReplicaStatus{}) })
 }
 
 func (a *activator) Forward(server string, r *wake.Request, done func(wake.Outcome, []byte)) {
 	a.recordAction("ask", server, *r)
+	if a.world.now < a.world.serverDownUntil[server] {
+		a.world.after(minMessageDelay, func() { // the connection is refused
+			a.runUnlessPaused(a.incarnation, func() { done(wake.OutcomeUnknown, nil) })
+		})
+		return
+	}
 	a.call(server, callTimeout, func(reply func(func())) { a.world.serve(server, r, reply, done) }, func() { done(wake.OutcomeUnknown, nil) })
 }
 
--- a/internal/sim/wake_world_test.go
+++ b/internal/sim/wake_world_test.go
@@ -49,6 +49,9 @@
 	registry           *wake.Registry
 	servers            map[string]*ModelServer
 	serverIncarnations map[string]int
+	serverDownUntil    map[string]time.Duration // servers that refuse connections until a time
+	lateAnswers        map[string]lateAnswers   // servers whose answers to commands are late
+	lastCommandAt      map[string]time.Duration // when a server last executed a command
 	activators         []*activator
 	requests           map[uint64]*wakeRequest
 	lastRequestID      uint64
@@ -59,6 +62,19 @@
 	record func(values ...any)
 }
 
+// lateAnswers is a fault that delays a server's answers to commands by up to a bound, until a time.
+type lateAnswers struct {
+	until, least, most time.Duration
+}
+
+// delay returns the delay of an answer that is sent now.
+func (f lateAnswers) delay(world *wakeWorld) time.Duration {
+	if world.now >= f.until {
+		return 0
+	}
+	return f.least + world.randomDuration(f.most-f.least+1)
+}
+
 // wakeRequest is a request as its client sees it.
 type wakeRequest struct {
 	model, key       string
@@ -79,6 +95,7 @@
 	world := &wakeWorld{
 		World: newWorld(settings, seed, slog.New(slog.DiscardHandler)), registry: parsed, servers: map[string]*ModelServer{},
 		serverIncarnations: map[string]int{}, requests: map[uint64]*wakeRequest{}, executions: map[string]int{},
+		serverDownUntil: map[string]time.Duration{}, lateAnswers: map[string]lateAnswers{}, lastCommandAt: map[string]time.Duration{},
 	}
 	for _, name := range wakeServers {
 		world.servers[name] = NewModelServer(seconds(parsed.ReplicaLeaseSeconds), RandomLoad(world.rng, meanLoadTime, 0))
--- a/internal/wake/activator/activator.go
+++ b/internal/wake/activator/activator.go
@@ -211,7 +211,7 @@
 	return ""
 }
 
-// callTimeout bounds the calls to the store, and the commands to model servers.
+// callTimeout bounds the calls to the store.
 func (s *Server) callTimeout() time.Duration { return s.leaseMultiple(0.5) }
 
 // call sends a request from a goroutine of its own and calls done with the answer, with the state
--- a/internal/wake/activator/models.go
+++ b/internal/wake/activator/models.go
@@ -1,6 +1,7 @@
 package activator
 
 import (
+	"errors"
 	"net/url"
 	"time"
 
@@ -11,16 +12,29 @@
 	"github.com/segmentio/encoding/json"
 )
 
-// Command sends an owner's command to a model server. An answer that cannot be decoded counts
-// as no answer.
+// commandTimeout bounds the commands to model servers.
+func (s *Server) commandTimeout() time.Duration { return s.leaseMultiple(1) }
+
+// Command sends an owner's command to a model server.
 func (s *Server) Command(server string, command wake.Command, done func(wake.ReplicaStatus)) {
-	s.call(s.clientFor(server), methodPost, "/copy", kv.Encode(command), s.callTimeout(), func(status int, body []byte) {
-		var replica wake.ReplicaStatus
-		if status != httpstatus.OK || json.Unmarshal(body, &replica) != nil {
-			replica = wake.ReplicaStatus{State: wake.ReplicaUnreachable}
-		}
-		done(replica)
-	})
+	client := s.clientFor(server)
+	go func() {
+		response, err := client.Do(methodPost, "/copy", kv.Encode(command), s.commandTimeout())
+		s.withLock(func() { done(replicaStatus(response, err)) })
+	}()
+}
+
+// replicaStatus returns the status in a model server's response to a command. A response that cannot
+// be decoded counts as no answer.
+func replicaStatus(response *httpwire.Response, err error) wake.ReplicaStatus {
+	if errors.Is(err, httpwire.ErrNotSent) {
+		return wake.ReplicaStatus{State: wake.ReplicaNotSent}
+	}
+	var status wake.ReplicaStatus
+	if err != nil || response.Status != httpstatus.OK || json.Unmarshal(response.Body, &status) != nil {
+		return wake.ReplicaStatus{State: wake.ReplicaUnreachable}
+	}
+	return status
 }
 
 // Forward sends a request to a model server once fewer than maxForwards requests are being
--- a/internal/wake/controller.go
+++ b/internal/wake/controller.go
@@ -38,7 +38,11 @@
 // modelState is the state that a controller keeps for a model.
 type modelState struct {
 	Model
-	record        kv.Versioned[Record]
+	record kv.Versioned[Record]
+	// serverMayHaveReplica is whether the record's server may have a replica from before the
+	// record's epoch.
+	serverMayHaveReplica bool
+
 	queue         queue
 	inFlight      map[uint64]*Request // forwarded to the replica, by ID
 	writePending  bool                // a transaction that writes its record is in flight
--- a/internal/wake/controller_test.go
+++ b/internal/wake/controller_test.go
@@ -20,6 +20,7 @@
 	beforeCommit func() // called before each transaction, if set
 	conflicts    int    // transactions that failed with a conflict
 	commands     []Command
+	onCommand    func(command Command, done func(ReplicaStatus)) // handles commands, if set
 }
 
 func newFakeBackends() *fakeBackends {
@@ -66,6 +67,10 @@
 
 func (f *fakeBackends) Command(_ string, command Command, done func(ReplicaStatus)) {
 	f.commands = append(f.commands, command)
+	if f.onCommand != nil {
+		f.onCommand(command, done)
+		return
+	}
 	done(ReplicaStatus{State: ReplicaLoading})
 }
 
--- a/internal/wake/ports.go
+++ b/internal/wake/ports.go
@@ -25,7 +25,8 @@
 // ReplicaState is the state of a model's replica as its model server reports it.
 type ReplicaState string
 
-// The states of a replica. ReplicaUnreachable means that the server did not answer.
+// The states of a replica. ReplicaUnreachable means that the server did not answer, so that it may have
+// executed the command; ReplicaNotSent means that the command was not sent and never will be.
 const (
 	ReplicaAbsent      ReplicaState = "none"
 	ReplicaLoading     ReplicaState = "loading"
@@ -34,6 +35,7 @@
 	ReplicaFailed      ReplicaState = "failed" // the load failed, and there is no replica
 	ReplicaFenced      ReplicaState = "fenced" // the server has seen a later epoch and did nothing
 	ReplicaUnreachable ReplicaState = ""
+	ReplicaNotSent     ReplicaState = "not sent"
 )
 
 // ReplicaStatus is a model server's answer to a command.
@@ -83,7 +85,8 @@
 // ModelServers are the servers that run replicas. The result of each call is passed to its
 // callback.
 type ModelServers interface {
-	// Command sends a command to a server.
+	// Command sends a command to a server. Once its callback has been called without an answer, the
+	// command is not executed any more. The callback is called within one controller lease.
 	Command(server string, command Command, done func(ReplicaStatus))
 	// Forward sends a request to the replica on a server.
 	Forward(server string, request *Request, done func(outcome Outcome, body []byte))
--- a/internal/wake/replica.go
+++ b/internal/wake/replica.go
@@ -9,7 +9,9 @@
 	nextCommand    time.Duration // when the next command is due
 	startToken     uint64        // to be sent with the next start; 0 for none
 	lastAnswer     time.Duration // when the server last answered
+	lastExecuted   time.Duration // latest time at which the server can have executed a command
 	since          time.Duration // when this ownership began
+	mayHaveReplica bool          // the server may have a replica whose lease commands renew
 	replicaSeen    bool          // the server reported a loading or ready replica under this epoch
 	closed         bool          // the replica accepts no further requests
 }
@@ -22,18 +24,21 @@
 	}
 	now, record := c.host.Now(), model.record.Value
 	if model.ownership.epoch != record.Epoch {
-		model.ownership = ownership{epoch: record.Epoch, since: now}
+		model.ownership = ownership{epoch: record.Epoch, since: now, mayHaveReplica: model.serverMayHaveReplica}
 	}
 	owned := &model.ownership
 	if c.replicaExpired(model, now) {
 		c.failOver(model)
 		return
 	}
-	if owned.commandPending || now < owned.nextCommand || model.writePending {
+	if owned.commandPending || now < owned.nextCommand || model.writePending || c.silentPastLease(owned, now) {
 		return
 	}
 	owned.commandPending = true
 	command := Command{Verb: nextVerb(model), Model: model.Name, Epoch: record.Epoch, StartToken: owned.startToken}
+	if command.Verb == VerbStart {
+		owned.mayHaveReplica = true
+	}
 	c.servers.Command(record.Server, command, func(status ReplicaStatus) { c.onStatus(model, command, status) })
 }
 
@@ -55,18 +60,31 @@
 	return VerbProbe
 }
 
-// replicaExpired reports whether the replica's lease is considered expired, so that the replica
-// has ended by itself: its server has not answered for longer than the replica's lease, plus one
-// twentieth of it for clock drift, plus one controller lease. After a takeover the time is
-// counted from the takeover, since the previous owner may have renewed the replica's lease until
-// its own expired. A command that was executed although its answer was lost also renews the
-// replica's lease; this is not taken into account.
+// replicaExpired reports whether the lease of the replica that the server may have has certainly
+// expired, so that the replica has ended by itself: the server cannot have executed a command, which
+// renews the lease, for longer than the lease and a twentieth of it for clock drift. A command whose
+// answer was lost or late may have been executed until its call ended. The previous owner may have sent
+// a command until this ownership began, which is executed at most one controller lease later.
 func (c *Controller) replicaExpired(model *modelState, now time.Duration) bool {
-	since := max(model.ownership.lastAnswer, model.ownership.since)
-	lease := seconds(c.registry.ReplicaLeaseSeconds)
-	return now-since > lease+lease/driftDivisor+c.leaseDuration()
+	owned := &model.ownership
+	if owned.mayHaveReplica && owned.commandPending {
+		return false
+	}
+	lease := c.replicaLease()
+	lastRenewal := max(owned.lastExecuted, owned.since+c.leaseDuration())
+	return now-lastRenewal > lease+lease/driftDivisor
 }
 
+// silentPastLease reports whether a server has not answered for the duration of a replica's lease. No
+// further commands are sent to it then: each may renew the lease of a replica that it still has, which
+// would never expire. Until then a server that becomes reachable again keeps its replica.
+func (c *Controller) silentPastLease(owned *ownership, now time.Duration) bool {
+	return now-max(owned.lastAnswer, owned.since) > c.replicaLease()
+}
+
+// replicaLease is how long a replica runs without a command.
+func (c *Controller) replicaLease() time.Duration { return seconds(c.registry.ReplicaLeaseSeconds) }
+
 // driftDivisor is the divisor of a replica's lease that gives the allowance for clock drift
 // during it.
 const driftDivisor = 20
@@ -79,14 +97,26 @@
 	}
 	owned.commandPending = false
 	owned.nextCommand = now + c.pollInterval()
-	if status.State == ReplicaUnreachable {
+	switch status.State {
+	case ReplicaNotSent:
 		return
-	}
-	if status.State == ReplicaFenced {
+	case ReplicaUnreachable:
+		if owned.mayHaveReplica {
+			owned.lastExecuted = now
+		}
+		return
+	case ReplicaFenced:
 		c.relist()
 		return
+	default:
+		c.onAnswer(model, status)
 	}
-	owned.lastAnswer, owned.startToken = now, 0
+}
+
+// onAnswer handles the status of a replica after the server has executed a command.
+func (c *Controller) onAnswer(model *modelState, status ReplicaStatus) {
+	owned, now := &model.ownership, c.host.Now()
+	owned.lastAnswer, owned.lastExecuted, owned.startToken = now, now, 0
 	switch status.State {
 	case ReplicaAbsent:
 		c.onAbsent(model, status.StartToken)
@@ -99,7 +129,7 @@
 		c.onClosed(model, status)
 	case ReplicaFailed:
 		c.onFailed(model)
-	case ReplicaFenced, ReplicaUnreachable: // handled above
+	case ReplicaFenced, ReplicaUnreachable, ReplicaNotSent: // the server has executed nothing that is known
 	}
 }
 
--- a/internal/wake/view.go
+++ b/internal/wake/view.go
@@ -156,5 +156,18 @@
 	if record.Value.Phase != model.record.Value.Phase || record.Value.Epoch != model.record.Value.Epoch {
 		model.lastRejection = 0
 	}
+	if record.Value.Epoch != model.record.Value.Epoch {
+		model.serverMayHaveReplica = !isFirstOnServer(model.record.Value, record.Value)
+	}
 	model.record = record
 }
+
+// isFirstOnServer reports whether the server of a record has no replica from before the record's epoch:
+// the epoch before it ended without a replica, or had it on another server.
+func isFirstOnServer(previous, next Record) bool {
+	if next.Epoch != previous.Epoch+1 {
+		return false // there were epochs that this controller has not seen
+	}
+	noReplica := previous.Phase == PhaseScaledToZero || previous.Phase == phaseNoRecord
+	return noReplica || previous.Server != next.Server
+}
