wake: commands expire by the model server's clock

What could be seen: after a command had been given up by its owner, a copy of it that was held up on its way renewed the lease of a replica that the owner took for ended, and the model was started on a second server beside it.

Cause: the end of a call bounds how long its owner waits, not when the server carries the command out.

Change: each answer tells the server's clock (clock_s), each command its expiry by that clock (expires_s), one controller lease after it was sent, which is when its call ends. A server that gets it later does nothing and answers 'late'. The first command of an owner, which knows no clock, is long past its expiry: it changes nothing and asks for the clock, one message more for each start or takeover. Servers that know neither field carry commands out as before.

--- a/internal/sim/model_server.go
+++ b/internal/sim/model_server.go
@@ -93,9 +93,19 @@
 
 func (m *servedModel) endReplica() { m.replica, m.answers = nil, nil }
 
-// Command executes a command and renews the replica's lease. It rejects commands of an epoch lower
-// than the highest one received.
+// Command executes a command and renews the replica's lease. It rejects commands that have expired, and
+// those of an epoch lower than the highest one received.
 func (s *ModelServer) Command(c wake.Command, now time.Duration) wake.ReplicaStatus {
+	status := wake.ReplicaStatus{State: wake.ReplicaLate}
+	if c.ExpirySeconds == 0 || now <= seconds(c.ExpirySeconds) {
+		status = s.execute(c, now)
+	}
+	status.ClockSeconds = now.Seconds()
+	return status
+}
+
+// execute executes a command that has not expired.
+func (s *ModelServer) execute(c wake.Command, now time.Duration) wake.ReplicaStatus {
 	model := s.model(c.Model, now)
 	if c.Epoch < model.fencingEpoch {
 		return wake.ReplicaStatus{State: wake.ReplicaFenced}
--- a/internal/sim/wake_late_answers_test.go
+++ b/internal/sim/wake_late_answers_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// TestHeldUpCommands guards against a second replica beside one whose lease is renewed by commands that
+// were held up on their way until long after their owner has given them up. Their answers are lost.
+func TestHeldUpCommands(t *testing.T) {
+	for seed := range uint64(20) {
+		world := newWakeWorld(seed+1, 3, wakeRegistry)
+		world.run(3 * time.Second)
+		world.sendRequest(world.activators[0], "a", "first", 60*time.Second)
+		world.run(20*time.Second + time.Duration(seed)*300*time.Millisecond)
+		world.partition("gpu-0", controllersPattern, 200*time.Second, false)
+		// The first commands arrive shortly before the lease ends, the others before the renewed one does.
+		world.partition(controllersPattern, "gpu-0", replicaLease*2/3, true)
+		world.after(replicaLease*2/3, func() { world.partition(controllersPattern, "gpu-0", replicaLease*11/12, true) })
+		world.finish(t, 150*time.Second)
+	}
+}
+
 // TestServerGone ends the server that runs the replica. The model must wake on the other one as soon as
 // the lease has certainly expired that the last executed command has renewed, and serve the request that
 // waits.
--- a/internal/wake/controller_test.go
+++ b/internal/wake/controller_test.go
@@ -20,6 +20,7 @@
 	beforeCommit func() // called before each transaction, if set
 	conflicts    int    // transactions that failed with a conflict
 	commands     []Command
+	commandTimes []time.Duration                                 // when each of the commands was sent
 	onCommand    func(command Command, done func(ReplicaStatus)) // handles commands, if set
 }
 
@@ -67,6 +68,7 @@
 
 func (f *fakeBackends) Command(_ string, command Command, done func(ReplicaStatus)) {
 	f.commands = append(f.commands, command)
+	f.commandTimes = append(f.commandTimes, f.now)
 	if f.onCommand != nil {
 		f.onCommand(command, done)
 		return
--- a/internal/wake/ports.go
+++ b/internal/wake/ports.go
@@ -34,6 +34,7 @@
 	ReplicaClosed      ReplicaState = "closed" // accepts no further requests
 	ReplicaFailed      ReplicaState = "failed" // the load failed, and there is no replica
 	ReplicaFenced      ReplicaState = "fenced" // the server has seen a later epoch and did nothing
+	ReplicaLate        ReplicaState = "late"   // the command came after its expiry and the server did nothing
 	ReplicaUnreachable ReplicaState = ""
 	ReplicaNotSent     ReplicaState = "not sent"
 )
@@ -46,6 +47,9 @@
 	StartToken  uint64  `json:"ticket,omitempty"`
 	InFlight    int     `json:"busy"`   // requests being served
 	IdleSeconds float64 `json:"idle_s"` // since the last request
+	// ClockSeconds is the time of the server's monotonic clock, which goes on when the server
+	// restarts; 0 from a server that does not check the expiry of commands.
+	ClockSeconds float64 `json:"clock_s,omitempty"`
 }
 
 // Verb is the action that a command requests of a model server.
@@ -68,6 +72,9 @@
 	Model      string `json:"model"`
 	Epoch      uint64 `json:"epoch"`
 	StartToken uint64 `json:"ticket,omitempty"`
+	// ExpirySeconds is the time of the server's clock after which the command is not executed, so
+	// that one that was held up on its way renews no lease; 0 for none.
+	ExpirySeconds float64 `json:"expires_s,omitempty"`
 }
 
 // Outcome is the outcome of a request that was forwarded to a replica.
@@ -85,8 +92,7 @@
 // ModelServers are the servers that run replicas. The result of each call is passed to its
 // callback.
 type ModelServers interface {
-	// Command sends a command to a server. Once its callback has been called without an answer, the
-	// command is not executed any more. The callback is called within one controller lease.
+	// Command sends a command to a server. The callback is called within one controller lease.
 	Command(server string, command Command, done func(ReplicaStatus))
 	// Forward sends a request to the replica on a server.
 	Forward(server string, request *Request, done func(outcome Outcome, body []byte))
--- a/internal/wake/replica.go
+++ b/internal/wake/replica.go
@@ -12,8 +12,28 @@
 	lastExecuted   time.Duration // latest time at which the server can have executed a command
 	since          time.Duration // when this ownership began
 	mayHaveReplica bool          // the server may have a replica whose lease commands renew
-	replicaSeen    bool          // the server reported a loading or ready replica under this epoch
-	closed         bool          // the replica accepts no further requests
+	serverClock    clockReading
+	replicaSeen    bool // the server reported a loading or ready replica under this epoch
+	closed         bool // the replica accepts no further requests
+}
+
+// clockReading is a reading of a model server's clock; the zero value if there is none.
+type clockReading struct {
+	server  time.Duration // by the server's clock
+	takenAt time.Duration // by this controller's clock, no earlier than the server took it
+}
+
+// known reports whether there is a reading.
+func (r clockReading) known() bool { return r.server != 0 }
+
+// expiry returns the expiry, by the server's clock, of a command that is sent now and may be executed
+// for the given time. Without a reading it is long past: the server only answers with its clock. A server
+// that does not check expiries executes the command.
+func (r clockReading) expiry(now, valid time.Duration) time.Duration {
+	if !r.known() {
+		return time.Millisecond
+	}
+	return r.server + now - r.takenAt + valid
 }
 
 // reconcileReplica sends the next command for a replica that this controller owns, or fails the
@@ -35,7 +55,13 @@
 		return
 	}
 	owned.commandPending = true
-	command := Command{Verb: nextVerb(model), Model: model.Name, Epoch: record.Epoch, StartToken: owned.startToken}
+	command := Command{
+		Verb:          nextVerb(model),
+		Model:         model.Name,
+		Epoch:         record.Epoch,
+		StartToken:    owned.startToken,
+		ExpirySeconds: owned.serverClock.expiry(now, c.leaseDuration()).Seconds(),
+	}
 	if command.Verb == VerbStart {
 		owned.mayHaveReplica = true
 	}
@@ -63,8 +89,9 @@
 // replicaExpired reports whether the lease of the replica that the server may have has certainly
 // expired, so that the replica has ended by itself: the server cannot have executed a command, which
 // renews the lease, for longer than the lease and a twentieth of it for clock drift. A command whose
-// answer was lost or late may have been executed until its call ended. The previous owner may have sent
-// a command until this ownership began, which is executed at most one controller lease later.
+// answer was lost or late may have been executed until its call ended, when it expires. The previous
+// owner may have sent a command until this ownership began, which expires at most one controller lease
+// later.
 func (c *Controller) replicaExpired(model *modelState, now time.Duration) bool {
 	owned := &model.ownership
 	if owned.mayHaveReplica && owned.commandPending {
@@ -97,6 +124,10 @@
 	}
 	owned.commandPending = false
 	owned.nextCommand = now + c.pollInterval()
+	clockWasKnown := owned.serverClock.known()
+	if status.ClockSeconds != 0 {
+		owned.serverClock = clockReading{server: seconds(status.ClockSeconds), takenAt: now}
+	}
 	switch status.State {
 	case ReplicaNotSent:
 		return
@@ -108,6 +139,13 @@
 	case ReplicaFenced:
 		c.relist()
 		return
+	case ReplicaLate:
+		owned.lastAnswer = now
+		if !clockWasKnown && owned.serverClock.known() {
+			owned.nextCommand = now
+			c.reconcileReplica(model)
+		}
+		return
 	default:
 		c.onAnswer(model, status)
 	}
@@ -129,7 +167,7 @@
 		c.onClosed(model, status)
 	case ReplicaFailed:
 		c.onFailed(model)
-	case ReplicaFenced, ReplicaUnreachable, ReplicaNotSent: // the server has executed nothing that is known
+	case ReplicaFenced, ReplicaLate, ReplicaUnreachable, ReplicaNotSent: // handled by onStatus
 	}
 }
 
--- a/internal/wake/replica_test.go
+++ b/internal/wake/replica_test.go
@@ -139,3 +139,41 @@
 		t.Errorf("epoch once the lease has expired: got %d, want 5", epoch)
 	}
 }
+
+// TestCommandExpiry checks when commands expire by the server's clock: the first one at once, so that the
+// server answers only with its clock, and later ones after one controller lease.
+func TestCommandExpiry(t *testing.T) {
+	backends := newFakeBackends()
+	const serverAhead = 100 * time.Second // the server's clock is ahead of the controller's by this time
+	backends.onCommand = func(command Command, done func(ReplicaStatus)) {
+		status := ReplicaStatus{State: ReplicaLate, ClockSeconds: (backends.now + serverAhead).Seconds()}
+		if command.ExpirySeconds > status.ClockSeconds {
+			status.State = ReplicaLoading
+		}
+		done(status)
+	}
+	controller := startWaking(t, backends)
+	backends.advance(controller, 2*testControllerLease)
+	if first := backends.commands[0].ExpirySeconds; first <= 0 || first > 1 {
+		t.Errorf("expiry of the first command: got %v s, want one that is long past", first)
+	}
+	for i, sentAt := range backends.commandTimes[1:] {
+		want := (sentAt + serverAhead + testControllerLease).Seconds()
+		if got := backends.commands[i+1].ExpirySeconds; got < want-0.001 || got > want+0.001 {
+			t.Errorf("expiry of a command sent at %v: got %v s, want %v s", sentAt, got, want)
+		}
+	}
+	if backends.commandTimes[1] != backends.commandTimes[0] {
+		t.Errorf("time from the first command to the second: got %v, want none", backends.commandTimes[1]-backends.commandTimes[0])
+	}
+	for _, answerClock := range []float64{0, 200} {
+		backends.onCommand = func(_ Command, done func(ReplicaStatus)) {
+			done(ReplicaStatus{State: ReplicaLate, ClockSeconds: answerClock})
+		}
+		before := len(backends.commands)
+		backends.advance(controller, testControllerLease)
+		if sent := len(backends.commands) - before; sent > pollDivisor {
+			t.Errorf("commands in a lease while all are late, server's clock %v s: got %d, want at most %d", answerClock, sent, pollDivisor)
+		}
+	}
+}
