frontend: marking of dependencies in a file of its own, one function for both ways

Both use submissionTxn.mark now, which adds the condition with the write, and the cache is updated in one place.

--- a/internal/core/frontend/batch.go
+++ b/internal/core/frontend/batch.go
@@ -23,10 +23,18 @@
 	t.bytes += len(value) + kv.WriteOverheadBytes
 }
 
-// replace writes a record on the condition that it is unchanged.
-func (t *submissionTxn) replace(unchanged wire.Condition, value []byte) {
-	t.conditions = append(t.conditions, unchanged)
-	t.put(unchanged.Key, value)
+// mark writes the open record of a dependency, as it is cached, with the mark, on the condition that it is
+// unchanged.
+func (t *submissionTxn) mark(dependency string, open *jobcache.OpenJob) {
+	marked := withDependents(open.Record)
+	t.markedDependencies[dependency] = marked
+	t.conditions = append(t.conditions, unchangedOpen(dependency, open))
+	t.put(records.OpenKey(dependency), kv.Encode(marked))
+}
+
+// unchangedOpen returns the condition that a job's open record is still the cached one.
+func unchangedOpen(job string, open *jobcache.OpenJob) wire.Condition {
+	return wire.Condition{Key: records.OpenKey(job), Version: open.Version}
 }
 
 // requireUnchanged adds conditions on records that the transaction does not write, as many as it has room
--- a/internal/core/frontend/dependencies.go
+++ b/internal/core/frontend/dependencies.go
@@ -2,10 +2,7 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 
-	"github.com/brookwalk/brookwalk/internal/core/jobcache"
 	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/internal/core/submission"
 	"github.com/brookwalk/brookwalk/internal/kv"
@@ -73,75 +70,6 @@
 	return txn, true
 }
 
-// markInTxn adds to a transaction the writes that mark dependencies, each on the condition that the
-// open record is unchanged, and returns the conditions for the dependencies that need no mark or cannot
-// be marked. ok is false if a dependency has ended, is cancelled or is no longer cached.
-func (f *FrontEnd) markInTxn(txn *submissionTxn, dependencies []string) (notMarked []wire.Condition, ok bool) {
-	for _, dependency := range dependencies {
-		open := f.cache.Open(dependency)
-		if _, ended := f.cache.Final(dependency); ended || open == nil || open.Record.Cancelled {
-			return nil, false
-		}
-		unchanged := wire.Condition{Key: records.OpenKey(dependency), Version: open.Version}
-		if !f.canMark(open) {
-			notMarked = append(notMarked, unchanged)
-			continue
-		}
-		txn.markedDependencies[dependency] = withDependents(open.Record)
-		txn.replace(unchanged, kv.Encode(txn.markedDependencies[dependency]))
-	}
-	return notMarked, true
-}
-
-// withDependents returns an open record marked as that of a job with dependents.
-func withDependents(record records.Open) records.Open {
-	record.HasDependents = true
-	return record
-}
-
-// canMark reports whether a job is not marked yet and the store accepts a record of the size that
-// it has with the mark.
-func (f *FrontEnd) canMark(open *jobcache.OpenJob) bool {
-	if open.Record.HasDependents || open.TooLargeToWrite {
-		return false
-	}
-	return len(kv.Encode(withDependents(open.Record))) <= f.store.MaxValue()
-}
-
-// canRetryMarking records that the store rejected a transaction that marks dependencies, and reports
-// whether smaller transactions, or one that marks fewer dependencies, may be accepted.
-func (f *FrontEnd) canRetryMarking(writes int, marked map[string]records.Open) bool {
-	smaller := f.host.RejectedWrites(writes)
-	fewer := f.excludeLargeFromMarking(marked)
-	return smaller || fewer
-}
-
-// excludeLargeFromMarking takes the large records of a rejected transaction for the cause of the
-// rejection: it excludes their jobs from marking, and reports whether there are any.
-func (f *FrontEnd) excludeLargeFromMarking(marked map[string]records.Open) bool {
-	found := false
-	for job, record := range marked {
-		if open := f.cache.Open(job); open != nil && mayBeTooLargeToMark(record) {
-			open.TooLargeToWrite = true
-			found = true
-		}
-	}
-	return found
-}
-
-// mayBeTooLargeToMark reports whether an open record is so large that the store may have rejected
-// it when the job was to be marked.
-func mayBeTooLargeToMark(record records.Open) bool {
-	return len(kv.Encode(record)) > kv.SmallValueBytes
-}
-
-// cacheMarkedDependencies caches the open records of jobs that were marked at a revision.
-func (f *FrontEnd) cacheMarkedDependencies(marked map[string]records.Open, revision uint64) {
-	for _, job := range slices.Sorted(maps.Keys(marked)) {
-		f.cache.PutOpen(job, &jobcache.OpenJob{Version: revision, Record: marked[job]})
-	}
-}
-
 // resolveDependencies looks up the dependencies of a submission that are not cached. Once all are
 // cached, it enqueues the submission or refuses it.
 func (f *FrontEnd) resolveDependencies(pending *pendingSubmission) {
@@ -287,44 +215,3 @@
 	f.writeList(pending)
 	return false
 }
-
-// markDependencies marks some dependencies of a submission in a transaction of their own, and then
-// resolves the submission's dependencies again.
-func (f *FrontEnd) markDependencies(pending *pendingSubmission, jobs []string) {
-	txn := &wire.Txn{}
-	marked := map[string]records.Open{}
-	for _, job := range jobs {
-		open := f.cache.Open(job)
-		marked[job] = withDependents(open.Record)
-		txn.Conditions = append(txn.Conditions, wire.Condition{Key: records.OpenKey(job), Version: open.Version})
-		txn.Writes = append(txn.Writes, wire.Write{Put: records.OpenKey(job), Value: kv.Encode(marked[job])})
-	}
-	f.store.Commit(txn, func(r kv.TxnResult) {
-		if !f.handleMarkResult(r, jobs, marked) {
-			f.host.Refuse(pending.request, storeUnavailable)
-			return
-		}
-		f.resolveDependencies(pending)
-	})
-}
-
-// handleMarkResult updates the cache after a transaction that only marks jobs, and reports whether
-// marking can continue or be retried.
-func (f *FrontEnd) handleMarkResult(r kv.TxnResult, jobs []string, marked map[string]records.Open) bool {
-	switch r.Status {
-	case kv.OK:
-		for _, job := range jobs {
-			f.cache.PutOpen(job, &jobcache.OpenJob{Version: r.Revision, Record: marked[job]})
-		}
-		return true
-	case kv.Conflict, kv.Unanswered:
-		for _, job := range jobs {
-			f.cache.RemoveOpen(job)
-		}
-		return true
-	case kv.Rejected:
-		return f.canRetryMarking(len(jobs), marked)
-	default:
-		return false
-	}
-}
--- a/internal/core/frontend/lookup.go
+++ b/internal/core/frontend/lookup.go
@@ -135,7 +135,7 @@
 	txn := &wire.Txn{}
 	waiters := map[string][]*lookupWaiter{}
 	for _, job := range jobs {
-		txn.Conditions = append(txn.Conditions, wire.Condition{Key: records.OpenKey(job), Version: f.cache.Open(job).Version})
+		txn.Conditions = append(txn.Conditions, unchangedOpen(job, f.cache.Open(job)))
 		waiters[job] = f.lookups.dequeue(job)
 	}
 	f.store.Commit(txn, func(r kv.TxnResult) {
