frontend: mark only as many dependencies at a time as a transaction has bytes for

What callers saw: a submission whose dependencies have large open records was refused with 503 for ever.

Cause: the marks of up to txn_ops - 1 dependencies were put into the transaction of the job whatever their size. Over 48 KiB it fitted into no batch, stayed in the queue until it timed out, and did so again at each retry. Marks before it were bounded by their number alone, too.

Change: marksThatFit bounds the marks of a transaction by writes and bytes, beside the job's record or alone. The bound on writes is the same as before.

--- a/internal/core/frontend/dependencies.go
+++ b/internal/core/frontend/dependencies.go
@@ -150,12 +150,11 @@
 		f.host.Refuse(pending.request, infeasible(err))
 		return
 	}
-	maxWrites := f.store.MaxWrites()
 	switch {
 	case pending.cancelled:
-	case len(unmarked) >= maxWrites:
+	case f.marksThatFit(unmarked, f.roomBesideRecord(pending)) < len(unmarked):
 		// These are too many to be marked in the transaction that records the job.
-		f.markDependencies(pending, unmarked[:maxWrites])
+		f.markDependencies(pending, unmarked[:max(1, f.marksThatFit(unmarked, f.roomInTxn()))])
 		return
 	case !f.recordDependencies(pending):
 		return
--- a/internal/core/frontend/dependency_marks.go
+++ b/internal/core/frontend/dependency_marks.go
@@ -32,6 +32,39 @@
 	return notMarked, true
 }
 
+// txnRoom is the room of a transaction for marks.
+type txnRoom struct {
+	writes int
+	bytes  int // of the values with their overhead
+}
+
+// roomInTxn returns the room of an empty transaction.
+func (f *FrontEnd) roomInTxn() txnRoom {
+	return txnRoom{writes: f.store.MaxWrites(), bytes: kv.MaxTxnBytes}
+}
+
+// roomBesideRecord returns the room of a transaction that records a submission.
+func (f *FrontEnd) roomBesideRecord(pending *pendingSubmission) txnRoom {
+	record := pending.record
+	record.Job.Dependencies = pending.unfinished
+	// Dependencies that do not fit into the record are listed elsewhere.
+	size := min(len(kv.Encode(record)), f.maxNewRecordBytes())
+	room := f.roomInTxn()
+	return txnRoom{writes: room.writes - 1, bytes: room.bytes - size - kv.WriteOverheadBytes}
+}
+
+// marksThatFit returns how many of the jobs, from the first one, can be marked within the room.
+func (f *FrontEnd) marksThatFit(jobs []string, room txnRoom) int {
+	for i, job := range jobs {
+		room.writes--
+		room.bytes -= len(kv.Encode(withDependents(f.cache.Open(job).Record))) + kv.WriteOverheadBytes
+		if room.writes < 0 || room.bytes < 0 {
+			return i
+		}
+	}
+	return len(jobs)
+}
+
 // withDependents returns an open record marked as that of a job with dependents.
 func withDependents(record records.Open) records.Open {
 	record.HasDependents = true
--- a/internal/core/submission_dependencies_test.go
+++ b/internal/core/submission_dependencies_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/brookwalk/brookwalk/internal/core/records"
+	"github.com/brookwalk/brookwalk/internal/kv"
+	"github.com/brookwalk/brookwalk/wire"
 )
 
 // submissionWithDependencies returns the body of a submission of job number n with dependencies,
@@ -213,3 +216,37 @@
 	}
 	return "[" + strings.Join(names, ",") + "]"
 }
+
+// TestDependenciesWithLargeRecords guards against a submission that is refused for ever: the open records
+// of its dependencies together exceed the size of a transaction, so that they cannot be marked at once.
+func TestDependenciesWithLargeRecords(t *testing.T) {
+	const dependencies, submitted = 14, 99
+	harness := newHarness(t, testMachineTypes)
+	names := submitJobs(t, harness, dependencies)
+	for n := range dependencies {
+		record := harness.openRecord(jobID(n))
+		record.Job.MachineTypes = slices.Repeat([]string{"large"}, 800)
+		harness.write(records.OpenKey(jobID(n)), "", kv.Encode(record))
+	}
+	harness.core.jobCache.RemoveAllOpen()
+	largest := 0
+	harness.intercept = func(txn *wire.Txn, carryOut func() int) int {
+		size := 0
+		for _, write := range txn.Writes {
+			size += len(write.Value)
+		}
+		largest = max(largest, size)
+		return carryOut()
+	}
+	if a := harness.request("POST", "/submissions", submissionWithDependencies(submitted, names)); a.Status != 201 {
+		t.Fatalf("submission: got %d %s, want 201", a.Status, a.Body)
+	}
+	if largest > kv.MaxTxnBytes {
+		t.Errorf("values of the largest transaction: got %d bytes, want at most %d", largest, kv.MaxTxnBytes)
+	}
+	for n := range dependencies {
+		if !harness.openRecord(jobID(n)).HasDependents {
+			t.Errorf("%s is not marked as having dependents", jobID(n))
+		}
+	}
+}
