review: cases 7 and 8, activators that start or serve no model any more

Cause: the activator reads one page of the store only; and one bound for forwarded requests holds for all model servers together. Change: two scripts with stand-ins.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -28,6 +28,8 @@
 	"two_replicas": twoReplicas,
 	"late_answer":  lateAnswer,
 	"comeback":     comeback,
+	"many_models":  manyModels,
+	"stuck":        stuck,
 }
 
 func main() { os.Exit(realMain()) }
--- a/review/stand2/proxy.go
+++ b/review/stand2/proxy.go
@@ -9,14 +9,16 @@
 )
 
 // proxy passes connections on to an address. While reset is set, it passes what the client sends, and
-// resets the client's connection soon after that.
+// resets the client's connection soon after that. Once silent is set, it passes nothing any more, as if the
+// process behind it were paused: connections are still accepted, and stay open.
 type proxy struct {
 	run     *run
 	address string
 	target  string
 
-	mu    sync.Mutex
-	reset bool
+	mu     sync.Mutex
+	reset  bool
+	silent bool
 }
 
 // resetDelay is the time from a request to the reset.
@@ -51,6 +53,19 @@
 	p.run.record("proxy: resets connections: %v", reset)
 }
 
+func (p *proxy) setSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+	p.run.record("proxy: passes nothing any more")
+}
+
+func (p *proxy) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
 func (p *proxy) resets() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -81,6 +96,9 @@
 		if err != nil {
 			return // the server still answers; its answer ends the other goroutine's work
 		}
+		if p.isSilent() {
+			continue
+		}
 		if _, err := server.Write(buffer[:size]); err != nil {
 			return
 		}
--- a/review/stand2/wake.go
+++ b/review/stand2/wake.go
@@ -28,6 +28,7 @@
 	name    string
 	address string
 	answerS float64 // how long it takes to carry out a command, in seconds
+	quiet   bool    // commands are not recorded
 
 	mu    sync.Mutex
 	start time.Time
@@ -56,6 +57,13 @@
 
 func (m *modelServer) now() time.Duration { return time.Since(m.start) }
 
+// record records a command or its answer, unless there are too many.
+func (m *modelServer) record(format string, args ...any) {
+	if !m.quiet {
+		m.run.record(format, args...)
+	}
+}
+
 // replica returns the number of the model's replica; 0 for none.
 func (m *modelServer) replica(model string) int {
 	m.mu.Lock()
@@ -89,12 +97,12 @@
 	m.mu.Lock()
 	status := m.sim.Command(command, m.now())
 	m.mu.Unlock()
-	m.run.record("%s: command %s", m.name, body)
+	m.record("%s: command %s", m.name, body)
 	answer, err := json.Marshal(status)
 	if err != nil {
 		panic(err)
 	}
-	m.run.record("%s: answers %s", m.name, answer)
+	m.record("%s: answers %s", m.name, answer)
 	return 200, answer
 }
 
@@ -131,39 +139,63 @@
 	IdleS   float64  `toml:"idle_s"`
 }
 
-// startActivator starts the wake command beside a controller's settings and returns its address.
-func startActivator(r *run, copyLeaseS, loadS float64, patience time.Duration, servers ...string) (string, error) {
-	storeAddress, err := r.address()
+// activator is the wake command beside a controller's settings, with a state service of its own.
+type activator struct {
+	run      *run
+	patience time.Duration
+	registry wakeRegistry
+	wait     string // query of the requests, such as ?wait=20; empty for none
+
+	settingsPath, registryPath string
+	listen                     string
+	process                    *process
+}
+
+// newActivator starts an activator for a model that may run on the given servers.
+func newActivator(r *run, copyLeaseS, loadS float64, patience time.Duration, servers ...string) (*activator, error) {
+	a := &activator{run: r, patience: patience, registry: wakeRegistry{
+		LeaseS: wakeLeaseS, CopyLeaseS: copyLeaseS, MaxWaking: 4, MaxWaiting: 2000,
+		Models: []wakeModel{{Name: "router", Servers: servers, LoadS: loadS, IdleS: 600}},
+	}}
+	return a, a.begin()
+}
+
+// begin starts the state service, writes the files and starts the process.
+func (a *activator) begin() error {
+	storeAddress, err := a.run.address()
 	if err != nil {
-		return "", err
+		return err
 	}
 	if _, err := newStore(storeAddress); err != nil {
-		return "", err
+		return err
 	}
-	settings, err := controllerSettings(r, "deckhand", storeAddress, storeAddress, deployment(config.Team{Name: "routing", GPUs: 56, GPUsMax: 176}))
+	settings, err := controllerSettings(a.run, "deckhand", storeAddress, storeAddress, deployment(config.Team{Name: "routing", GPUs: 56, GPUsMax: 176}))
 	if err != nil {
-		return "", err
+		return err
 	}
-	settingsPath, err := r.writeTOML("deckhand-0.toml", settings[0])
-	if err != nil {
-		return "", err
+	if a.settingsPath, err = a.run.writeTOML("deckhand-0.toml", settings[0]); err != nil {
+		return err
 	}
-	registryPath, err := r.writeTOML("wake.toml", wakeRegistry{
-		LeaseS: wakeLeaseS, CopyLeaseS: copyLeaseS, MaxWaking: 4, MaxWaiting: 2000,
-		Models: []wakeModel{{Name: "router", Servers: servers, LoadS: loadS, IdleS: 600}},
-	})
-	if err != nil {
-		return "", err
+	if a.registryPath, err = a.run.writeTOML("wake.toml", a.registry); err != nil {
+		return err
 	}
-	listen, err := r.address()
-	if err != nil {
-		return "", err
+	if a.listen, err = a.run.address(); err != nil {
+		return err
 	}
-	if _, err := r.startProcess("activator", nil, "wake", "--config", settingsPath, "--registry", registryPath,
-		"--listen", listen, "--patience", patience.String()); err != nil {
-		return "", err
+	return a.start()
+}
+
+// start starts the process, and waits until it listens and has registered.
+func (a *activator) start() (err error) {
+	if a.process, err = a.run.startProcess("activator", nil, "wake", "--config", a.settingsPath, "--registry", a.registryPath,
+		"--listen", a.listen, "--patience", a.patience.String()); err != nil {
+		return err
+	}
+	if err := waitListening(a.listen); err != nil {
+		return err
 	}
-	return listen, waitListening(listen)
+	time.Sleep(2 * time.Second)
+	return nil
 }
 
 // waitListening waits until a process accepts connections.
@@ -179,11 +211,12 @@
 }
 
 // request sends a request for the model once and returns its status; an error if there was no answer.
-func request(r *run, activator, key string, timeout time.Duration) (int, error) {
+func (a *activator) request(model, key string, timeout time.Duration) (int, error) {
+	r := a.run
 	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	began := time.Now()
-	r.record("client: POST /models/router/%s", key)
-	response, err := client.Post("http://"+activator+"/models/router/"+key, "application/json", strings.NewReader(`{"ask":"route"}`))
+	r.record("client: POST /models/%s/%s", model, key)
+	response, err := client.Post("http://"+a.listen+"/models/"+model+"/"+key+a.wait, "application/json", strings.NewReader(`{"ask":"route"}`))
 	if err != nil {
 		r.record("client: request %s: no answer after %.1f s: %v", key, time.Since(began).Seconds(), err)
 		return 0, err
@@ -215,12 +248,11 @@
 		}
 		servers = append(servers, server)
 	}
-	activator, err := startActivator(r, copyLeaseS, loadS, patience, servers[0].address, servers[1].address)
+	activator, err := newActivator(r, copyLeaseS, loadS, patience, servers[0].address, servers[1].address)
 	if err != nil {
 		return "", err
 	}
-	time.Sleep(2 * time.Second) // it registers
-	status, err := request(r, activator, "k1", patience+5*time.Second)
+	status, err := activator.request("router", "k1", patience+5*time.Second)
 	switch {
 	case err != nil:
 		return "a request got no final answer: " + err.Error(), nil
@@ -243,12 +275,11 @@
 	if err != nil {
 		return "", err
 	}
-	activator, err := startActivator(r, copyLeaseS, loadS, time.Minute, between.address, second.address)
+	activator, err := newActivator(r, copyLeaseS, loadS, time.Minute, between.address, second.address)
 	if err != nil {
 		return "", err
 	}
-	time.Sleep(2 * time.Second) // it registers
-	if status, err := request(r, activator, "k1", time.Minute); err != nil || status != 200 {
+	if status, err := activator.request("router", "k1", time.Minute); err != nil || status != 200 {
 		return "", fmt.Errorf("the model was not started: status %d (%v)", status, err)
 	}
 	time.Sleep(4 * time.Second)
