--- a/review/stand2/models.go
+++ b/review/stand2/models.go
@@ -16,7 +16,7 @@
 		models   = 1010
 		oneByOne = 130
 		pace     = 45 * time.Millisecond // between two models' first requests
-		patience = 15 * time.Second
+		patience = 10 * time.Second
 	)
 	first, second, _, err := modelServers(r, 60, loadS, 0)
 	if err != nil {
