core: log at level info what allowed a start, a stop and an answer

Starts, stops, forget commands and ends as done were at level debug, and no line had a fencing token, an attempt or a revision of the store.

Change: at info one line per decision: the commands of a message with token, incarnation and the sequence of the worker's last message (unchanged repetitions stay at debug), recorded placements with their revision, ends of tasks with attempt and the message that shows them, accepted submissions, recorded and acknowledged cancellations, the revision that a new leader has read.

--- a/internal/core/cluster/machine.go
+++ b/internal/core/cluster/machine.go
@@ -70,6 +70,7 @@
 	ProbeOpen         bool              // a probe or a term announcement is in progress
 	NextProbeAt       time.Duration     // earliest time of the next probe
 	LastProbeFailure  time.Duration     // when the last probe that failed was sent
+	LoggedCommands    uint64            // hash of the commands that were logged last
 }
 
 // LifeCycle is the machine's life cycle in the cloud. The inventory sets what the cloud lists;
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -9,27 +9,11 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// commandCarrier is the message in which commands travel to a worker. Its text appears in log lines.
-type commandCarrier string
-
-// Messages that carry commands.
-const (
-	inDirectCall      commandCarrier = "direct call"
-	inHeartbeatAnswer commandCarrier = "heartbeat answer"
-)
-
 // commandsFor returns the commands to send to a worker now.
 func (l *leader) commandsFor(machine *cluster.Machine) []wire.Command {
 	return reconcile.Commands(machine, l.Jobs, l.leadership.Term)
 }
 
-// logCommands logs the commands that are sent to a worker, with the message that carries them.
-func (l *leader) logCommands(machine *cluster.Machine, carrier commandCarrier, commands []wire.Command) {
-	if len(commands) > 0 {
-		l.core.log.Debug("commands sent", "machine", machine.Name, "in", carrier, "commands", commands)
-	}
-}
-
 // sendStarts sends the start commands of tasks whose placements are recorded directly to the
 // workers.
 func (l *leader) sendStarts(starts []records.PlacedTask) {
@@ -56,7 +40,7 @@
 	if len(commands) == 0 {
 		return
 	}
-	l.logCommands(machine, inDirectCall, commands)
+	l.logCommands(machine, inDirectCall, l.leadership.Term, commands)
 	call := reconcile.BeginDirectCall(machine, commands)
 	l.callWorker(machine, machine.Incarnation, commands, func(result Result) {
 		call.End()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,7 @@
 	c.election = election.New(settings.Name, c.leaderLeaseDuration(), electionStore{c.store}, electionHost{c}, log)
 	c.membership = c.newMembership()
 	c.jobCache = jobcache.New(c.jobCacheCapacity())
-	c.frontEnd = frontend.New(frontEndHost{c}, c.store, c.jobCache, &settings.Deployment, incarnation)
+	c.frontEnd = frontend.New(frontEndHost{c}, c.store, c.jobCache, &settings.Deployment, incarnation, log)
 	return c
 }
 
--- a/internal/core/election/campaign.go
+++ b/internal/core/election/campaign.go
@@ -79,7 +79,7 @@
 	}
 	e.term, e.leader = won.Term, e.name
 	e.nextPollAt = e.host.Now() + e.leaseDuration/pollsPerLease
-	e.log.Info("elected", "term", won.Term)
+	e.log.Info("elected", "term", won.Term, "term_version", won.TermVersion, "lease", won.Lease)
 	e.host.StartLeading(won)
 }
 
--- a/internal/core/frontend/batch.go
+++ b/internal/core/frontend/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/brookwalk/brookwalk/httpwire/httpstatus"
 	"github.com/brookwalk/brookwalk/internal/core/jobcache"
@@ -57,6 +58,15 @@
 	return &submissionBatch{writtenKeys: map[string]bool{}, markedDependencies: map[string]records.Open{}}
 }
 
+// jobIDs returns the IDs of the submitted jobs, separated by spaces.
+func (b *submissionBatch) jobIDs() string {
+	ids := make([]string, len(b.submissions))
+	for i, pending := range b.submissions {
+		ids[i] = pending.record.Job.ID
+	}
+	return strings.Join(ids, " ")
+}
+
 // mayShareTxn reports whether a submission may join the submissions in the batch.
 func (b *submissionBatch) mayShareTxn(pending *pendingSubmission) bool {
 	return len(b.submissions) == 0 || !pending.separateTxn && !b.submissions[0].separateTxn
@@ -172,6 +182,7 @@
 // handleBatchCommitted caches the jobs of a committed batch and answers their users.
 func (f *FrontEnd) handleBatchCommitted(batch *submissionBatch, revision uint64) {
 	f.cacheMarkedDependencies(batch.markedDependencies, revision)
+	f.log.Info("submissions accepted", "revision", revision, "jobs", batch.jobIDs())
 	for _, pending := range batch.submissions {
 		job := pending.record.Job.ID
 		if pending.cancelled {
--- a/internal/core/frontend/cancel.go
+++ b/internal/core/frontend/cancel.go
@@ -113,6 +113,7 @@
 func (f *FrontEnd) cancellationWritten(request cancelRequest, written *jobcache.OpenJob, status kv.Status) {
 	switch {
 	case written != nil:
+		f.log.Info("cancellation recorded", "job", request.job, "revision", written.Version)
 		f.waitForTermination(request, written)
 	case status == kv.Conflict:
 		request.retries++
@@ -228,6 +229,7 @@
 			f.askToRetry(f.cancellations.ConfirmationFailed(confirmation))
 			return
 		}
+		f.log.Info("cancellation acknowledged: the leader reports no task left", "job", job, "revision", written.Version, "term_version", termVersion)
 		f.answerEnded(f.cancellations.ConfirmationSucceeded(confirmation), wire.JobStatus{ID: job, Status: wire.StatusCancelled})
 	})
 }
--- a/internal/core/frontend/frontend.go
+++ b/internal/core/frontend/frontend.go
@@ -11,6 +11,7 @@
 package frontend
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/brookwalk/brookwalk/internal/config"
@@ -58,6 +59,7 @@
 	cache       *jobcache.Cache
 	deployment  *config.Deployment
 	incarnation uint64 // identifies this run of the controller
+	log         *slog.Logger
 
 	queue         []*pendingSubmission
 	committing    bool // a transaction that records submissions is in progress
@@ -73,13 +75,14 @@
 // New returns a front end. The incarnation must be unique among all runs of all controllers of
 // the region. Team limits come from Host.TeamLimit, not from the deployment: limits that are shared
 // with other regions replace the configured ones after New is called.
-func New(host Host, store *kv.Client, cache *jobcache.Cache, deployment *config.Deployment, incarnation uint64) *FrontEnd {
+func New(host Host, store *kv.Client, cache *jobcache.Cache, deployment *config.Deployment, incarnation uint64, log *slog.Logger) *FrontEnd {
 	f := &FrontEnd{
 		host:        host,
 		store:       store,
 		cache:       cache,
 		deployment:  deployment,
 		incarnation: incarnation,
+		log:         log,
 		lookups:     lookups{waiters: map[string][]*lookupWaiter{}},
 	}
 	f.cancellations = cancellation.New(f.cancellationTimeout(), deployment.Workers.CancelTime())
--- a/internal/core/frontend/frontend_test.go
+++ b/internal/core/frontend/frontend_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
 	"strings"
 	"testing"
@@ -92,7 +93,7 @@
 		Store:         config.StoreLimits{ValueKB: 16, TxnOps: 16},
 		MachineLimits: config.MachineLimits{MaxConnections: 8},
 	}
-	f := New(host, kv.NewClient(host, deployment), jobcache.New(100), deployment, 1)
+	f := New(host, kv.NewClient(host, deployment), jobcache.New(100), deployment, 1, slog.New(slog.DiscardHandler))
 	f.Tick()
 	host.respondToNext(t, httpstatus.OK, wire.Page{})
 	return f, host
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -46,7 +46,7 @@
 	answer := wire.CommandList{FencingToken: l.leadership.Term, Commands: []wire.Command{}}
 	if l.recordsLoaded && heartbeat.Incarnation == machine.Incarnation {
 		answer.Commands = l.commandsFor(machine)
-		l.logCommands(machine, inHeartbeatAnswer, answer.Commands)
+		l.logCommands(machine, inHeartbeatAnswer, answer.FencingToken, answer.Commands)
 	}
 	reconcile.RecordAnswer(machine, answer.Commands, l.core.now)
 	return httpstatus.OK, kv.Encode(answer)
--- a/internal/core/persistence/batch.go
+++ b/internal/core/persistence/batch.go
@@ -1,6 +1,11 @@
 package persistence
 
 import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+
 	"github.com/brookwalk/brookwalk/internal/core/cluster"
 	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/internal/kv"
@@ -286,9 +291,22 @@
 			t.Persisted = true
 		}
 	}
+	w.logPlacements(record, starts)
 	w.host.StartTasks(job, starts)
 }
 
+// logPlacements logs placements that a record shows for the first time: it allows their starts.
+func (w *Writer) logPlacements(record *cluster.PlacementRecord, starts []records.PlacedTask) {
+	if len(starts) == 0 || !w.log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	placements := make([]string, len(starts))
+	for i, start := range starts {
+		placements[i] = fmt.Sprintf("%d@%d:%s", start.Task, start.Attempt, start.Machine)
+	}
+	w.log.Info("placements recorded", "key", record.Key, "revision", record.Version, "placements", strings.Join(placements, " "))
+}
+
 // addDeletions adds deletions of orphaned records if the batch contains everything else due.
 func (b *batch) addDeletions() {
 	for _, key := range b.orphans {
--- a/internal/core/persistence/loader.go
+++ b/internal/core/persistence/loader.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// Revision returns the revision of the store up to which the open records are known.
+func (l *Loader) Revision() uint64 { return l.revision }
+
 // loadPage reads a page of records, and retries until the store answers.
 func (l *Loader) loadPage(prefix, after string, handle func(wire.Page)) {
 	l.store.ListUrgent(prefix, after, func(r kv.ListResult) {
--- a/internal/core/persistence_host.go
+++ b/internal/core/persistence_host.go
@@ -118,7 +118,7 @@
 			waiting++
 		}
 	}
-	l.core.log.Info("records loaded", "term", l.leadership.Term, "jobs", len(l.Jobs), "waiting", waiting, "machines", len(l.Machines))
+	l.core.log.Info("records loaded", "term", l.leadership.Term, "revision", l.loader.Revision(), "jobs", len(l.Jobs), "waiting", waiting, "machines", len(l.Machines))
 	l.startQuota()
 	l.passes.requested = true
 }
--- a/internal/core/termination.go
+++ b/internal/core/termination.go
@@ -72,7 +72,7 @@
 // recordTaskLost unplaces a task that is confirmed to have terminated without a reported exit.
 func (l *leader) recordTaskLost(placement cluster.TaskReference, reason reconcile.LossReason) {
 	job, task := placement.Job, placement.Task()
-	l.core.log.Debug("task lost", "task", placement.Name, "machine", task.Machine.Name, "reason", reason)
+	l.core.log.Info("task lost", "task", placement.Name, "attempt", task.Attempt, "machine", task.Machine.Name, "reason", reason)
 	gangBroken := job.Shape == wire.ShapeGang && !task.Done
 	l.unplace(job, placement.Index)
 	if gangBroken {
@@ -99,14 +99,12 @@
 	}
 }
 
-// logTaskExited logs the exit of a task, at level debug if it was done or stopped, at level info
-// otherwise.
+// logTaskExited logs the exit of a task, with the message of the worker that showed it: from then on
+// the task may start elsewhere.
 func (l *leader) logTaskExited(placement cluster.TaskReference, cause wire.ExitCause) {
-	log := l.core.log.Info
-	if cause == wire.CauseDone || cause == wire.CauseStopped {
-		log = l.core.log.Debug
-	}
-	log("task exited", "task", placement.Name, "machine", placement.Task().Machine.Name, "cause", cause)
+	task := placement.Task()
+	l.core.log.Info("task exited", "task", placement.Name, "attempt", task.Attempt, "machine", task.Machine.Name, "cause", cause,
+		"incarnation", task.Machine.Incarnation, "sequence", task.Machine.Sequence)
 }
 
 // recordTaskDone records that a task is done. The tasks of a gang complete together: if one is
