--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -15,6 +15,15 @@
 	violations         []string
 	waiting            map[string]*waitingJob // by job ID, see starvation.go
 	reportedUnanswered map[string]bool        // IDs of jobs that were reported as unanswered
+	startedAttempts    map[startedAttempt]bool
+}
+
+// startedAttempt identifies an attempt that a worker has started.
+type startedAttempt struct {
+	machine     string
+	incarnation uint64
+	task        string
+	attempt     uint64
 }
 
 // sweepInterval is the time between two sweeps, which check all tasks and jobs.
@@ -24,7 +33,7 @@
 const snapshotInterval = 3
 
 func newChecker(world *World) *checker {
-	c := &checker{world: world, waiting: map[string]*waitingJob{}, reportedUnanswered: map[string]bool{}}
+	c := &checker{world: world, waiting: map[string]*waitingJob{}, reportedUnanswered: map[string]bool{}, startedAttempts: map[startedAttempt]bool{}}
 	world.after(sweepInterval, c.sweep)
 	return c
 }
@@ -50,6 +59,16 @@
 	c.checkCancelled(m, t)
 }
 
+// checkAttempt checks that an incarnation of a worker starts an attempt at a task once only: a worker
+// that has forgotten an attempt starts it again on a copy of the start command.
+func (c *checker) checkAttempt(m *machine, command wire.Command) {
+	id := startedAttempt{m.name, m.incarnation, command.Task, command.Attempt}
+	if c.startedAttempts[id] {
+		c.addViolation("started_again", "attempt %d of %s on %s", command.Attempt, command.Task, m.name)
+	}
+	c.startedAttempts[id] = true
+}
+
 // checkAgainstOtherTasks checks a task against the others of its job: a task may not run twice,
 // and the tasks of a one-zone job may not be in several zones.
 func (c *checker) checkAgainstOtherTasks(m *machine, t *task) {
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -100,6 +100,14 @@
 
 // handle serves a request of a controller. It calls reply after cloudLatency.
 func (c *cloudService) handle(method, path string, body []byte, reply func(int, []byte)) {
+	if method == "POST" {
+		reply = c.world.repeatWhenAnswered(cloudEndpoint, reply, func(reply func(int, []byte)) { c.serve(method, path, body, reply) })
+	}
+	c.serve(method, path, body, reply)
+}
+
+// serve is handle without copies of the request.
+func (c *cloudService) serve(method, path string, body []byte, reply func(int, []byte)) {
 	send := func(status int, message any) {
 		encoded := encode(message)
 		c.world.after(cloudLatency, func() { reply(status, encoded) })
--- a/internal/sim/controller.go
+++ b/internal/sim/controller.go
@@ -149,12 +149,16 @@
 }
 
 func (c *controller) sendToPeer(send core.PeerSend) {
-	c.world.deliver(c.name, send.To, func() {
+	receive := func() {
 		for _, other := range c.world.controllers {
 			if other.name == send.To && other.alive {
 				other.step(core.PeerInput{Message: send.Message})
 			}
 		}
+	}
+	c.world.deliver(c.name, send.To, func() {
+		receive()
+		c.world.repeatLater(send.To, receive)
 	})
 }
 
@@ -166,6 +170,20 @@
 
 // requestAnswer is like request, but passes the whole answer to done.
 func (c *controller) requestAnswer(from, method, path string, body []byte, timeout time.Duration, done func(core.Answer)) {
+	if from == userEndpoint && method == "POST" {
+		answered := done
+		done = func(a core.Answer) {
+			if isAccepted(a.Status) {
+				c.world.repeatLater(userEndpoint, func() { c.sendRequest(from, method, path, body, timeout, func(core.Answer) {}) })
+			}
+			answered(a)
+		}
+	}
+	c.sendRequest(from, method, path, body, timeout, done)
+}
+
+// sendRequest is requestAnswer without copies of the request.
+func (c *controller) sendRequest(from, method, path string, body []byte, timeout time.Duration, done func(core.Answer)) {
 	if c.process != nil {
 		c.process.Request(from, method, path, body, timeout, done)
 		return
--- a/internal/sim/key_value_store.go
+++ b/internal/sim/key_value_store.go
@@ -126,6 +126,14 @@
 // handle serves a request of a controller. It rejects the request during an outage, if the store
 // refuses this controller, or if the request exceeds the request rate.
 func (s *keyValueStore) handle(from, method, path string, body []byte, reply func(int, []byte)) {
+	if method == "POST" {
+		reply = s.world.repeatWhenAnswered(storeEndpoint, reply, func(reply func(int, []byte)) { s.serve(from, method, path, body, reply) })
+	}
+	s.serve(from, method, path, body, reply)
+}
+
+// serve is handle without copies of the request.
+func (s *keyValueStore) serve(from, method, path string, body []byte, reply func(int, []byte)) {
 	send := func(status int, message any) { reply(status, encode(message)) }
 	if s.world.now < s.outageUntil || s.world.now < s.refusedUntil[from] {
 		send(httpstatus.ServiceUnavailable, emptyBody)
--- a/internal/sim/scenario_actions.go
+++ b/internal/sim/scenario_actions.go
@@ -43,6 +43,9 @@
 	// Delays of commands to workers.
 	"late_commands": (*World).delayDirectCommands,
 	"late_answers":  (*World).delayCommandAnswers,
+
+	// Copies of calls of all kinds.
+	"repeat_calls": (*World).repeatCalls,
 }
 
 // perform executes the action of a line.
@@ -78,6 +81,8 @@
 		duration += heartbeatTimeout
 	case "copies":
 		duration += l.duplicateDelay()
+	case "repeat_calls":
+		duration += l.maxRepeatDelay()
 	case "cancel_now":
 		duration = seconds(l.number("hang", 0))
 	case "lateboot":
--- a/internal/sim/worker_commands.go
+++ b/internal/sim/worker_commands.go
@@ -8,11 +8,19 @@
 // handleDirect serves a controller's request to the worker's own address: direct commands or a
 // probe.
 func (m *machine) handleDirect(method, path string, body []byte, reply func(int, []byte)) {
+	if path == commandsPath {
+		reply = m.world.repeatWhenAnswered(m.name, reply, func(reply func(int, []byte)) { m.serveDirect(method, path, body, reply) })
+	}
+	m.serveDirect(method, path, body, reply)
+}
+
+// serveDirect is handleDirect without copies of the request.
+func (m *machine) serveDirect(method, path string, body []byte, reply func(int, []byte)) {
 	if m.removed || m.world.now < m.upAt {
 		return
 	}
 	if m.world.now < m.hangUntil {
-		m.heldCommands = append(m.heldCommands, func() { m.handleDirect(method, path, body, reply) })
+		m.heldCommands = append(m.heldCommands, func() { m.serveDirect(method, path, body, reply) })
 		return
 	}
 	status := httpstatus.OK
@@ -94,6 +102,7 @@
 func (m *machine) startTask(command wire.Command) {
 	world := m.world
 	world.taskStarts++
+	world.checker.checkAttempt(m, command)
 	m.statusChanged = true
 	t := &task{name: command.Task, attempt: command.Attempt, state: wire.TaskExited, commandedAt: world.now}
 	jobID, index := splitTaskName(command.Task)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -50,6 +50,7 @@
 
 	delayedDirectCommands randomFault // direct commands that are executed late, without an answer
 	delayedCommandAnswers randomFault // answers with commands, and answers to commands, that are late
+	repeatedCalls         repeatedCalls
 
 	// mutate, if set, may change the output of a core. Tests use it to simulate a broken core or
 	// to record outputs.
