reconcile: let a worker forget an attempt only under a higher fencing token than its starts

Cause: a worker that has forgotten an attempt starts it again on a copy of its start command. The leader took a start for settled once it was answered, and told the worker to forget the attempt under the same token. An answer shows that a call was carried out, not that it can't be carried out again.

Change: an election raises the term by 100,000,000, and the leader owns the tokens in between. A command to forget travels only under a higher token than every start that was sent to that worker; whoever executes it refuses all copies of those starts. A leader without a higher token steps down. Nothing is kept that was not kept before, except until the next answer to a heartbeat what a direct call would have had forgotten.

Keeping attempts listed until a new term would need an election whenever a report grows; starts in answers to heartbeats alone would make them slower.

--- a/internal/core/boot_time.go
+++ b/internal/core/boot_time.go
@@ -43,6 +43,6 @@
 	if machine.LastHeartbeat == 0 {
 		return l.bootTimeRatio(machine) <= lateBootFactor
 	}
-	termNotReported := machine.FencingToken < l.leadership.Term
+	termNotReported := machine.FencingToken < l.leadership.FirstToken
 	return l.usable(machine) || termNotReported && l.core.now-machine.LastHeartbeat < 3*l.core.heartbeatInterval()
 }
--- a/internal/core/cluster/heartbeat_size.go
+++ b/internal/core/cluster/heartbeat_size.go
@@ -14,6 +14,9 @@
 	// heartbeat for tasks that exited since the last heartbeat and for exited tasks that the
 	// worker is about to be told to forget.
 	MaxTaskRows = MaxHeartbeatBytes * 3 / 4 / TaskRowBytes
+	// MaxExitedRows is the number of exited tasks from which a worker is told to forget them even if
+	// that makes it refuse an open direct call. It is half of the rows reserved for exited tasks.
+	MaxExitedRows = MaxHeartbeatBytes / 8 / TaskRowBytes
 )
 
 // TaskRowsLeft returns how many more tasks fit into the machine's heartbeats.
--- a/internal/core/cluster/machine.go
+++ b/internal/core/cluster/machine.go
@@ -70,6 +70,8 @@
 	ProbeOpen         bool              // a probe or a term announcement is in progress
 	NextProbeAt       time.Duration     // earliest time of the next probe
 	LastProbeFailure  time.Duration     // when the last probe that failed was sent
+	CommandToken      uint64            // fencing token of the newest message to the worker in this term
+	StartToken        uint64            // highest fencing token under which a start may have been sent
 	LoggedCommands    uint64            // hash of the commands that were logged last
 }
 
--- a/internal/core/command_log.go
+++ b/internal/core/command_log.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/brookwalk/brookwalk/internal/core/cluster"
+	"github.com/brookwalk/brookwalk/internal/core/reconcile"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
@@ -22,11 +23,11 @@
 // logCommands logs the commands that are sent to a worker, with the message that carries them and its
 // fencing token. Commands that are repeated unchanged, for example to a worker that they do not reach,
 // are logged at level debug, so that there is one line at level info per change.
-func (l *leader) logCommands(machine *cluster.Machine, carrier commandCarrier, token uint64, commands []wire.Command) {
-	if len(commands) == 0 || !l.core.log.Enabled(context.Background(), slog.LevelInfo) {
+func (l *leader) logCommands(machine *cluster.Machine, carrier commandCarrier, message reconcile.Message) {
+	if len(message.Commands) == 0 || !l.core.log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
-	text := commandList(commands)
+	text := commandList(message.Commands)
 	level := slog.LevelInfo
 	if hash := hashOf(text); hash != machine.LoggedCommands {
 		machine.LoggedCommands = hash
@@ -34,7 +35,7 @@
 		level = slog.LevelDebug
 	}
 	l.core.log.Log(context.Background(), level, "commands sent", "machine", machine.Name, "in", carrier,
-		"token", token, "incarnation", machine.Incarnation, "sequence", machine.Sequence, "commands", text)
+		"token", message.Token, "incarnation", machine.Incarnation, "sequence", machine.Sequence, "commands", text)
 }
 
 // commandList formats commands as verb, task and attempt.
--- a/internal/core/command_log_test.go
+++ b/internal/core/command_log_test.go
@@ -8,14 +8,14 @@
 	"testing"
 
 	"github.com/brookwalk/brookwalk/internal/core/cluster"
-	"github.com/brookwalk/brookwalk/internal/core/election"
+	"github.com/brookwalk/brookwalk/internal/core/reconcile"
 	"github.com/brookwalk/brookwalk/wire"
 )
 
 // loggingLeader returns a leader that writes its log lines of level info and above to a writer.
 func loggingLeader(to io.Writer) *leader {
 	log := slog.New(slog.NewTextHandler(to, nil))
-	return &leader{core: &Core{log: log}, leadership: election.Leadership{Term: 5}}
+	return &leader{core: &Core{log: log}, leadership: testLeadership(5)}
 }
 
 // TestCommandLog checks that commands are logged with what decided on them, once per change.
@@ -23,12 +23,12 @@
 	var log bytes.Buffer
 	leader, machine := loggingLeader(&log), cluster.NewMachine("n-1", 0)
 	machine.Incarnation, machine.Sequence = 2, 77
-	start := []wire.Command{{Verb: wire.VerbStart, Task: "job-1/0", Attempt: 3}, {Verb: wire.VerbForget, Task: "job-2/1", Attempt: 9}}
+	commands := []wire.Command{{Verb: wire.VerbStart, Task: "job-1/0", Attempt: 3}, {Verb: wire.VerbForget, Task: "job-2/1", Attempt: 9}}
 	for range 3 {
-		leader.logCommands(machine, inHeartbeatAnswer, 5, start)
+		leader.logCommands(machine, inHeartbeatAnswer, reconcile.Message{Token: 5, Commands: commands})
 	}
-	leader.logCommands(machine, inDirectCall, 6, start[1:])
-	leader.logCommands(machine, inDirectCall, 6, nil)
+	leader.logCommands(machine, inDirectCall, reconcile.Message{Token: 6, Commands: commands[1:]})
+	leader.logCommands(machine, inDirectCall, reconcile.Message{Token: 6})
 	want := []string{
 		`msg="commands sent" machine=n-1 in="heartbeat answer" token=5 incarnation=2 sequence=77 commands="run job-1/0@3 reap job-2/1@9"`,
 		`msg="commands sent" machine=n-1 in="direct call" token=6 incarnation=2 sequence=77 commands="reap job-2/1@9"`,
@@ -50,6 +50,6 @@
 	commands := []wire.Command{{Verb: wire.VerbStart, Task: "job-000001/0"}, {Verb: wire.VerbForget, Task: "job-000002/1"}}
 	for i := range b.N {
 		commands[0].Attempt = uint64(i)
-		leader.logCommands(machine, inDirectCall, 5, commands)
+		leader.logCommands(machine, inDirectCall, reconcile.Message{Token: 5, Commands: commands})
 	}
 }
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -11,7 +11,12 @@
 
 // commandsFor returns the commands to send to a worker now.
 func (l *leader) commandsFor(machine *cluster.Machine) []wire.Command {
-	return reconcile.Commands(machine, l.Jobs, l.leadership.Term)
+	return reconcile.Commands(machine, l.Jobs, l.tokens())
+}
+
+// tokens returns the fencing tokens of this term.
+func (l *leader) tokens() reconcile.TokenRange {
+	return reconcile.TokenRange{First: l.leadership.FirstToken, Last: l.leadership.Term}
 }
 
 // sendStarts sends the start commands of tasks whose placements are recorded directly to the
@@ -33,16 +38,16 @@
 // sendCommands sends a worker its commands immediately, instead of with the answer to its next
 // heartbeat.
 func (l *leader) sendCommands(machine *cluster.Machine) {
-	if !l.recordsLoaded || !reconcile.CanCallDirectly(machine, l.leadership.Term, l.core.now) {
+	if !l.recordsLoaded || !reconcile.CanCallDirectly(machine, l.tokens(), l.core.now) {
 		return
 	}
-	commands := l.commandsFor(machine)
-	if len(commands) == 0 {
+	message := reconcile.DirectMessage(machine, l.commandsFor(machine), l.tokens())
+	if len(message.Commands) == 0 {
 		return
 	}
-	l.logCommands(machine, inDirectCall, l.leadership.Term, commands)
-	call := reconcile.BeginDirectCall(machine, commands)
-	l.callWorker(machine, machine.Incarnation, commands, func(result Result) {
+	l.logCommands(machine, inDirectCall, message)
+	call := reconcile.BeginDirectCall(machine, message.Commands)
+	l.callWorker(machine, machine.Incarnation, message, func(result Result) {
 		call.End()
 		if l.steppedDown {
 			return
@@ -58,9 +63,9 @@
 	})
 }
 
-// callWorker sends commands to an incarnation of a worker.
-func (l *leader) callWorker(machine *cluster.Machine, incarnation uint64, commands []wire.Command, done func(Result)) {
-	list := wire.CommandList{FencingToken: l.leadership.Term, Incarnation: incarnation, Commands: commands}
+// callWorker sends a message to an incarnation of a worker.
+func (l *leader) callWorker(machine *cluster.Machine, incarnation uint64, message reconcile.Message, done func(Result)) {
+	list := wire.CommandList{FencingToken: message.Token, Incarnation: incarnation, Commands: message.Commands}
 	l.core.call(Call{
 		Destination: DestinationWorker,
 		Address:     machine.Address,
--- a/internal/core/commands_test.go
+++ b/internal/core/commands_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/brookwalk/brookwalk/httpwire/httpstatus"
@@ -39,7 +40,7 @@
 			harness, leader := newLeadingHarness(t, withoutAnnouncedLimits)
 			addRecord(harness, leader, wire.Job{ID: "job-101"}, nil)
 			job, machine := leader.Jobs["job-101"], leader.getOrAddMachine("n-1")
-			machine.FencingToken, machine.ReportedTasks = leader.leadership.Term, tc.listed
+			machine.FencingToken, machine.ReportedTasks = leader.leadership.FirstToken, tc.listed
 			if tc.placed != nil {
 				job.TaskStates[0] = *tc.placed
 				leader.place(job, 0, machine)
@@ -75,7 +76,7 @@
 				sequence++
 				return kv.Encode(wire.Heartbeat{
 					Machine: "n-1", Addr: "10.1.0.1:9000", Type: "small", Zone: "a",
-					Incarnation: 1, Sequence: sequence, FencingToken: leader.leadership.Term, Tasks: rows,
+					Incarnation: 1, Sequence: sequence, FencingToken: leader.leadership.FirstToken, Tasks: rows,
 				})
 			}
 			exited := wire.TaskStatus{Task: name, Attempt: attempt, State: wire.TaskExited, Cause: wire.CauseStopped}
@@ -105,6 +106,31 @@
 	}
 }
 
+// TestTokensUsedUp checks that a leader whose term has no higher fencing token left gives way to a new
+// term instead of letting a worker forget an attempt that a copy of its start could start again.
+func TestTokensUsedUp(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		tokensLeft uint64
+		wantLeader bool
+	}{{"one token left", 1, true}, {"no token left", 0, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			harness, leader := newLeadingHarness(t, withoutAnnouncedLimits)
+			token := leader.leadership.Term - tc.tokensLeft
+			status, body := leader.handleHeartbeat(kv.Encode(wire.Heartbeat{
+				Machine: "n-1", Addr: "10.1.0.1:9000", Type: "small", Zone: "a", Incarnation: 1, Sequence: 1, FencingToken: token,
+				Tasks: []wire.TaskStatus{{Task: "job-101/0", Attempt: 2, State: wire.TaskExited, Cause: wire.CauseDone}},
+			}), "n0")
+			if leads := harness.core.leader == leader; leads != tc.wantLeader {
+				t.Errorf("still leads: got %v, want %v", leads, tc.wantLeader)
+			}
+			if forgets := strings.Contains(string(body), `"reap"`); forgets != tc.wantLeader || (status == httpstatus.OK) != tc.wantLeader {
+				t.Errorf("answer: got %d %s, want a forget command only under a higher token", status, body)
+			}
+		})
+	}
+}
+
 // commandsInAnswer formats the commands in the leader's answer to a heartbeat.
 func commandsInAnswer(t *testing.T, leader *leader, heartbeat []byte) []string {
 	t.Helper()
--- a/internal/core/dependency_graphs_test.go
+++ b/internal/core/dependency_graphs_test.go
@@ -223,7 +223,7 @@
 // empty, that job's cancellation is recorded first.
 func startNextLeader(harness *harness, old *leader, cancelled string) *leader {
 	old.steppedDown = true
-	leader := newLeader(harness.core, election.Leadership{Term: 5, TermVersion: harness.store[election.KeyTerm].Version, Lease: 1})
+	leader := newLeader(harness.core, election.Leadership{FirstToken: 5, Term: 5 + testTokensPerTerm, TermVersion: harness.store[election.KeyTerm].Version, Lease: 1})
 	harness.core.leader = leader
 	for _, key := range sortedKeys(harness.store) {
 		id, open := strings.CutPrefix(key, records.PrefixOpen)
--- a/internal/core/election/campaign.go
+++ b/internal/core/election/campaign.go
@@ -47,10 +47,14 @@
 	})
 }
 
-// claimTerm writes the leader key and the term that follows last, on the condition that neither key
-// has changed (compare-and-swap).
+// tokensPerTerm is the number of fencing tokens of a term. A leader uses at most one per worker and
+// heartbeat.
+const tokensPerTerm = 100_000_000
+
+// claimTerm writes the leader key and a term that is higher than last, on the condition that neither
+// key has changed (compare-and-swap).
 func (e *Election) claimTerm(leaderVersion uint64, last kv.Versioned[uint64], lease uint64) {
-	term := last.Value + 1
+	term := last.Value + tokensPerTerm
 	txn := &wire.Txn{
 		Conditions: []wire.Condition{
 			{Key: KeyLeader, Version: leaderVersion},
@@ -66,7 +70,7 @@
 		if !r.Committed() {
 			return
 		}
-		e.becomeLeader(Leadership{Term: term, TermVersion: r.Revision, Lease: lease})
+		e.becomeLeader(Leadership{FirstToken: last.Value + 1, Term: term, TermVersion: r.Revision, Lease: lease})
 	})
 }
 
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -4,8 +4,9 @@
 // goroutine.
 //
 // The leader key is attached to a lease and names the leader; it only determines when to hold an
-// election. Safety depends on the term key: every election increments it, every write of a leader is
-// conditional on its version, and the term is the fencing token of commands.
+// election. Safety depends on the term key: every election increases it, and every write of a leader is
+// conditional on its version. An election increases the term by tokensPerTerm, so that the leader owns a
+// range of fencing tokens, see package reconcile. A version that increases it by one owns one token.
 package election
 
 import (
@@ -25,9 +26,11 @@
 	ReasonLeaseExpired StepDownReason = "the lease of the leader key expired"
 )
 
-// Leadership identifies the leadership that was won by one election.
+// Leadership identifies the leadership that was won by one election. The leader owns the fencing tokens
+// from FirstToken to Term.
 type Leadership struct {
-	Term        uint64
+	FirstToken  uint64 // above the tokens of all earlier terms
+	Term        uint64 // value of the term key
 	TermVersion uint64 // version of the term key; every write of the leader is conditional on it
 	Lease       uint64 // ID of the lease of the leader key
 }
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -122,7 +122,7 @@
 // does not expire, and no other controller runs.
 func (h *harness) startLeading() *leader {
 	h.core.election.ObserveLeader(5, h.core.settings.Name)
-	leader := newLeader(h.core, election.Leadership{Term: 5, TermVersion: h.store[election.KeyTerm].Version, Lease: 1})
+	leader := newLeader(h.core, election.Leadership{FirstToken: 5, Term: 5 + testTokensPerTerm, TermVersion: h.store[election.KeyTerm].Version, Lease: 1})
 	h.core.leader = leader
 	return leader
 }
@@ -305,9 +305,13 @@
 	return "{" + strings.Join(parts, ",") + "}"
 }
 
-// testLeadership returns the leadership of a term, with version 1 of the term key.
-func testLeadership(term uint64) election.Leadership {
-	return election.Leadership{Term: term, TermVersion: 1, Lease: 1}
+// testTokensPerTerm is the number of fencing tokens of a term, besides the first one.
+const testTokensPerTerm = 1000
+
+// testLeadership returns the leadership of a term that begins with the given fencing token, with
+// version 1 of the term key.
+func testLeadership(firstToken uint64) election.Leadership {
+	return election.Leadership{FirstToken: firstToken, Term: firstToken + testTokensPerTerm, TermVersion: 1, Lease: 1}
 }
 
 // newLeadingHarness returns a harness whose controller is the leader and has loaded the records.
--- a/internal/core/health_test.go
+++ b/internal/core/health_test.go
@@ -96,7 +96,7 @@
 				leader.zoneReachedAt["a"] = leader.core.now
 			}
 			if tc.answers {
-				leader.handleDirectStatus(machine, kv.Encode(wire.Heartbeat{Machine: "n-1", Type: "g4", Zone: "a", Incarnation: 1, Sequence: 9, FencingToken: leader.leadership.Term}))
+				leader.handleDirectStatus(machine, kv.Encode(wire.Heartbeat{Machine: "n-1", Type: "g4", Zone: "a", Incarnation: 1, Sequence: 9, FencingToken: leader.leadership.FirstToken}))
 			}
 			check := leader.healthCheck()
 			if got := check.IsDead(machine, check.CountSilent(leader.MachinesByName)); got != tc.want {
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -43,13 +43,18 @@
 	if heartbeat.NewerThan(machine.Incarnation, machine.Sequence) {
 		l.applyStatus(machine, heartbeat)
 	}
-	answer := wire.CommandList{FencingToken: l.leadership.Term, Commands: []wire.Command{}}
+	commands := []wire.Command{}
 	if l.recordsLoaded && heartbeat.Incarnation == machine.Incarnation {
-		answer.Commands = l.commandsFor(machine)
-		l.logCommands(machine, inHeartbeatAnswer, answer.FencingToken, answer.Commands)
+		commands = l.commandsFor(machine)
 	}
-	reconcile.RecordAnswer(machine, answer.Commands, l.core.now)
-	return httpstatus.OK, kv.Encode(answer)
+	message, tokensUsedUp := reconcile.AnswerHeartbeat(machine, commands, l.tokens())
+	if tokensUsedUp {
+		l.core.stepDown(stepDownTokensUsedUp)
+		return httpstatus.ServiceUnavailable, []byte("{}")
+	}
+	l.logCommands(machine, inHeartbeatAnswer, message)
+	reconcile.RecordAnswer(machine, message.Commands, l.core.now)
+	return httpstatus.OK, kv.Encode(wire.CommandList{FencingToken: message.Token, Commands: message.Commands})
 }
 
 // recordHeartbeat records that a controller received a heartbeat which is newer than the machine's
@@ -71,7 +76,7 @@
 	if reconcile.RecordIncarnation(machine, status, l.core.now) {
 		l.core.log.Info("worker began a new incarnation after lease expiry", "machine", machine.Name, "incarnation", status.Incarnation)
 	}
-	reconcile.RecordFencingToken(machine, status.FencingToken, l.leadership.Term, l.core.now)
+	reconcile.RecordFencingToken(machine, status.FencingToken, l.tokens(), l.core.now)
 	l.describe(machine, status.Addr, status.Type, status.Zone, status.Spot)
 	if status.PreemptionNoticeS != nil {
 		l.recordPreemptionNotice(machine, *status.PreemptionNoticeS)
@@ -79,7 +84,7 @@
 	reconcile.RecordReportedTasks(machine, status.Tasks)
 	l.recordStartedImages(machine)
 	if l.recordsLoaded {
-		l.reconcilePlacements(machine, status.FencingToken >= l.leadership.Term)
+		l.reconcilePlacements(machine, status.FencingToken >= l.leadership.FirstToken)
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -51,7 +51,7 @@
 // would end when the next lease expires.
 func (l *leader) usable(machine *cluster.Machine) bool {
 	switch {
-	case machine.FencingToken < l.leadership.Term:
+	case machine.FencingToken < l.leadership.FirstToken:
 		return false
 	case machine.DrainReason != "" || machine.Returning || machine.PreemptionAt != 0:
 		return false
--- a/internal/core/placement_records_test.go
+++ b/internal/core/placement_records_test.go
@@ -108,7 +108,7 @@
 	}
 	expectNamedRanges(t, harness, "job-1")
 	// The next leader restores all placements.
-	successor := newLeader(harness.core, election.Leadership{Term: 6, TermVersion: leader.leadership.TermVersion, Lease: 1})
+	successor := newLeader(harness.core, election.Leadership{FirstToken: leader.leadership.Term + 1, Term: leader.leadership.Term + testTokensPerTerm, TermVersion: leader.leadership.TermVersion, Lease: 1})
 	addRecord(harness, successor, wire.Job{ID: "job-1", Tasks: 100}, nil)
 	found := loadPlacements(harness, leader, "job-1")
 	successor.writer.RestorePlacements(successor.Jobs["job-1"], found)
--- a/internal/core/probes.go
+++ b/internal/core/probes.go
@@ -54,7 +54,7 @@
 		}
 	case httpstatus.OK:
 		status, ok := decodeHeartbeat(result.Body)
-		if ok && status.Machine == machine.Name && status.FencingToken < l.leadership.Term {
+		if ok && status.Machine == machine.Name && status.FencingToken < l.leadership.FirstToken {
 			l.announceTerm(machine, status.Incarnation)
 			return
 		}
@@ -66,7 +66,8 @@
 // not seen the term.
 func (l *leader) announceTerm(machine *cluster.Machine, incarnation uint64) {
 	reconcile.BeginTermAnnouncement(machine)
-	l.callWorker(machine, incarnation, []wire.Command{}, func(result Result) {
+	message := reconcile.DirectMessage(machine, []wire.Command{}, l.tokens())
+	l.callWorker(machine, incarnation, message, func(result Result) {
 		reconcile.EndProbe(machine)
 		if !l.steppedDown && commandsAnswered(result) {
 			l.handleDirectStatus(machine, result.Body)
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -20,4 +20,5 @@
 	stepDownWorkerHigherTerm election.StepDownReason = "a worker has seen a higher term"
 	stepDownPeerHigherTerm   election.StepDownReason = "a peer has seen a higher term"
 	stepDownTermChanged      election.StepDownReason = "the term has changed"
+	stepDownTokensUsedUp     election.StepDownReason = "the fencing tokens of the term are used up"
 )
--- a/internal/core/reconcile/commands.go
+++ b/internal/core/reconcile/commands.go
@@ -7,7 +7,7 @@
 
 // Commands returns the commands that the leader of a term should send to a worker now. It records
 // the start commands among them as sent.
-func Commands(machine *cluster.Machine, jobs map[string]*cluster.Job, term uint64) []wire.Command {
+func Commands(machine *cluster.Machine, jobs map[string]*cluster.Job, tokens TokenRange) []wire.Command {
 	commands := []wire.Command{}
 	for _, placement := range machine.Placements {
 		if task := placement.Task(); task.Incarnation == machine.Incarnation {
@@ -22,7 +22,7 @@
 		case listed.State != wire.TaskExited:
 			// A start that has been superseded, or an attempt that has ended.
 			commands = append(commands, immediateStop(listed.Task, listed.Attempt))
-		case MayForget(machine, jobs, listed, term):
+		case MayForget(machine, jobs, listed, tokens):
 			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: listed.Task, Attempt: listed.Attempt})
 		}
 	}
@@ -70,12 +70,12 @@
 	return wire.Command{Verb: wire.VerbStop, Task: name, Attempt: attempt, GracePeriodS: &grace}
 }
 
-// MayForget reports whether the worker may forget an exited task and stop listing it: its outcome
-// is recorded, and no duplicate of its start command, in whatever message, can still arrive and start
-// it again.
-func MayForget(machine *cluster.Machine, jobs map[string]*cluster.Job, exited wire.TaskStatus, term uint64) bool {
+// MayForget reports whether the worker may be told to forget an exited task and stop listing it: its
+// outcome is recorded, and its start commands, in whatever message, are known to have arrived or never
+// to arrive. The token of the message protects from copies of them, see AnswerHeartbeat.
+func MayForget(machine *cluster.Machine, jobs map[string]*cluster.Job, exited wire.TaskStatus, tokens TokenRange) bool {
 	attempt := cluster.AttemptID{Task: exited.Task, Attempt: exited.Attempt}
-	if machine.UnconfirmedStarts[attempt] > 0 || machine.FencingToken < term {
+	if machine.UnconfirmedStarts[attempt] > 0 || machine.FencingToken < tokens.First {
 		return false
 	}
 	job := jobs[cluster.JobIDOf(exited.Task)]
--- a/internal/core/reconcile/commands_test.go
+++ b/internal/core/reconcile/commands_test.go
@@ -12,6 +12,9 @@
 
 const testTerm = 5
 
+// testTokens are the fencing tokens of the term that begins with testTerm.
+var testTokens = TokenRange{First: testTerm, Last: testTerm + 10}
+
 // newTestJob creates a job with one task and a placement record that covers it.
 func newTestJob(id string) *cluster.Job {
 	job := cluster.NewJob(records.Open{Job: wire.Job{ID: id, Tasks: 1}}, 1)
@@ -131,7 +134,7 @@
 				tc.change(job, machine)
 			}
 			var got []string
-			for _, command := range Commands(machine, map[string]*cluster.Job{job.ID: job}, testTerm) {
+			for _, command := range Commands(machine, map[string]*cluster.Job{job.ID: job}, testTokens) {
 				got = append(got, commandText(command))
 			}
 			if !slices.Equal(got, tc.want) {
--- a/internal/core/reconcile/direct_call.go
+++ b/internal/core/reconcile/direct_call.go
@@ -15,8 +15,8 @@
 }
 
 // CanCallDirectly reports whether the leader of a term may send commands to a worker directly now.
-func CanCallDirectly(machine *cluster.Machine, term uint64, now time.Duration) bool {
-	reachable := machine.Address != "" && machine.FencingToken >= term && !machine.Returning
+func CanCallDirectly(machine *cluster.Machine, tokens TokenRange, now time.Duration) bool {
+	reachable := machine.Address != "" && machine.FencingToken >= tokens.First && !machine.Returning
 	return reachable && machine.OpenDirectCalls == 0 && now >= machine.DirectRetryAt
 }
 
--- a/internal/core/reconcile/direct_call_test.go
+++ b/internal/core/reconcile/direct_call_test.go
@@ -76,7 +76,7 @@
 			machine := cluster.NewMachine("n-1", 0)
 			machine.Address, machine.FencingToken = "10.1.0.1:9000", testTerm
 			tc.change(machine)
-			if got := CanCallDirectly(machine, testTerm, now); got != tc.want {
+			if got := CanCallDirectly(machine, testTokens, now); got != tc.want {
 				t.Errorf("CanCallDirectly: got %v, want %v", got, tc.want)
 			}
 		})
--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -71,9 +71,9 @@
 	machine.UnreachableSince = 0
 }
 
-// RecordFencingToken records the highest term that a worker has seen.
-func RecordFencingToken(machine *cluster.Machine, token, term uint64, now time.Duration) {
-	if machine.FencingToken < term && token >= term {
+// RecordFencingToken records the highest fencing token that a worker has seen.
+func RecordFencingToken(machine *cluster.Machine, token uint64, tokens TokenRange, now time.Duration) {
+	if machine.FencingToken < tokens.First && token >= tokens.First {
 		// Until the worker saw this term, a leader of an earlier term may have renewed its
 		// lease, so the lease is counted from now. When it was counted from the response to a
 		// delayed duplicate of a heartbeat, it was found expired too early, and the worker's
@@ -81,6 +81,9 @@
 		machine.LastAnswered = now
 	}
 	machine.FencingToken = max(machine.FencingToken, token)
+	if token > machine.StartToken {
+		dropUnconfirmedStarts(machine)
+	}
 }
 
 // RecordReportedTasks records the tasks that a worker's newest message lists.
--- a/internal/core/reconcile/termination.go
+++ b/internal/core/reconcile/termination.go
@@ -95,8 +95,8 @@
 // LeaseExpiryDue reports whether a worker's lease may have expired: the worker has seen this term,
 // and this leader has not answered its heartbeats for longer than the lease lasts. It does not
 // consider extensions of the lease by other controllers.
-func LeaseExpiryDue(machine *cluster.Machine, term uint64, now time.Duration, timing Timing) bool {
-	return machine.FencingToken >= term && machine.LastAnswered != 0 && !machine.LeaseExpired &&
+func LeaseExpiryDue(machine *cluster.Machine, tokens TokenRange, now time.Duration, timing Timing) bool {
+	return machine.FencingToken >= tokens.First && machine.LastAnswered != 0 && !machine.LeaseExpired &&
 		now-machine.LastAnswered > timing.LeaseExpiryBound()
 }
 
--- a/internal/core/reconcile/termination_test.go
+++ b/internal/core/reconcile/termination_test.go
@@ -70,7 +70,7 @@
 			machine.FencingToken, machine.LastAnswered = testTerm, time.Minute
 			tc.change(machine)
 			now := time.Minute + testTiming.LeaseExpiryBound() + time.Millisecond
-			if got := LeaseExpiryDue(machine, testTerm, now, testTiming); got != tc.want {
+			if got := LeaseExpiryDue(machine, testTokens, now, testTiming); got != tc.want {
 				t.Errorf("LeaseExpiryDue: got %v, want %v", got, tc.want)
 			}
 		})
--- a/internal/core/rejected_records_test.go
+++ b/internal/core/rejected_records_test.go
@@ -62,7 +62,7 @@
 
 // recordedTasks returns the number of a job's tasks that the next leader would restore as placed.
 func recordedTasks(harness *harness, id string, tasks int) int {
-	leader := newLeader(harness.core, election.Leadership{Term: 5, TermVersion: harness.store[election.KeyTerm].Version, Lease: 1})
+	leader := newLeader(harness.core, election.Leadership{FirstToken: 5, Term: 5 + testTokensPerTerm, TermVersion: harness.store[election.KeyTerm].Version, Lease: 1})
 	leader.applyOpenRecord(id, harness.store[records.OpenKey(id)].Version, harness.openRecord(id))
 	leader.writer.RestorePlacements(leader.Jobs[id], loadPlacements(harness, leader, id))
 	n := 0
--- a/internal/core/scheduler_host_test.go
+++ b/internal/core/scheduler_host_test.go
@@ -83,7 +83,7 @@
 func idleMachine(leader *leader, name, machineType string) *cluster.Machine {
 	machine := leader.getOrAddMachine(name)
 	leader.describe(machine, "", machineType, "a", false)
-	machine.LastHeartbeat, machine.FencingToken, machine.Incarnation = leader.core.now, leader.leadership.Term, 1
+	machine.LastHeartbeat, machine.FencingToken, machine.Incarnation = leader.core.now, leader.leadership.FirstToken, 1
 	return machine
 }
 
--- a/internal/core/termination.go
+++ b/internal/core/termination.go
@@ -45,7 +45,7 @@
 // expireLease removes the placements of a silent worker once its lease is guaranteed to have
 // expired: case 4.
 func (l *leader) expireLease(machine *cluster.Machine) {
-	if !reconcile.LeaseExpiryDue(machine, l.leadership.Term, l.core.now, l.core.reconcileTiming()) || !l.leaseExpired(machine) {
+	if !reconcile.LeaseExpiryDue(machine, l.tokens(), l.core.now, l.core.reconcileTiming()) || !l.leaseExpired(machine) {
 		return
 	}
 	reconcile.RecordLeaseExpiry(machine)
--- a/internal/core/wait_reason_test.go
+++ b/internal/core/wait_reason_test.go
@@ -74,7 +74,7 @@
 	var out bytes.Buffer
 	leader.core.log = slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	idle := bootingMachine(leader, "n-1", "small", "b")
-	idle.LastHeartbeat, idle.FencingToken = leader.core.now, leader.leadership.Term
+	idle.LastHeartbeat, idle.FencingToken = leader.core.now, leader.leadership.FirstToken
 	c := pendingCandidate(wire.Job{ID: "job-000007", CPUs: 1, MemGB: 1}, 1)
 	other := pendingCandidate(wire.Job{ID: "job-000008", CPUs: 4, MemGB: 1}, 1)
 	for range 2 {
--- a/internal/hollow/observer.go
+++ b/internal/hollow/observer.go
@@ -24,7 +24,7 @@
 	startsPerSecond       []int           // starts in each past second of the run
 	startsBeforeSecond    int             // starts before the current second
 	killedAt              time.Duration   // when the last leader was killed
-	killedTerm            uint64          // highest term seen by a worker then; 0 if no failover is open
+	killedTerm            uint64          // highest fencing token of that leader; 0 if no failover is open
 	failoverTimes         []time.Duration // from a leader's kill to the first task start by a later leader
 	failoversWithoutStart int             // kills after which no later leader started a task before the next kill
 }
@@ -65,8 +65,8 @@
 	}
 }
 
-// recordLeaderKill records that a leader was killed. term is the highest term that a worker has
-// seen, 0 before the first; it counts as at least 1 because a killedTerm of 0 means that no
+// recordLeaderKill records that a leader was killed. term is the highest fencing token of the latest
+// term, 0 before the first; it counts as at least 1 because a killedTerm of 0 means that no
 // failover is open.
 func (o *observer) recordLeaderKill(at time.Duration, term uint64) {
 	if o.killedTerm != 0 {
--- a/internal/sim/fault_pairs_test.go
+++ b/internal/sim/fault_pairs_test.go
@@ -108,6 +108,9 @@
 	{"all controllers crash", func(w *scenarioWriter, at float64) {
 		w.event(at, "crash all for=%g", []float64{0.3, 3, 12}[w.rng.IntN(3)])
 	}},
+	{"calls carried out once more", func(w *scenarioWriter, at float64) {
+		w.event(at, "repeat_calls share=%g for=%d", []float64{0.2, 0.6, 1}[w.rng.IntN(3)], w.between(30, 120))
+	}},
 	{"cancellations at the end of jobs", func(w *scenarioWriter, at float64) {
 		w.event(at, "cancel_at_end share=%g for=%d", []float64{0.3, 1}[w.rng.IntN(2)], w.between(30, 90))
 	}},
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -9,6 +9,7 @@
 
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core"
+	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/internal/eventqueue"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -179,11 +180,12 @@
 	return leader.index, true
 }
 
-// Term returns the highest term that any worker has received; 0 before the first.
+// Term returns the value of the term key, the highest fencing token of the latest term; 0 before the
+// first.
 func (l *Live) Term() uint64 {
 	var term uint64
-	for _, m := range l.world.cloud.machines {
-		term = max(term, m.fencingToken)
+	if entry := l.world.store.keys[election.KeyTerm]; entry != nil {
+		decode(entry.value, &term)
 	}
 	return term
 }
--- a/internal/sim/repeated_calls.go
+++ b/internal/sim/repeated_calls.go
@@ -23,6 +23,7 @@
 	randomFault
 	receiver string        // that receives the calls: an endpoint or a pattern; empty for any
 	delay    time.Duration // of the copy; 0 for a random one
+	count    int           // copies so far
 }
 
 // repeatCalls makes a share of calls be carried out once more.
@@ -50,6 +51,7 @@
 	if fault.receiver != "" && !w.matches(fault.receiver, receiver) || !fault.occurs(w) {
 		return
 	}
+	fault.count++
 	w.after(fault.nextDelay(w), carryOut)
 }
 
