core: number forwarded heartbeats apart from those of earlier processes

Cause: a follower matches the leader's reply to a waiting heartbeat by number and sender, and each process numbered from 1. A reply to its earlier process, which the leader's link delivers to a process that is back within a second, or a copy of it, answered whichever worker's heartbeat had that number. The answer to a heartbeat names no machine and no incarnation, so the worker can't tell.

Change: the numbers begin at a hash of the process's incarnation.

Measured: TestReplyToEarlierProcess and go test ./internal/core passed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,7 @@
 		pendingCalls:        map[uint64]func(Result){},
 		machineTypes:        map[string]*wire.MachineType{},
 		forwardedHeartbeats: map[uint64]*forwardedHeartbeat{},
+		lastForwardID:       firstForwardID(incarnation),
 	}
 	c.store = kv.NewClient(storeTransport{c}, &settings.Deployment)
 	c.cloud = cloudapi.NewClient(cloudTransport{c})
--- a/internal/core/heartbeat_forwarding.go
+++ b/internal/core/heartbeat_forwarding.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +29,14 @@
 	sentTo    string        // leader that it was last forwarded to; empty if not forwarded yet
 }
 
+// firstForwardID returns the number after which a run of this program numbers its forwarded heartbeats.
+// The numbers of different runs do not overlap: a leader may reply to an earlier run.
+func firstForwardID(incarnation uint64) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, incarnation)) // never fails
+	return hash.Sum64()
+}
+
 // forwardTimeout is how long a heartbeat waits for the leader's answer. It is well below the
 // worker's own timeout of 4 s, so that this controller's answer reaches the worker in time.
 const forwardTimeout = 2500 * time.Millisecond
--- a/internal/core/heartbeat_forwarding_test.go
+++ b/internal/core/heartbeat_forwarding_test.go
@@ -125,12 +125,18 @@
 
 // newFollower returns a follower that has just received a digest of n1, the leader of term 5.
 func newFollower(t *testing.T) *follower {
+	t.Helper()
+	return newFollowerProcess(t, 1)
+}
+
+// newFollowerProcess is newFollower for the process with a given incarnation.
+func newFollowerProcess(t *testing.T, incarnation uint64) *follower {
 	t.Helper()
 	settings := &config.Settings{
 		Name: "n0", Zone: "a", Peers: []config.Peer{{Name: "n1", Zone: "b"}, {Name: "n2", Zone: "c"}},
 		Deployment: config.Deployment{Workers: config.WorkerTimings{ReportS: 1.5, LeaseS: 10}},
 	}
-	f := &follower{t: t, core: New(settings, nil, 1, nil), now: time.Minute}
+	f := &follower{t: t, core: New(settings, nil, incarnation, nil), now: time.Minute}
 	f.receiveDigest("n1", wire.Digest{Version: wire.PeerVersion, Term: 5, Leader: true, HearsLeader: true})
 	return f
 }
@@ -196,6 +202,23 @@
 	}
 }
 
+// TestReplyToEarlierProcess guards against a worker that executes commands for another machine: a
+// controller that is back within a second takes the leader's reply to its earlier process for the reply to
+// a heartbeat of its own.
+func TestReplyToEarlierProcess(t *testing.T) {
+	for _, incarnations := range [][2]uint64{{1, 2}, {1<<32 + 1, 1<<32 + 2}, {1 << 63, 7}} {
+		earlier, later := newFollowerProcess(t, incarnations[0]), newFollowerProcess(t, incarnations[1])
+		for request := range uint64(100) {
+			earlier.heartbeat(request, 5)
+			later.heartbeat(request, 5)
+			reply := &wire.Reply{ID: earlier.forwarded("n1").ID, Status: http.StatusOK, Body: []byte(`{"helm":5}`)}
+			if answers := later.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Reply: reply}}); len(answers) != 0 {
+				t.Fatalf("incarnations %v: answered request %d with the reply to the earlier process", incarnations, answers[0].ID)
+			}
+		}
+	}
+}
+
 // TestForwardToNextLeader checks that a waiting heartbeat is forwarded again when the leader
 // changes, and only then.
 func TestForwardToNextLeader(t *testing.T) {
