--- a/internal/core/image_pull_test.go
+++ b/internal/core/image_pull_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core/cluster"
-	"github.com/brookwalk/brookwalk/internal/core/election"
 	"github.com/brookwalk/brookwalk/internal/core/records"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -102,7 +101,7 @@
 	for _, sequential := range []bool{true, false, true} {
 		harness.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 6, Leader: true, FetchesQueue: sequential}}})
 		harness.step(PeerInput{Message: &wire.PeerMessage{From: "n1", Digest: &wire.Digest{Term: 6, FetchesQueue: !sequential}}})
-		if got := newLeader(harness.core, election.Leadership{Term: 7, TermVersion: 1, Lease: 1}).pullEvidence.isSequential(); got != sequential {
+		if got := newLeader(harness.core, testLeadership(7)).pullEvidence.isSequential(); got != sequential {
 			t.Errorf("sequential for the new leader: got %v, want %v as for the previous one", got, sequential)
 		}
 	}
--- a/internal/sim/checker_mutations_test.go
+++ b/internal/sim/checker_mutations_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -66,6 +67,7 @@
 		{"forgotten", changeAnswers("job-000004", 422, "", ""), "at 12 submit job-000004 awaits=job-000001,job-000001"},
 		{"left_waiting", misplaceRecords, "until 260\n" + dependentOfDone},
 		{"limits", padTransactions, "next txn_ops=5"},
+		{"started_again", useOneToken, "at 5 repeat_calls share=1 to=workers delay=50 for=30"},
 	} {
 		t.Run(tc.rule, func(t *testing.T) {
 			scenario := parseScenario(t, mutatedScenario+tc.extra)
@@ -218,3 +220,16 @@
 		call.Body = encode(txn)
 	}
 }
+
+// fencingToken matches the fencing token of a message to a worker.
+var fencingToken = regexp.MustCompile(`"helm":\d+`)
+
+// useOneToken sends all messages to workers under the same fencing token.
+func useOneToken(_ *controller, out *core.Output) {
+	for i := range out.Calls {
+		out.Calls[i].Body = fencingToken.ReplaceAll(out.Calls[i].Body, []byte(`"helm":1`))
+	}
+	for i := range out.Answers {
+		out.Answers[i].Body = fencingToken.ReplaceAll(out.Answers[i].Body, []byte(`"helm":1`))
+	}
+}
--- a/internal/sim/heartbeat.go
+++ b/internal/sim/heartbeat.go
@@ -50,7 +50,9 @@
 	m.awaitsAnswer, m.statusChanged = true, false
 	m.lastHeartbeat = world.now
 	sentAt, incarnation := world.now, m.incarnation
-	body := encode(m.heartbeat())
+	heartbeat := m.heartbeat()
+	body := encode(heartbeat)
+	world.workerTraffic.recordHeartbeat(heartbeat, len(body))
 	world.checker.checkHeartbeatSize(m, len(body))
 	m.duplicateHeartbeat(body)
 	done := func(status int, answer []byte) {
@@ -112,7 +114,11 @@
 		return
 	}
 	var list wire.CommandList
-	if json.Unmarshal(answer, &list) != nil || list.FencingToken < m.fencingToken || incarnation != m.incarnation {
+	if json.Unmarshal(answer, &list) != nil || incarnation != m.incarnation {
+		return
+	}
+	if list.FencingToken < m.fencingToken {
+		world.workerTraffic.droppedAnswers++
 		return
 	}
 	m.observeToken(list.FencingToken)
@@ -138,7 +144,8 @@
 // observeToken records a fencing token if it is the highest so far.
 func (m *machine) observeToken(token uint64) {
 	if token > m.fencingToken {
+		first := m.fencingToken == 0
 		m.fencingToken = token
-		m.statusChanged = true
+		m.statusChanged = m.statusChanged || first || !m.world.hideRaisedTokens
 	}
 }
--- a/internal/sim/worker_commands.go
+++ b/internal/sim/worker_commands.go
@@ -29,6 +29,9 @@
 		decode(body, &list)
 		if list.FencingToken < m.fencingToken || list.Incarnation != m.incarnation {
 			status = httpstatus.Conflict
+			if list.Incarnation == m.incarnation && len(list.Commands) > 0 {
+				m.world.workerTraffic.refusedCalls++
+			}
 		} else {
 			m.observeToken(list.FencingToken)
 			m.execute(list.Commands)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -17,6 +17,7 @@
 
 	"github.com/brookwalk/brookwalk/internal/config"
 	"github.com/brookwalk/brookwalk/internal/core"
+	"github.com/brookwalk/brookwalk/internal/core/cluster"
 	"github.com/brookwalk/brookwalk/internal/eventqueue"
 	"github.com/brookwalk/brookwalk/wire"
 )
@@ -41,6 +42,11 @@
 	jobsByTeam      map[string]map[*groundTruth]bool // jobs with tasks on machines
 	taskStarts      int                              // start commands that workers executed
 	expiredTasks    int                              // tasks that a worker killed at its lease expiry
+	workerTraffic   workerTraffic
+
+	// hideRaisedTokens makes workers report a fencing token other than the first one only with their next
+	// regular heartbeat.
+	hideRaisedTokens bool
 
 	partitions          []*partition
 	pauses              []interval    // during which all controllers are paused
@@ -70,6 +76,28 @@
 	usageIncreased func(team string)
 }
 
+// workerTraffic counts what workers sent, and what they refused because they had seen a higher fencing
+// token.
+type workerTraffic struct {
+	heartbeats       int
+	largestHeartbeat int // in bytes
+	mostExited       int // exited tasks in one heartbeat
+	manyExited       int // heartbeats with at least cluster.MaxExitedRows exited tasks
+	refusedCalls     int // direct calls with commands
+	droppedAnswers   int // answers to heartbeats
+}
+
+// recordHeartbeat counts a heartbeat.
+func (t *workerTraffic) recordHeartbeat(heartbeat *wire.Heartbeat, size int) {
+	t.heartbeats++
+	t.largestHeartbeat = max(t.largestHeartbeat, size)
+	exited := cluster.CountExited(heartbeat.Tasks)
+	t.mostExited = max(t.mostExited, exited)
+	if exited >= cluster.MaxExitedRows {
+		t.manyExited++
+	}
+}
+
 // stepper is the core that a controller runs: one of this version, or a child process that runs
 // one of another version.
 type stepper interface {
