--- a/internal/sim/wake_late_answers_test.go
+++ b/internal/sim/wake_late_answers_test.go
@@ -69,6 +69,24 @@
 	}
 }
 
+// TestRepeatedCommandRenewsLease guards against a second replica beside one whose lease is renewed by a
+// copy of a command that was answered before. The server accepts no further connections meanwhile.
+func TestRepeatedCommandRenewsLease(t *testing.T) {
+	skipKnownFailure(t)
+	for seed := range uint64(20) {
+		world := newServingWorld(seed + 1)
+		world.run(20*time.Second + time.Duration(seed)*70*time.Millisecond)
+		// Copies of the last commands arrive before the commands expire.
+		world.repeatedCalls = repeatedCalls{
+			randomFault: randomFault{1, world.now + 2*time.Second}, receiver: "gpu-0", delay: 3500 * time.Millisecond,
+		}
+		world.run(world.now + 2*time.Second)
+		world.serverDownUntil["gpu-0"] = 60 * time.Second
+		world.sendRequest(world.activators[1], "a", "second", 60*time.Second)
+		world.finish(t, 150*time.Second)
+	}
+}
+
 // TestServerGone ends the server that runs the replica. The model must wake on the other one as soon as
 // the lease has certainly expired that the last executed command has renewed, and serve the request that
 // waits.
@@ -101,32 +119,53 @@
 	for _, seed := range soakSeeds(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			rng := rand.New(rand.NewPCG(seed, 29))
-			world := newWakeWorld(seed, []int{1, 3, 5}[rng.IntN(3)], wakeRegistry)
-			world.run(3 * time.Second)
-			for i := range 150 {
-				at, model := seconds(200*rng.Float64()), wakeModels[rng.IntN(len(wakeModels))]
-				to, timeout := world.randomActivator(rng), seconds(2+60*rng.Float64())
-				world.after(at, func() { world.sendRequest(to, model, fmt.Sprint("k", i), timeout) })
-			}
-			for range 8 {
-				world.after(seconds(180*rng.Float64()), world.randomServerFault(rng))
-			}
-			world.after(300*time.Second, func() {
-				for _, model := range wakeModels {
-					world.sendRequest(world.activators[0], model, "last "+model, 100*time.Second)
-				}
-			})
-			world.finish(t, 430*time.Second)
-			for _, request := range world.requests {
-				if request.sentAt == 303*time.Second && request.status != 200 {
-					t.Errorf("request %s after the end of all faults: got status %d, want served", request.key, request.status)
-				}
-			}
+			runServerFaults(t, seed, repeatedCalls{})
+		})
+	}
+}
+
+// TestWakeRepeatedCalls runs the random scenarios of TestWakeLateAnswers while calls that were answered
+// are carried out once more: commands to model servers, requests that are forwarded to them, and calls to
+// the key-value store.
+func TestWakeRepeatedCalls(t *testing.T) {
+	for _, seed := range soakSeeds(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			share := []float64{0.1, 0.5, 1}[seed%3]
+			runServerFaults(t, seed, repeatedCalls{randomFault: randomFault{share, 250 * time.Second}})
 		})
 	}
 }
 
+// runServerFaults runs a random scenario in which answers to commands are late or lost, servers end, and
+// owners end or are paused, while some calls are carried out once more.
+func runServerFaults(t *testing.T, seed uint64, repeated repeatedCalls) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 29))
+	world := newWakeWorld(seed, []int{1, 3, 5}[rng.IntN(3)], wakeRegistry)
+	world.repeatedCalls = repeated
+	world.run(3 * time.Second)
+	for i := range 150 {
+		at, model := seconds(200*rng.Float64()), wakeModels[rng.IntN(len(wakeModels))]
+		to, timeout := world.randomActivator(rng), seconds(2+60*rng.Float64())
+		world.after(at, func() { world.sendRequest(to, model, fmt.Sprint("k", i), timeout) })
+	}
+	for range 8 {
+		world.after(seconds(180*rng.Float64()), world.randomServerFault(rng))
+	}
+	world.after(300*time.Second, func() {
+		for _, model := range wakeModels {
+			world.sendRequest(world.activators[0], model, "last "+model, 100*time.Second)
+		}
+	})
+	world.finish(t, 430*time.Second)
+	for _, request := range world.requests {
+		if request.sentAt == 303*time.Second && request.status != 200 {
+			t.Errorf("request %s after the end of all faults: got status %d, want served", request.key, request.status)
+		}
+	}
+}
+
 // randomServerFault chooses a fault of a server's answers, of a server or of an activator and returns a
 // function that injects it.
 func (w *wakeWorld) randomServerFault(rng *rand.Rand) func() {
