--- a/internal/hollow/experiment.go
+++ b/internal/hollow/experiment.go
@@ -122,17 +122,18 @@
 	FailZone           = "zone_gone"
 	FailStore          = "state_down"
 	FailRegionLink     = "cut_regions"
+	FailRepeatedCalls  = "repeat_calls"
 )
 
-var failureKinds = []string{FailLeader, FailAllControllers, FailWorkers, FailZone, FailStore, FailRegionLink}
+var failureKinds = []string{FailLeader, FailAllControllers, FailWorkers, FailZone, FailStore, FailRegionLink, FailRepeatedCalls}
 
 // Failure is a fault that is injected at a given time.
 type Failure struct {
 	AtS   float64 `toml:"at_s"`
 	Kind  string  `toml:"kind"`
-	Share float64 `toml:"share"` // share of the workers that are removed
+	Share float64 `toml:"share"` // share of the workers that are removed, or of the calls that are repeated
 	Zone  string  `toml:"zone"`  // zone that fails; for workers_gone, their zone, or empty for all zones
-	ForS  float64 `toml:"for_s"` // duration of a zone failure, an outage or a partition
+	ForS  float64 `toml:"for_s"` // duration of a zone failure, an outage, a partition or repeated calls
 	// Region is the region in which the failure is injected; empty for all regions. A partition
 	// blocks connections from Region to the region To, or to all others if To is empty. With BothWays
 	// it also blocks the opposite direction.
--- a/internal/hollow/failures.go
+++ b/internal/hollow/failures.go
@@ -44,6 +44,9 @@
 	case FailStore:
 		r.live.StopStore(seconds(failure.ForS))
 		log.Info("failure injected", "for_s", failure.ForS)
+	case FailRepeatedCalls:
+		r.live.RepeatCalls(failure.Share, seconds(failure.ForS))
+		log.Info("failure injected", "share", failure.Share, "for_s", failure.ForS)
 	}
 }
 
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// TestRepeatedCallsByProcesses kills all controllers, which are back within a second, while copies of calls
+// that were answered are carried out once more. No rule may be violated.
+func TestRepeatedCallsByProcesses(t *testing.T) {
+	const runS = 18
+	ended := func(o *observer) bool { return len(o.startsPerSecond) >= runS }
+	rep, _ := runSmallExperiment(t.Context(), t, ended, Failure{AtS: 1, Kind: FailRepeatedCalls, Share: 0.7, ForS: runS},
+		Failure{AtS: 7, Kind: FailAllControllers}, Failure{AtS: 12, Kind: FailLeader})
+	if rep.Tasks == 0 {
+		t.Error("at the end: got no tasks on machines, want some")
+	}
+}
+
 // TestRunKillsItsProcesses cancels the context of a run. The run must return a report that is
 // marked as interrupted, and must kill all its controllers.
 func TestRunKillsItsProcesses(t *testing.T) {
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -234,6 +234,12 @@
 // StopStore makes the key-value store reject every request for a duration.
 func (l *Live) StopStore(duration time.Duration) { l.world.store.beginOutage(duration) }
 
+// RepeatCalls makes a share of the calls that the key-value store, the cloud, the workers and, for users,
+// the controllers carry out and answer be carried out once more, 0.2 to 150 s later.
+func (l *Live) RepeatCalls(share float64, duration time.Duration) {
+	l.world.repeatedCalls = repeatedCalls{randomFault: randomFault{share, l.world.now + duration}}
+}
+
 // ServeStore serves a controller's request to the key-value store. It calls reply immediately or
 // later.
 func (l *Live) ServeStore(method, path string, body []byte, reply func(int, []byte)) {
