core: log the traffic of workers once a minute

Change: a line at info by the leader with heartbeats, their largest size and most exited tasks, direct calls, refused and unanswered ones, starts, stops, forget commands and raised tokens. leader.answerHeartbeat is split from handleHeartbeat.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -46,6 +46,8 @@
 		return
 	}
 	l.logCommands(machine, inDirectCall, message)
+	l.workerTraffic.directCalls++
+	l.workerTraffic.recordMessage(message)
 	call := reconcile.BeginDirectCall(machine, message.Commands)
 	l.callWorker(machine, machine.Incarnation, message, func(result Result) {
 		call.End()
@@ -56,9 +58,13 @@
 			call.SettleStarts()
 		}
 		if !commandsAnswered(result) {
+			l.workerTraffic.unansweredCalls++
 			call.Fail(l.core.now, l.core.reconcileTiming())
 			return
 		}
+		if result.Status == httpstatus.Conflict {
+			l.workerTraffic.refusedCalls++
+		}
 		l.handleDirectStatus(machine, result.Body)
 	})
 }
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -47,11 +47,23 @@
 	if l.recordsLoaded && heartbeat.Incarnation == machine.Incarnation {
 		commands = l.commandsFor(machine)
 	}
+	l.workerTraffic.recordHeartbeat(machine, len(body))
+	return l.answerHeartbeat(machine, commands)
+}
+
+// answerHeartbeat returns the status and the body of the answer to a machine's newest heartbeat, given the
+// commands for the worker. The leader steps down if its term has no fencing token left for them.
+func (l *leader) answerHeartbeat(machine *cluster.Machine, commands []wire.Command) (int, []byte) {
+	earlierToken := machine.CommandToken
 	message, tokensUsedUp := reconcile.AnswerHeartbeat(machine, commands, l.tokens())
 	if tokensUsedUp {
 		l.core.stepDown(stepDownTokensUsedUp)
 		return httpstatus.ServiceUnavailable, []byte("{}")
 	}
+	if earlierToken != 0 && message.Token > earlierToken {
+		l.workerTraffic.raisedTokens++
+	}
+	l.workerTraffic.recordMessage(message)
 	l.logCommands(machine, inHeartbeatAnswer, message)
 	reconcile.RecordAnswer(machine, message.Commands, l.core.now)
 	return httpstatus.OK, kv.Encode(wire.CommandList{FencingToken: message.Token, Commands: message.Commands})
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -41,6 +41,7 @@
 	// Reconciliation.
 	openProbes    int
 	zoneReachedAt map[string]time.Duration // by zone; last heartbeat or response that this controller received
+	workerTraffic workerTraffic
 	outliers      *outlier.Detector
 	pullEvidence  pullEvidence
 
@@ -72,6 +73,7 @@
 		leadership:            leadership,
 		State:                 cluster.NewState(),
 		zoneReachedAt:         map[string]time.Duration{},
+		workerTraffic:         workerTraffic{loggedAt: c.now},
 		returnedMachines:      map[string]time.Duration{},
 		cancelledJobs:         map[string]*cluster.Job{},
 		dependencies:          depgraph.New(),
@@ -113,6 +115,7 @@
 	l.tickDependencies()
 	l.tickDependencyLists()
 	l.tickQuota()
+	l.logWorkerTraffic()
 	if l.core.now >= l.passes.earliestStart+l.core.heartbeatInterval()/3 {
 		l.passes.requested = true
 	}
