hollow: build the report of starts with the simulation locked

Cause: at the end of a run requests may still be answered; a late answer started a task while the report read the counts of starts.

Change: reportStarts runs under Live.Do, as all other reads of the simulation.

--- a/internal/hollow/report_build.go
+++ b/internal/hollow/report_build.go
@@ -36,13 +36,14 @@
 		StoreChangesPerS: perSecond(float64(counts.StoreChanges), duration.Seconds()),
 		Violations:       append([]string{}, counts.Violations...), History: r.history,
 	}
-	r.reportStarts(report, duration)
+	r.live.Do(func() { r.reportStarts(report, duration) }) // requests may still be answered
 	r.reportProcesses(report, leader)
 	r.reportTraffic(report, duration)
 	return report
 }
 
-// reportStarts adds the rates of task starts, the waits and the failovers to the report.
+// reportStarts adds the rates of task starts, the waits and the failovers to the report. It is called with
+// the simulation locked.
 func (r *runner) reportStarts(report *Report, duration time.Duration) {
 	observer := r.observer
 	report.PeakStartsPerS = observer.peakStartRate()
