reconcile: no allocation per heartbeat for raised tokens; comments at one reading

A report with a token above that of the starts replaced the map of unconfirmed starts each time, also when it was empty; a comment line ran over, and four needed a second reading.

Change: the map is replaced only if it has entries. Comments of unconfirmed starts, the current token, terms of earlier versions and recorded placements.

--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -6,7 +6,8 @@
 // The leader key is attached to a lease and names the leader; it only determines when to hold an
 // election. Safety depends on the term key: every election increases it, and every write of a leader is
 // conditional on its version. An election increases the term by tokensPerTerm, so that the leader owns a
-// range of fencing tokens, see package reconcile. A version that increases it by one owns one token.
+// range of fencing tokens, see package reconcile. Leaders of earlier versions of the program increase the
+// term by one and own one token.
 package election
 
 import (
--- a/internal/core/persistence/batch.go
+++ b/internal/core/persistence/batch.go
@@ -295,7 +295,7 @@
 	w.host.StartTasks(job, starts)
 }
 
-// logPlacements logs placements that a record shows for the first time: it allows their starts.
+// logPlacements logs the placements that a record shows for the first time. Their tasks may start now.
 func (w *Writer) logPlacements(record *cluster.PlacementRecord, starts []records.PlacedTask) {
 	if len(starts) == 0 || !w.log.Enabled(context.Background(), slog.LevelInfo) {
 		return
--- a/internal/core/reconcile/fencing_token.go
+++ b/internal/core/reconcile/fencing_token.go
@@ -51,8 +51,9 @@
 	return Message{Token: token, Commands: commands}
 }
 
-// currentToken returns the token of messages that do not raise it. Any start may have been sent under the
-// first token that this leader knows of: it may have known the machine before.
+// currentToken returns the token of messages that do not raise it. Starts may have been sent under a token
+// that the leader learns from the worker, and under the first one of the term: the leader may have dropped
+// the machine and added it again.
 func currentToken(machine *cluster.Machine, tokens TokenRange) uint64 {
 	if known := max(machine.FencingToken, tokens.First); known > machine.CommandToken {
 		machine.CommandToken, machine.StartToken = known, known
--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -81,7 +81,7 @@
 		machine.LastAnswered = now
 	}
 	machine.FencingToken = max(machine.FencingToken, token)
-	if token > machine.StartToken {
+	if token > machine.StartToken && len(machine.UnconfirmedStarts) > 0 {
 		dropUnconfirmedStarts(machine)
 	}
 }
--- a/internal/core/reconcile/unconfirmed_starts.go
+++ b/internal/core/reconcile/unconfirmed_starts.go
@@ -5,8 +5,8 @@
 	"github.com/brookwalk/brookwalk/wire"
 )
 
-// This file tracks the start commands whose first copy may still reach a worker, so that they do not
-// arrive after the command to forget the attempt. Further copies are a matter of fencing_token.go. Every
+// This file tracks the start commands that are not known to have arrived and may still reach a worker.
+// MayForget waits for them. Copies of a start that arrived before are a matter of fencing_token.go. Every
 // start is sent in one of two messages and counts as unconfirmed from then on:
 //
 //   - In a direct call (BeginDirectCall). It is settled by the worker's response to that call, or by
@@ -17,8 +17,9 @@
 //     to direct calls and probes say nothing about them.
 //
 // Both kinds end with the worker's incarnation, since it executes no commands that were sent to an
-// earlier one, and when the worker has seen a higher fencing token than theirs. A new leader starts with no unconfirmed starts: those of earlier terms have no effect on
-// a worker that has seen the new term, and MayForget requires that.
+// earlier one, and when the worker has seen a higher fencing token than theirs. A new leader starts with
+// no unconfirmed starts: those of earlier terms have no effect on a worker that has seen the new term, and
+// MayForget requires that.
 
 // addUnconfirmedStarts counts the start commands among the commands as sent. It returns the attempts that
 // they start.
